--- /dev/null
+++ b/gypsumspoke/core/clock.py
@@ -0,0 +1,44 @@
+"""The clock as an interface, so that tests and the bench can supply virtual time.
+
+Reducers never read a clock: each event comes with ``now``. Only the shell holds a
+``Clock``. Times are aware UTC datetimes because births and deadlines travel between
+machines; durations are timedeltas.
+"""
+
+from datetime import datetime, timedelta, timezone
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of the current time."""
+
+    def now(self) -> datetime:
+        """Return the current time as an aware UTC datetime."""
+
+
+class SystemClock:
+    """The machine's wall clock."""
+
+    def now(self) -> datetime:
+        """Return the machine's wall-clock time in UTC."""
+        return datetime.now(timezone.utc)
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Args:
+      start: the first time it shows, aware UTC.
+    """
+
+    def __init__(self, start: datetime) -> None:
+        self._now = start
+
+    def now(self) -> datetime:
+        """Return the time last set."""
+        return self._now
+
+    def advance(self, step: timedelta) -> datetime:
+        """Move forward by ``step`` and return the new time."""
+        self._now += step
+        return self._now
--- /dev/null
+++ b/gypsumspoke/parser/__init__.py
@@ -0,0 +1,1 @@
+"""Text to checked values: settings, the manifest and submissions."""
--- /dev/null
+++ b/gypsumspoke/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and processes around the reducers of ``core``."""
--- /dev/null
+++ b/gypsumspoke/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, the measuring command and reports."""
--- /dev/null
+++ b/gypsumspoke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes: thrift structs, frames and connections."""
