Executor, start records, ledger and takeover as reducers

The executor is the only place where a task starts; the takeover fences it before a new home serves. A home that was replaced while paused must not say "not run" either, so CloseJob confirms its epoch before such an answer.

--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -215,12 +215,14 @@
       partition: number of the partition.
       owner: incarnation of the home; empty when given up.
       epoch: grows by one with every change.
+      since: time of the change, by the owner's clock.
       version: version of the table's row, for compare-and-set.
     """
 
     partition: int
     owner: str
     epoch: int
+    since: datetime
     version: int
 
 
@@ -549,9 +551,8 @@
       chunk, chunks: position of this chunk, from 0, and how many there are.
       floor, generation: see ``Ownership`` in core/ledger.py.
       lossy_before: unknown keys born before this are RECORDS_LOST; None if none.
-      refused, finished: the ledger. Jobs that still run are not listed: the fence
-        finds what they started, and ``running`` names them.
-      running: keys accepted and not finished, with birth, attempt and digest.
+      refused, finished: the ledger. A job that still runs stands in ``finished`` with
+        kind JOB_RUNNING; the fence finds what it started.
     """
 
     partition: int
@@ -564,7 +565,6 @@
     lossy_before: datetime | None
     refused: tuple[RefusedRecord, ...]
     finished: tuple[FinishedRecord, ...]
-    running: tuple[RefusedRecord, ...]
 
 
 class HandoffAck(NamedTuple):
@@ -657,6 +657,7 @@
 
     EXECUTOR_QUEUE_FULL = "executor_queue_full"
     EXECUTOR_LEAVING = "executor_leaving"
+    EXECUTOR_JOINING = "executor_joining"
     STALE_EPOCH = "stale_epoch"
     ALREADY_STARTED = "already_started"
     REFUSED_FOR_GOOD = "refused_for_good"
--- /dev/null
+++ b/gypsumspoke/core/jobs.py
@@ -0,0 +1,146 @@
+"""A job that a home runs: its tasks, who waits for it, and what its end claims.
+
+An answer must not claim more than is known. A task that was never placed, or that an
+executor refused, has not run; one that was sent out and not heard of is unknown. The
+claim about the whole job follows from its tasks here, in one place.
+"""
+
+from datetime import datetime
+from enum import Enum
+from typing import NamedTuple
+
+from gypsumspoke.core.data import Answer, AttemptId, Outcome, Submission
+from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+
+
+class Waiter(NamedTuple):
+    """One copy of a submission that waits for the answer."""
+
+    entry: str
+    request: str
+
+
+class SlotState(Enum):
+    """How far a task is, as its home knows."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class TaskSlot:
+    """One task of a running job."""
+
+    def __init__(self) -> None:
+        self.state = SlotState.WAITING
+        self.attempt: AttemptId | None = None
+        self.executor = ""
+        self.placed: datetime | None = None
+        self.asked: datetime | None = None
+        self.placements = 0
+        self.avoid: frozenset[str] = frozenset()
+        self.result = b""
+
+
+class Job:
+    """A submission that has no final answer yet.
+
+    Args:
+      submission: the copy that is run.
+      partition: its partition.
+      accepted: when it was accepted.
+    """
+
+    def __init__(
+        self, submission: Submission, partition: int, accepted: datetime
+    ) -> None:
+        self.submission = submission
+        self.partition = partition
+        self.accepted = accepted
+        self.slots = [TaskSlot() for _ in submission.tasks]
+        self.undone = len(submission.tasks)
+        self.waiters: list[Waiter] = []
+        self.ending: ErrorKind | None = None
+        self.detail = ""
+        self.ending_since: datetime | None = None
+        self.messages = 0
+        self.wasted = 0
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether it was given up on and only waits for confirmations."""
+        return self.ending is not None
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task is done."""
+        return self.undone == 0
+
+    @property
+    def holders(self) -> list[str]:
+        """Executors that were sent a task, in order of first use."""
+        return list(dict.fromkeys(slot.executor for slot in self.slots if slot.attempt))
+
+    @property
+    def has_open_slots(self) -> bool:
+        """Whether a placed task has not been heard of yet."""
+        return any(slot.state is SlotState.PLACED for slot in self.slots)
+
+
+_OUTCOME_OF_SLOT = {
+    SlotState.WAITING: Outcome.NOT_RUN,
+    SlotState.PLACED: Outcome.UNKNOWN,
+    SlotState.DONE: Outcome.DONE,
+    SlotState.FAILED: Outcome.FAILED,
+    SlotState.UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+def complete_answer(job: Job) -> Answer:
+    """Return the answer of a job whose tasks are all done."""
+    results = tuple(slot.result for slot in job.slots)
+    return Answer(None, Work.RAN, results)
+
+
+def outcomes(job: Job) -> tuple[Outcome, ...]:
+    """Return what is known of each task."""
+    return tuple(_OUTCOME_OF_SLOT[slot.state] for slot in job.slots)
+
+
+def work_of(known: tuple[Outcome, ...]) -> Work:
+    """Return what may be claimed of a job from what is known of its tasks."""
+    if Outcome.UNKNOWN in known:
+        return Work.UNKNOWN
+    if Outcome.NOT_RUN not in known:
+        return Work.RAN
+    if set(known) == {Outcome.NOT_RUN}:
+        return Work.NOT_RUN
+    return Work.PARTLY_RAN
+
+
+def failed_answer(job: Job, confirmed: bool) -> Answer:
+    """Return the final answer of a job that was given up on.
+
+    Args:
+      job: the job; ``ending`` is set.
+      confirmed: whether an executor confirmed the home's epoch after the end was
+        decided. Without that another home may be running the rest.
+
+    Returns:
+      An answer with the outcome of each task; "not run" only when confirmed.
+    """
+    known = outcomes(job)
+    if not confirmed:
+        known = tuple(
+            Outcome.UNKNOWN if outcome is Outcome.NOT_RUN else outcome
+            for outcome in known
+        )
+    work = work_of(known)
+    kind = job.ending or ErrorKind.INTERNAL
+    listed = () if work is Work.NOT_RUN else known
+    retry_after = ANSWER_RULES[kind].retry_after if work is Work.NOT_RUN else None
+    return Answer(
+        kind, work, outcomes=listed, retry_after=retry_after, detail=job.detail
+    )
--- /dev/null
+++ b/gypsumspoke/core/ledger.py
@@ -0,0 +1,209 @@
+"""What one home remembers of submissions, and how attempt numbers are given out.
+
+A "not run" must stay true for copies that are still under way, so each refusal is
+remembered until its key expires. Under overload refusals are many; when their table is
+full, one number replaces it: the *floor*. Unknown keys born before the floor run only
+with an attempt number that no earlier refusal handed out, which the generation in
+the number guarantees. A takeover uses the same rule, since a new home doesn't know what its
+predecessor refused.
+
+An attempt number is ``epoch << 32 | generation << 12 | count``. It stays below
+2**53, which JSON readers keep exact, for the first two million epochs.
+"""
+
+import heapq
+from collections import OrderedDict
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.core.data import (
+    Answer,
+    FinishedRecord,
+    JobKey,
+    RefusedRecord,
+)
+from gypsumspoke.core.errors import ErrorKind, Work
+
+REFUSED_LIMIT = 20_000
+GENERATION_BITS = 20
+COUNT_BITS = 12
+_EPOCH_SHIFT = GENERATION_BITS + COUNT_BITS
+
+
+def first_attempt(epoch: int, generation: int) -> int:
+    """Return the lowest attempt number of a generation of an epoch."""
+    return epoch << _EPOCH_SHIFT | generation << COUNT_BITS
+
+
+class Floor(NamedTuple):
+    """Which unknown keys of a partition may run at once.
+
+    Attributes:
+      epoch: epoch of the ownership.
+      generation: grows by one each time the floor is raised.
+      born_before: unknown keys born before need an attempt number from
+        ``first_attempt(epoch, generation)``.
+      lossy_before: unknown keys born before may have run, and never run; None if none.
+    """
+
+    epoch: int
+    generation: int
+    born_before: datetime
+    lossy_before: datetime | None
+
+    @property
+    def attempt(self) -> int:
+        """The lowest attempt number that runs although born before the floor."""
+        return first_attempt(self.epoch, self.generation)
+
+    @property
+    def ceiling(self) -> int:
+        """The first attempt number that this ownership can't have given out."""
+        return first_attempt(self.epoch + 1, 0)
+
+    def raised(self, born_before: datetime) -> "Floor":
+        """Return the floor of the next generation."""
+        return self._replace(
+            generation=self.generation + 1,
+            born_before=max(self.born_before, born_before),
+        )
+
+
+class Ledger:
+    """Kept answers and refusals of one home, by partition and key.
+
+    Args:
+      kept_bytes: most bytes of results that are kept.
+    """
+
+    def __init__(self, kept_bytes: int) -> None:
+        self._kept_bytes = kept_bytes
+        self._finished: dict[int, dict[JobKey, FinishedRecord]] = {}
+        self._refused: dict[int, dict[JobKey, RefusedRecord]] = {}
+        self._expiry: list[tuple[datetime, int, JobKey]] = []
+        self._results: OrderedDict[tuple[int, JobKey], int] = OrderedDict()
+        self._result_bytes = 0
+
+    @property
+    def finished_count(self) -> int:
+        """Number of kept answers."""
+        return sum(len(records) for records in self._finished.values())
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of results held."""
+        return self._result_bytes
+
+    def set_kept_bytes(self, limit: int) -> None:
+        """Change the bound on the bytes of results."""
+        self._kept_bytes = limit
+        self._drop_results()
+
+    def finished(self, partition: int, key: JobKey) -> FinishedRecord | None:
+        """Return the kept answer of a key, or None."""
+        return self._finished.get(partition, {}).get(key)
+
+    def refused(self, partition: int, key: JobKey) -> RefusedRecord | None:
+        """Return the last refusal of a key, or None."""
+        return self._refused.get(partition, {}).get(key)
+
+    def refused_count(self, partition: int) -> int:
+        """Return how many refusals of a partition are remembered."""
+        return len(self._refused.get(partition, {}))
+
+    def keep_finished(self, partition: int, record: FinishedRecord) -> None:
+        """Keep a final answer; it replaces an earlier refusal."""
+        self._refused.get(partition, {}).pop(record.key, None)
+        self._finished.setdefault(partition, {})[record.key] = record
+        heapq.heappush(self._expiry, (record.birth, partition, record.key))
+        self._account((partition, record.key), record)
+
+    def keep_refused(self, partition: int, record: RefusedRecord) -> None:
+        """Keep a refusal."""
+        known = self._refused.setdefault(partition, {})
+        if record.key not in known:
+            heapq.heappush(self._expiry, (record.birth, partition, record.key))
+        known[record.key] = record
+
+    def forget_refused(self, partition: int, key: JobKey) -> None:
+        """Drop a refusal whose key runs now under a higher attempt."""
+        self._refused.get(partition, {}).pop(key, None)
+
+    def clear_refused(self, partition: int) -> None:
+        """Drop the refusals of a partition after its floor was raised over them."""
+        self._refused.pop(partition, None)
+
+    def drop(self, partition: int) -> None:
+        """Forget a partition that another home owns now."""
+        for key in self._finished.pop(partition, {}):
+            self._result_bytes -= self._results.pop((partition, key), 0)
+        self._refused.pop(partition, None)
+
+    def all_finished(self, partition: int) -> list[FinishedRecord]:
+        """Return the kept answers of a partition."""
+        return list(self._finished.get(partition, {}).values())
+
+    def all_refused(self, partition: int) -> list[RefusedRecord]:
+        """Return the remembered refusals of a partition."""
+        return list(self._refused.get(partition, {}).values())
+
+    def expire(self, born_before: datetime) -> None:
+        """Drop everything about submissions born before a time."""
+        while self._expiry and self._expiry[0][0] < born_before:
+            _, partition, key = heapq.heappop(self._expiry)
+            finished = self._finished.get(partition, {})
+            if key in finished and finished[key].birth < born_before:
+                del finished[key]
+                self._result_bytes -= self._results.pop((partition, key), 0)
+            refused = self._refused.get(partition, {})
+            if key in refused and refused[key].birth < born_before:
+                del refused[key]
+
+    def _account(self, place: tuple[int, JobKey], record: FinishedRecord) -> None:
+        self._result_bytes -= self._results.pop(place, 0)
+        size = sum(len(result) for result in record.answer.results)
+        if size:
+            self._results[place] = size
+            self._result_bytes += size
+            self._drop_results()
+
+    def _drop_results(self) -> None:
+        """Keep memory bounded: the oldest results go, that the job ran stays known."""
+        while self._result_bytes > self._kept_bytes:
+            (partition, key), size = self._results.popitem(last=False)
+            self._result_bytes -= size
+            record = self._finished[partition][key]
+            lost = Answer(ErrorKind.RESULT_LOST, Work.RAN)
+            self._finished[partition][key] = record._replace(answer=lost)
+
+
+def next_attempt(refused: int, floor: Floor) -> int:
+    """Return the attempt number with which a refused submission may come back.
+
+    Args:
+      refused: the attempt number that was refused.
+      floor: the partition's floor.
+
+    Returns:
+      A number above ``refused`` and not below the floor's.
+    """
+    return max(refused + 1, floor.attempt)
+
+
+def needs_new_generation(refused: int, floor: Floor) -> bool:
+    """Return whether the next number would run into the next generation's numbers.
+
+    Then a later generation's floor would not be above all numbers refused before it.
+    """
+    return next_attempt(refused, floor) >= first_attempt(
+        floor.epoch, floor.generation + 1
+    )
+
+
+def floor_birth(now: datetime, skew: timedelta) -> datetime:
+    """Return the birth below which a copy may have reached another home by ``now``.
+
+    A home accepts births up to its own clock plus ``skew``, and its clock may be ahead
+    of this one by ``skew``.
+    """
+    return now + 2 * skew
--- a/gypsumspoke/core/rows.py
+++ b/gypsumspoke/core/rows.py
@@ -51,9 +51,10 @@
     return f"{PARTITIONS_PREFIX}{partition:05d}"
 
 
-def partition_value(owner: str, epoch: int) -> str:
+def partition_value(owner: str, epoch: int, since: datetime) -> str:
     """Return the text of a partition's row."""
-    return json.dumps({"owner": owner, "epoch": epoch}, sort_keys=True)
+    fields = {"owner": owner, "epoch": epoch, "since": since.isoformat()}
+    return json.dumps(fields, sort_keys=True)
 
 
 def partition_from_row(row: Row) -> PartitionRow:
@@ -65,6 +66,9 @@
     try:
         fields = json.loads(row.value or "")
         number = int(row.key.removeprefix(PARTITIONS_PREFIX))
-        return PartitionRow(number, fields["owner"], fields["epoch"], row.version)
+        since = datetime.fromisoformat(fields["since"])
+        return PartitionRow(
+            number, fields["owner"], fields["epoch"], since, row.version
+        )
     except (KeyError, TypeError) as error:
         raise ValueError(f"row {row.key} is not a partition: {error}") from error
--- /dev/null
+++ b/gypsumspoke/core/start_records.py
@@ -0,0 +1,256 @@
+"""What one executor remembers of starts, by partition.
+
+The records are the only proof that a task started, so they decide whether it may
+start again. They live in memory: every start is known to its executor and to the home
+that placed it, on another worker. A record is dropped only when its submission is
+older than the retention, since from then on the key itself is refused.
+
+``covers`` names other incarnations whose records of a partition also stand here; a
+new home needs it to tell "nothing was started" from "the record is lost".
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.core.data import (
+    AttemptId,
+    ClosedRecord,
+    FenceAck,
+    JobKey,
+    Remember,
+    StartRecord,
+    TaskState,
+)
+
+CHUNK_RECORDS = 500
+CHUNK_BYTES = 1_000_000
+
+_STATE_RANK = {
+    TaskState.UNKNOWN: 0,
+    TaskState.RUNNING: 1,
+    TaskState.FAILED: 2,
+    TaskState.DONE: 3,
+}
+
+
+class Chunk(NamedTuple):
+    """A part of a partition's records that fits one frame."""
+
+    started: tuple[StartRecord, ...]
+    closed: tuple[ClosedRecord, ...]
+
+
+class StartRecords:
+    """The records of one executor.
+
+    Args:
+      incarnation: the executor's incarnation; it covers itself.
+      kept_bytes: most bytes of results that are kept.
+    """
+
+    def __init__(self, incarnation: str, kept_bytes: int) -> None:
+        self._incarnation = incarnation
+        self._kept_bytes = kept_bytes
+        self._started: dict[int, dict[JobKey, dict[int, StartRecord]]] = {}
+        self._closed: dict[int, dict[JobKey, ClosedRecord]] = {}
+        self._covers: dict[int, set[str]] = {}
+        self._expiry: list[tuple[datetime, int, JobKey]] = []
+        self._results: OrderedDict[tuple[int, JobKey, int], int] = OrderedDict()
+        self._result_bytes = 0
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Number of start records held."""
+        return self._count
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of results held."""
+        return self._result_bytes
+
+    def set_kept_bytes(self, limit: int) -> None:
+        """Change the bound on the bytes of results."""
+        self._kept_bytes = limit
+        self._drop_results()
+
+    def partitions(self) -> list[int]:
+        """Return the partitions with any record or cover, in order."""
+        return sorted(set(self._started) | set(self._closed) | set(self._covers))
+
+    def find(self, partition: int, key: JobKey, task: int) -> StartRecord | None:
+        """Return the record of a started task, or None."""
+        return self._started.get(partition, {}).get(key, {}).get(task)
+
+    def is_closed(self, partition: int, key: JobKey) -> bool:
+        """Return whether nothing more of this job may start."""
+        return key in self._closed.get(partition, {})
+
+    def add(self, partition: int, record: StartRecord) -> None:
+        """Keep a record; of two for one task the one that knows more stays."""
+        key = record.attempt.key
+        tasks = self._started.setdefault(partition, {}).setdefault(key, {})
+        if not tasks:
+            heapq.heappush(self._expiry, (record.birth, partition, key))
+        known = tasks.get(record.attempt.task)
+        if known is None:
+            self._count += 1
+        elif _STATE_RANK[known.state] >= _STATE_RANK[record.state]:
+            return
+        tasks[record.attempt.task] = record
+        self._account(partition, record)
+
+    def finish(
+        self, partition: int, attempt: AttemptId, state: TaskState, result: bytes | None
+    ) -> None:
+        """Set the end of a started task, if its record is still held."""
+        known = self.find(partition, attempt.key, attempt.task)
+        if known is None or known.attempt != attempt:
+            return
+        ended = known._replace(state=state, result=result)
+        self._started[partition][attempt.key][attempt.task] = ended
+        self._account(partition, ended)
+
+    def forget(self, partition: int, attempt: AttemptId) -> None:
+        """Drop the record of a try of which no byte reached the upstream."""
+        tasks = self._started.get(partition, {}).get(attempt.key, {})
+        known = tasks.get(attempt.task)
+        if known is not None and known.attempt == attempt:
+            del tasks[attempt.task]
+            self._count -= 1
+
+    def close(self, partition: int, record: ClosedRecord) -> None:
+        """Remember that nothing more of a job may start."""
+        closed = self._closed.setdefault(partition, {})
+        if record.key not in closed:
+            closed[record.key] = record
+            heapq.heappush(self._expiry, (record.birth, partition, record.key))
+
+    def cover(self, partition: int, incarnations: Iterable[str]) -> None:
+        """Note whose records of a partition stand here in full."""
+        self._covers.setdefault(partition, set()).update(incarnations)
+
+    def covers(self, partition: int) -> tuple[str, ...]:
+        """Return whose records of a partition stand here in full, self included."""
+        return tuple(sorted({self._incarnation} | self._covers.get(partition, set())))
+
+    def keep_covers(self, incarnations: Iterable[str]) -> None:
+        """Drop covers of all but these: rows stand until the retention is over."""
+        known = set(incarnations)
+        for covered in self._covers.values():
+            covered &= known
+
+    def expire(self, born_before: datetime) -> None:
+        """Drop everything about submissions born before a time."""
+        while self._expiry and self._expiry[0][0] < born_before:
+            _, partition, key = heapq.heappop(self._expiry)
+            tasks = self._started.get(partition, {}).pop(key, {})
+            self._count -= len(tasks)
+            for task in tasks:
+                self._result_bytes -= self._results.pop((partition, key, task), 0)
+            self._closed.get(partition, {}).pop(key, None)
+
+    def chunks(self, partition: int) -> list[Chunk]:
+        """Return all records of a partition in parts that fit a frame; at least one."""
+        started = [
+            record
+            for tasks in self._started.get(partition, {}).values()
+            for record in tasks.values()
+        ]
+        return chunk_records(started, list(self._closed.get(partition, {}).values()))
+
+    def _account(self, partition: int, record: StartRecord) -> None:
+        place = (partition, record.attempt.key, record.attempt.task)
+        self._result_bytes -= self._results.pop(place, 0)
+        if record.result:
+            self._results[place] = len(record.result)
+            self._result_bytes += len(record.result)
+            self._drop_results()
+
+    def _drop_results(self) -> None:
+        """Keep memory bounded: the oldest results go, the records of starts stay."""
+        while self._result_bytes > self._kept_bytes:
+            (partition, key, task), size = self._results.popitem(last=False)
+            self._result_bytes -= size
+            record = self._started[partition][key][task]
+            self._started[partition][key][task] = record._replace(result=None)
+
+
+def chunk_records(
+    started: list[StartRecord], closed: list[ClosedRecord]
+) -> list[Chunk]:
+    """Split records into parts bounded in number and in bytes of results.
+
+    Returns:
+      At least one chunk, so that an empty partition is acknowledged too.
+    """
+    chunks: list[Chunk] = []
+    part: list[StartRecord] = []
+    size = 0
+    for record in started:
+        part.append(record)
+        size += len(record.result or b"")
+        if len(part) >= CHUNK_RECORDS or size >= CHUNK_BYTES:
+            chunks.append(Chunk(tuple(part), ()))
+            part, size = [], 0
+    for start in range(0, len(closed), CHUNK_RECORDS):
+        chunks.append(Chunk((), tuple(closed[start : start + CHUNK_RECORDS])))
+    if part or not chunks:
+        chunks.append(Chunk(tuple(part), ()))
+    return chunks
+
+
+def fence_acks(
+    records: StartRecords, partition: int, epoch: int, incarnation: str
+) -> list[FenceAck]:
+    """Return the acknowledgement of a fence, in chunks."""
+    chunks = records.chunks(partition)
+    covers = records.covers(partition)
+    return [
+        FenceAck(
+            partition,
+            epoch,
+            incarnation,
+            number,
+            len(chunks),
+            chunk.started,
+            chunk.closed,
+            covers,
+        )
+        for number, chunk in enumerate(chunks)
+    ]
+
+
+def remember_messages(
+    partition: int,
+    source: str,
+    started: list[StartRecord],
+    closed: list[ClosedRecord],
+    covers: tuple[str, ...],
+) -> list[Remember]:
+    """Return the messages that give records of ``source`` to another executor."""
+    chunks = chunk_records(started, closed)
+    return [
+        Remember(
+            partition,
+            source,
+            number,
+            len(chunks),
+            chunk.started,
+            chunk.closed,
+            covers,
+        )
+        for number, chunk in enumerate(chunks)
+    ]
+
+
+def expiry_bound(now: datetime, retention: timedelta, skew: timedelta) -> datetime:
+    """Return the birth before which nothing need be remembered.
+
+    A key older than the retention is refused by entry and home. Their clocks may
+    differ by ``skew`` from each other and from the caller's, hence twice.
+    """
+    return now - retention - 2 * skew
