--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -299,6 +299,7 @@
       home_queue_limit: most tasks that wait at one home.
       unreachable_after: silence after which a started task counts as UNKNOWN.
       takeover_after: silence after which another home takes the partitions.
+      placement: name of a strategy in ``placement.STRATEGIES``.
     """
 
     retention: timedelta
@@ -311,6 +312,7 @@
     home_queue_limit: int
     unreachable_after: timedelta
     takeover_after: timedelta
+    placement: str = "expected_wait"
 
 
 class Manifest(NamedTuple):
--- /dev/null
+++ b/gypsumspoke/core/fair_queue.py
@@ -0,0 +1,112 @@
+"""Which waiting task goes next: weighted fair queueing between teams.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996): each item gets a start tag, the
+later of the queue's virtual time and its team's last finish tag, and the item with the
+lowest start tag goes first. A team that sends ten times its share only pushes its own
+tags ahead. Unlike plain fair queueing it needs no service rate, which here changes
+with every worker that comes or goes.
+"""
+
+import heapq
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+_LEAST_WEIGHT = 1e-6
+_LEAST_COST = 1e-6
+
+
+class _Entry(NamedTuple):
+    """One waiting item; ordered by start tag, then by order of arrival."""
+
+    start_tag: float
+    number: int
+    team: str
+    item: Any
+
+
+class FairQueue:
+    """Waiting items of all teams; see ``push`` and ``pop``."""
+
+    def __init__(self) -> None:
+        self._heap: list[_Entry] = []
+        self._finish_tags: dict[str, float] = {}
+        self._virtual_time = 0.0
+        self._pushed = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+
+def new_fair_queue() -> FairQueue:
+    """Return an empty queue."""
+    return FairQueue()
+
+
+def push(queue: FairQueue, team: str, weight: float, cost: float, item: Any) -> None:
+    """Add an item behind its team's earlier ones; O(log n).
+
+    Args:
+      queue: where to.
+      team: whose share pays for it.
+      weight: the team's share; values below a tiny positive one count as that.
+      cost: expected time of the item at a slot, in seconds.
+      item: anything.
+    """
+    start = max(queue._virtual_time, queue._finish_tags.get(team, 0.0))
+    share = max(weight, _LEAST_WEIGHT)
+    queue._finish_tags[team] = start + max(cost, _LEAST_COST) / share
+    heapq.heappush(queue._heap, _Entry(start, queue._pushed, team, item))
+    queue._pushed += 1
+
+
+def pop(queue: FairQueue) -> Any | None:
+    """Remove and return the next item, or None when empty; O(log n)."""
+    if not queue._heap:
+        return None
+    entry = heapq.heappop(queue._heap)
+    queue._virtual_time = entry.start_tag
+    if not queue._heap:
+        _forget_tags(queue)
+    return entry.item
+
+
+def peek(queue: FairQueue) -> Any | None:
+    """Return the item that ``pop`` would remove, or None when empty."""
+    return queue._heap[0].item if queue._heap else None
+
+
+def discard(queue: FairQueue, predicate: Callable[[Any], bool]) -> list[Any]:
+    """Remove all items for which ``predicate`` holds; O(n).
+
+    Args:
+      queue: where from.
+      predicate: called once with each item.
+
+    Returns:
+      The removed items, in order of their tags. A team is not paid back for them.
+    """
+    removed = []
+    kept = []
+    for entry in queue._heap:
+        (removed if predicate(entry.item) else kept).append(entry)
+    if not removed:
+        return []
+    heapq.heapify(kept)
+    queue._heap = kept
+    if not kept:
+        _forget_tags(queue)
+    return [entry.item for entry in sorted(removed, key=_order)]
+
+
+def _order(entry: _Entry) -> tuple[float, int]:
+    return entry.start_tag, entry.number
+
+
+def _forget_tags(queue: FairQueue) -> None:
+    """Start anew when nothing waits.
+
+    Without this, tags of teams that left would stay for ever, and a team whose burst
+    has been served would still stand behind the others.
+    """
+    queue._finish_tags.clear()
+    queue._virtual_time = 0.0
