--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -192,6 +192,7 @@
       registered: time of registration.
       ended: when a newer incarnation, a clean leave or an operator ended it.
       admin_port: TCP port for metrics, health and administration.
+      draining: an operator asked it to drain; the process acts when it reads this.
     """
 
     incarnation: str
@@ -206,6 +207,7 @@
     registered: datetime
     ended: datetime | None
     admin_port: int
+    draining: bool = False
 
 
 class PartitionRow(NamedTuple):
@@ -909,9 +911,6 @@
     manifest: Manifest
 
 
-LocalEvent = MembersChanged | PartitionsChanged | ReachabilityChanged | ManifestChanged
-
-
 class Tick(NamedTuple):
     """Time has passed; the shell sends one every ``TICK``."""
 
@@ -921,3 +920,8 @@
 
 class Drain(NamedTuple):
     """Stop gracefully: take no new work, finish what runs, then Exit."""
+
+
+LocalEvent = (
+    MembersChanged | PartitionsChanged | ReachabilityChanged | ManifestChanged | Drain
+)
