--- /dev/null
+++ b/tests/parser/test_settings.py
@@ -0,0 +1,84 @@
+"""Settings files: what is read, and what is refused with path and reason."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from returns.result import Failure
+
+from gypsumspoke.core.data import Role
+from gypsumspoke.parser.settings import SettingsError, parse_settings, read_settings
+
+SIDECAR = read_settings("examples/sidecar.json").unwrap()
+
+
+def example(**changes):
+    text = read_example()
+    for key, value in changes.items():
+        if value is None:
+            del text[key]
+        else:
+            text[key] = value
+    return parse_settings(json.dumps(text))
+
+
+def read_example():
+    return {
+        "role": "entry",
+        "worker": "entry-1",
+        "host": "127.0.0.1",
+        "peer_port": 0,
+        "http_port": 0,
+        "admin_port": 0,
+        "failure_domain": "a",
+        "rack": "r",
+        "region": "north",
+        "table_host": "127.0.0.1",
+        "table_port": 6100,
+    }
+
+
+def test_the_examples_are_valid():
+    assert SIDECAR.role is Role.SIDECAR
+    assert SIDECAR.slots == 8
+    assert SIDECAR.drain_timeout == timedelta(seconds=30)
+    assert read_settings("examples/entry.json").unwrap().http_port == 8101
+
+
+def test_all_errors_are_told_at_once():
+    errors = example(peer_port=70000, worker=None, colour="red").failure()
+    assert errors == (
+        SettingsError("colour", "unknown key"),
+        SettingsError("peer_port", "expected int <= 65535"),
+        SettingsError("worker", "missing"),
+    )
+
+
+@pytest.mark.parametrize(
+    "changes, path",
+    [
+        ({"role": "proxy"}, "role"),
+        ({"host": "localhost"}, "host"),
+        ({"host": "0.0.0.0"}, "host"),
+        ({"table_port": 0}, "table_port"),
+        ({"http_port": None}, "http_port"),
+        ({"slots": 8}, "slots"),
+        ({"role": "sidecar", "http_port": None, "slots": 8}, "service"),
+        ({"peer_port": True}, "peer_port"),
+        ({"drain_timeout_seconds": "30"}, "drain_timeout_seconds"),
+    ],
+)
+def test_a_bad_value_is_refused_with_its_path(changes, path):
+    assert path in [error.path for error in example(**changes).failure()]
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[]", '{"role": ', '{"a": 1, "a": 2}', "[" * 100_000, '{"a": NaN}']
+)
+def test_a_malformed_document_is_one_error(text):
+    assert isinstance(parse_settings(text), Failure)
+
+
+def test_a_missing_file_is_an_error():
+    (error,) = read_settings("examples/absent.json").failure()
+    assert "can't read the file" in error.reason
