Log lines, metrics and the administration port

Every error kind, retry reason and counted event has its counter from the start; label values of histograms, connections, idle time and request time of the port are bounded.

--- /dev/null
+++ b/gypsumspoke/shell/metrics.py
@@ -0,0 +1,198 @@
+"""Metrics of one process, in a registry of their own.
+
+There is one child per error kind, retry reason and counted event, made at the start:
+a rate over a counter that appears only with its first event would miss that event.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from functools import singledispatch
+from typing import NamedTuple
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter as CounterMetric,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from gypsumspoke import __version__
+from gypsumspoke.core.data import Count, Counter, Log, Observe, RetryReason
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.shell.logs import log
+
+NAMESPACE = "gypsumspoke"
+MAX_LABEL_VALUES = 256
+OTHER_LABEL = "other"
+
+
+class HistogramSpec(NamedTuple):
+    """How the values of one observation name are kept.
+
+    Attributes:
+      help: what is measured.
+      label: name of the label that ``Observe.label`` fills.
+      buckets: upper bounds.
+    """
+
+    help: str
+    label: str
+    buckets: tuple[float, ...]
+
+
+_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+_RATIO = (1.05, 1.1, 1.25, 1.5, 2, 3, 5, 10, 25, 100)
+_MESSAGES = (2, 3, 4, 5, 6, 8, 12, 20)
+_WASTED = (0, 1, 2, 5, 10, 20, 50, 130)
+
+HISTOGRAMS = {
+    "response_seconds": HistogramSpec(
+        "Time from a submission to its answer.", "team", _SECONDS
+    ),
+    "response_over_ideal": HistogramSpec(
+        "Response time over that of an idle system.", "team", _RATIO
+    ),
+    "queue_wait_seconds": HistogramSpec(
+        "Time that a task waited before it was placed or started.", "team", _SECONDS
+    ),
+    "messages_per_task": HistogramSpec(
+        "Messages between processes for each task of a job.", "team", _MESSAGES
+    ),
+    "wasted_messages": HistogramSpec(
+        "Messages of a job that did not bring its answer nearer.", "reason", _WASTED
+    ),
+    "takeover_seconds": HistogramSpec(
+        "Time from the loss of a partition's owner to service.", "result", _SECONDS
+    ),
+}
+
+
+class Metrics:
+    """All metrics of one process.
+
+    Args:
+      role, worker: identity, given in the metric ``gypsumspoke_build_info``.
+    """
+
+    def __init__(self, role: str = "", worker: str = "") -> None:
+        self._registry = CollectorRegistry()
+        self._refusals = self._counter("refusals", "Answers by error kind.", "kind")
+        self._retries = self._counter("retries", "Retries by reason.", "reason")
+        self._events = self._counter("events", "Acts of safeguards.", "event")
+        for metric, values in self._families():
+            for value in values:
+                metric.labels(value.value)
+        self._histograms = {
+            name: self._histogram(name, spec) for name, spec in HISTOGRAMS.items()
+        }
+        self._labels: dict[str, set[str]] = {name: set() for name in HISTOGRAMS}
+        self._add_process_metrics(role, worker)
+
+    @property
+    def registry(self) -> CollectorRegistry:
+        """The registry, for collectors that a role adds."""
+        return self._registry
+
+    def count(self, effect: Count) -> None:
+        """Count one event, refusal or retry."""
+        _family(effect.what, self).labels(effect.what.value).inc(effect.amount)
+
+    def observe(self, effect: Observe) -> None:
+        """Record one measured value; a name without a histogram is left out."""
+        histogram = self._histograms.get(effect.name)
+        if histogram is not None:
+            label = self._bounded_label(effect.name, effect.label)
+            histogram.labels(label).observe(effect.value)
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are.
+
+        Args:
+          name: name without the namespace, with its unit.
+          description: what is measured.
+          read: gives the value now.
+        """
+        gauge = Gauge(name, description, namespace=NAMESPACE, registry=self._registry)
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, description: str, label: str) -> CounterMetric:
+        return CounterMetric(
+            name, description, (label,), namespace=NAMESPACE, registry=self._registry
+        )
+
+    def _histogram(self, name: str, spec: HistogramSpec) -> Histogram:
+        return Histogram(
+            name,
+            spec.help,
+            (spec.label,),
+            namespace=NAMESPACE,
+            registry=self._registry,
+            buckets=spec.buckets,
+        )
+
+    def _families(self) -> list[tuple[CounterMetric, type[Enum]]]:
+        return [
+            (self._refusals, ErrorKind),
+            (self._retries, RetryReason),
+            (self._events, Counter),
+        ]
+
+    def _add_process_metrics(self, role: str, worker: str) -> None:
+        ProcessCollector(registry=self._registry)
+        info = Gauge(
+            "build_info",
+            "1, with the version and identity as labels.",
+            ("version", "role", "worker"),
+            namespace=NAMESPACE,
+            registry=self._registry,
+        )
+        info.labels(__version__, role, worker).set(1)
+
+    def _bounded_label(self, name: str, label: str) -> str:
+        # Each label value costs a set of buckets for as long as the process lives, so
+        # ever new values would fill the memory.
+        known = self._labels[name]
+        if label in known:
+            return label
+        if len(known) >= MAX_LABEL_VALUES:
+            return OTHER_LABEL
+        known.add(label)
+        return label
+
+
+@singledispatch
+def _family(what: Enum, metrics: Metrics) -> CounterMetric:
+    raise TypeError(f"nothing counts {what!r}")
+
+
+@_family.register
+def _(what: ErrorKind, metrics: Metrics) -> CounterMetric:
+    return metrics._refusals
+
+
+@_family.register
+def _(what: RetryReason, metrics: Metrics) -> CounterMetric:
+    return metrics._retries
+
+
+@_family.register
+def _(what: Counter, metrics: Metrics) -> CounterMetric:
+    return metrics._events
+
+
+def install(runtime, metrics: Metrics) -> None:
+    """Let a runtime's ``Count``, ``Observe`` and ``Log`` effects be carried out.
+
+    Args:
+      runtime: has ``handle(effect_type, callable)``.
+      metrics: takes counts and observations.
+    """
+    runtime.handle(Count, metrics.count)
+    runtime.handle(Observe, metrics.observe)
+    runtime.handle(Log, log)
--- /dev/null
+++ b/tests/shell/test_admin_http.py
@@ -0,0 +1,94 @@
+"""The administration port."""
+
+import gevent
+import gevent.event
+import gevent.socket
+import pytest
+from geventhttpclient import HTTPClient
+
+from gypsumspoke.shell import admin_http
+from gypsumspoke.shell.admin_http import AdminServer
+from gypsumspoke.shell.metrics import Metrics
+
+
+class Readiness:
+    def __init__(self):
+        self.value = True
+
+    def __call__(self):
+        return self.value
+
+
+def echo_path(environ, start):
+    start("200 OK", [])
+    return [environ["PATH_INFO"].encode()]
+
+
+def hang(environ, start):
+    gevent.event.Event().wait()
+
+
+@pytest.fixture
+def ready():
+    return Readiness()
+
+
+@pytest.fixture
+def client(ready):
+    routes = {"/v1/": echo_path, "/v1/hang": hang}
+    with AdminServer("127.0.0.1", 0, Metrics(), ready, routes) as server:
+        client = HTTPClient("127.0.0.1", server.port, network_timeout=60)
+        yield client
+        client.close()
+
+
+def get(client, path):
+    response = client.get(path)
+    return response.status_code, response.read()
+
+
+def test_metrics_and_health(client):
+    status, body = get(client, "/metrics")
+    assert status == 200
+    assert b'gypsumspoke_refusals_total{kind="queue_full"} 0.0' in body
+    assert get(client, "/healthz") == (200, b"ok\n")
+
+
+def test_readiness_follows_the_process(client, ready):
+    assert get(client, "/readyz") == (200, b"ready\n")
+    ready.value = False
+    assert get(client, "/readyz") == (503, b"not ready\n")
+
+
+def test_a_role_adds_routes(client):
+    assert get(client, "/v1/status") == (200, b"/v1/status")
+    assert get(client, "/v2/status")[0] == 404
+    assert client.post("/metrics", b"").status_code == 405
+
+
+def test_a_hanging_route_is_given_up(client, monkeypatch):
+    """The operator sees 504 rather than a connection that never answers.
+
+    The route waits for something that never comes; the bound on a request ends it and
+    the connection is free for the next operator.
+    """
+    monkeypatch.setattr(admin_http, "REQUEST_TIMEOUT_SECONDS", 0.01)
+    assert get(client, "/v1/hang")[0] == 504
+
+
+def test_silent_connections_are_closed(client, ready, monkeypatch):
+    """An operator gets in though forgotten clients hold every connection.
+
+    Idle clients take all places, and the accept loop stops. After the idle bound they
+    are closed, and the next request is answered.
+    """
+    monkeypatch.setattr(admin_http, "IDLE_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr(admin_http, "MAX_CONNECTIONS", 2)
+    with AdminServer("127.0.0.1", 0, Metrics(), ready) as server:
+        address = ("127.0.0.1", server.port)
+        idle = [gevent.socket.create_connection(address) for _ in range(4)]
+        late = HTTPClient(*address, network_timeout=60)
+        assert get(late, "/healthz") == (200, b"ok\n")
+        late.close()
+        for connection in idle:
+            connection.close()
--- /dev/null
+++ b/tests/shell/test_logs.py
@@ -0,0 +1,45 @@
+"""Log lines are JSON and say whom they are about."""
+
+import io
+import json
+import logging
+
+import pytest
+
+from gypsumspoke.core.data import JobKey, Log
+from gypsumspoke.shell.logs import configure_logs, log
+
+
+@pytest.fixture
+def stream():
+    root = logging.getLogger()
+    before = root.handlers[:], root.level
+    stream = io.StringIO()
+    configure_logs(stream, "INFO", role="entry", worker="entry-1")
+    yield stream
+    root.handlers[:], level = before
+    root.setLevel(level)
+
+
+def test_a_line_names_process_and_submission(stream):
+    fields = (("worker", "w2"), ("partition", 3))
+    log(Log(logging.INFO, "task placed", JobKey("tax", "k1"), 2, 1, fields))
+    line = json.loads(stream.getvalue())
+    assert line.pop("time")
+    assert line == {
+        "level": "INFO",
+        "logger": "gypsumspoke",
+        "role": "entry",
+        "worker": "entry-1",
+        "event": "task placed",
+        "team": "tax",
+        "key": "k1",
+        "task": 2,
+        "attempt": 1,
+        "details": {"worker": "w2", "partition": 3},
+    }
+
+
+def test_a_line_below_the_level_is_left_out(stream):
+    log(Log(logging.DEBUG, "heartbeat"))
+    assert stream.getvalue() == ""
