--- a/gypsumspoke/core/jobs.py
+++ b/gypsumspoke/core/jobs.py
@@ -5,7 +5,7 @@
 claim about the whole job follows from its tasks here, in one place.
 """
 
-from datetime import datetime
+from datetime import datetime, timedelta
 from enum import Enum
 from typing import NamedTuple
 
@@ -41,6 +41,7 @@
         self.asked: datetime | None = None
         self.placements = 0
         self.avoid: frozenset[str] = frozenset()
+        self.is_running = False
         self.result = b""
 
 
@@ -65,6 +66,10 @@
         self.ending: ErrorKind | None = None
         self.detail = ""
         self.ending_since: datetime | None = None
+        self.confirmed = False
+        self.resumable = True
+        self.dropped = False
+        self.longest_run = timedelta(0)
         self.messages = 0
         self.wasted = 0
 
@@ -86,7 +91,15 @@
     @property
     def has_open_slots(self) -> bool:
         """Whether a placed task has not been heard of yet."""
-        return any(slot.state is SlotState.PLACED for slot in self.slots)
+        return any(
+            slot.state is SlotState.PLACED and not slot.is_running
+            for slot in self.slots
+        )
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a task ran or may have run."""
+        return any(slot.state is not SlotState.WAITING for slot in self.slots)
 
 
 _OUTCOME_OF_SLOT = {
--- a/gypsumspoke/core/ledger.py
+++ b/gypsumspoke/core/ledger.py
@@ -4,8 +4,8 @@
 remembered until its key expires. Under overload refusals are many; when their table is
 full, one number replaces it: the *floor*. Unknown keys born before the floor run only
 with an attempt number that no earlier refusal handed out, which the generation in
-the number guarantees. A takeover uses the same rule, since a new home doesn't know what its
-predecessor refused.
+the number guarantees. A takeover uses the same rule, since a new home doesn't know what
+its predecessor refused.
 
 An attempt number is ``epoch << 32 | generation << 12 | count``. It stays below
 2**53, which JSON readers keep exact, for the first two million epochs.
@@ -83,11 +83,12 @@
         self._expiry: list[tuple[datetime, int, JobKey]] = []
         self._results: OrderedDict[tuple[int, JobKey], int] = OrderedDict()
         self._result_bytes = 0
+        self._finished_count = 0
 
     @property
     def finished_count(self) -> int:
         """Number of kept answers."""
-        return sum(len(records) for records in self._finished.values())
+        return self._finished_count
 
     @property
     def kept_bytes(self) -> int:
@@ -114,7 +115,9 @@
     def keep_finished(self, partition: int, record: FinishedRecord) -> None:
         """Keep a final answer; it replaces an earlier refusal."""
         self._refused.get(partition, {}).pop(record.key, None)
-        self._finished.setdefault(partition, {})[record.key] = record
+        known = self._finished.setdefault(partition, {})
+        self._finished_count += record.key not in known
+        known[record.key] = record
         heapq.heappush(self._expiry, (record.birth, partition, record.key))
         self._account((partition, record.key), record)
 
@@ -135,7 +138,9 @@
 
     def drop(self, partition: int) -> None:
         """Forget a partition that another home owns now."""
-        for key in self._finished.pop(partition, {}):
+        finished = self._finished.pop(partition, {})
+        self._finished_count -= len(finished)
+        for key in finished:
             self._result_bytes -= self._results.pop((partition, key), 0)
         self._refused.pop(partition, None)
 
@@ -154,6 +159,7 @@
             finished = self._finished.get(partition, {})
             if key in finished and finished[key].birth < born_before:
                 del finished[key]
+                self._finished_count -= 1
                 self._result_bytes -= self._results.pop((partition, key), 0)
             refused = self._refused.get(partition, {})
             if key in refused and refused[key].birth < born_before:
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -36,6 +36,21 @@
 }
 
 
+def knows_more(record: StartRecord, other: StartRecord) -> bool:
+    """Return whether ``record`` says more about a task than ``other`` does.
+
+    A later try means that the earlier one did not run after all: its executor said so
+    to the home, which then placed the task again.
+    """
+    later = (record.attempt.epoch, record.attempt.number)
+    earlier = (other.attempt.epoch, other.attempt.number)
+    if later != earlier:
+        return later > earlier
+    if record.state is other.state:
+        return other.result is None and record.result is not None
+    return _STATE_RANK[record.state] > _STATE_RANK[other.state]
+
+
 class Chunk(NamedTuple):
     """A part of a partition's records that fits one frame."""
 
@@ -98,7 +113,7 @@
         known = tasks.get(record.attempt.task)
         if known is None:
             self._count += 1
-        elif _STATE_RANK[known.state] >= _STATE_RANK[record.state]:
+        elif not knows_more(record, known):
             return
         tasks[record.attempt.task] = record
         self._account(partition, record)
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -33,10 +33,12 @@
     Handoff,
     HandoffAck,
     JobKey,
+    Local,
     Log,
     Member,
     Observe,
     PartitionRow,
+    PartitionsChanged,
     Policy,
     ReadRows,
     RefusedRecord,
@@ -47,7 +49,6 @@
     RowsWritten,
     Send,
     StartRecord,
-    TaskState,
     WriteOutcome,
     WriteRows,
 )
@@ -61,7 +62,11 @@
     partition_key,
     partition_value,
 )
-from gypsumspoke.core.start_records import expiry_bound, remember_messages
+from gypsumspoke.core.start_records import (
+    expiry_bound,
+    knows_more,
+    remember_messages,
+)
 
 CLAIM_INTERVAL = timedelta(milliseconds=500)
 FENCE_RESEND = timedelta(milliseconds=500)
@@ -542,10 +547,14 @@
 def _claimed(
     state: TakeoverState, ownership: Ownership, version: int, now: datetime
 ) -> list[Effect]:
-    state._rows[ownership.partition] = PartitionRow(
+    row = PartitionRow(
         ownership.partition, state._incarnation, ownership.epoch, now, version
     )
-    effects: list[Effect] = [_log("partition claimed", ownership)]
+    state._rows[ownership.partition] = row
+    effects: list[Effect] = [
+        _log("partition claimed", ownership),
+        Local(PartitionsChanged((row,))),
+    ]
     if ownership.giver:
         answer = HandoffAck(ownership.partition, ownership.epoch - 1, True)
         effects.append(Send(ownership.giver, answer))
@@ -729,14 +738,6 @@
     return adopted
 
 
-_STATES_BY_KNOWLEDGE = (
-    TaskState.UNKNOWN,
-    TaskState.RUNNING,
-    TaskState.FAILED,
-    TaskState.DONE,
-)
-
-
 def _adopt_record(
     adopted: dict[JobKey, AdoptedJob], record: StartRecord, holder: str, complete: bool
 ) -> None:
@@ -748,17 +749,10 @@
         attempt = max(attempt, job.submission_attempt)
     adopted[key] = AdoptedJob(record.birth, attempt, record.digest, started, complete)
     known = started.get(record.attempt.task)
-    if known is None or _knows_more(record, known[0]):
+    if known is None or knows_more(record, known[0]):
         started[record.attempt.task] = (record, holder)
 
 
-def _knows_more(record: StartRecord, other: StartRecord) -> bool:
-    rank = _STATES_BY_KNOWLEDGE.index
-    if record.state is other.state:
-        return other.result is None and record.result is not None
-    return rank(record.state) > rank(other.state)
-
-
 def _serve(
     state: TakeoverState,
     ownership: Ownership,
