Home reducer: submissions, placement, refusals with confirmation, adoption

A small system of reducers in virtual time shows the plain path: a job is answered whole and in order, copies attach, a cancelled job that never started may come back. Membership tells of the partition map once it was read even if it is empty, since executors refuse every start before that.

--- /dev/null
+++ b/gypsumspoke/core/adoption.py
@@ -0,0 +1,421 @@
+"""Taking a partition over with what its former owner left, and handing one on.
+
+A resubmitted copy brings the bodies, the executors' records say what started, so the
+new home resumes the job: it follows what runs, takes results that executors kept, and
+starts only tasks of which it is certain that none started. A handoff is the same with
+the ledger added; afterwards the old home claims nothing more about the partition,
+since the next one answers from the ledger as it was handed over.
+"""
+
+from datetime import datetime
+
+from gypsumspoke.core.data import (
+    Answer,
+    ClosedRecord,
+    Count,
+    Counter,
+    Effect,
+    FinishedRecord,
+    Handoff,
+    HandoffAck,
+    JobKey,
+    PartitionRow,
+    RefusedRecord,
+    RememberAck,
+    Send,
+    StartRecord,
+    Submission,
+    TaskState,
+)
+from gypsumspoke.core.dispatch import adopt_running, enqueue
+from gypsumspoke.core.endings import begin_ending, complete
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.home_state import (
+    HomeState,
+    Parked,
+    Retelling,
+    answer_of,
+    reply,
+)
+from gypsumspoke.core.jobs import Job, SlotState, Waiter
+from gypsumspoke.core.start_records import expiry_bound, remember_messages
+from gypsumspoke.core.takeover import (
+    AdoptedJob,
+    HandedLedger,
+    HandoffWanted,
+    Lost,
+    Ownership,
+    Phase,
+    Serving,
+    begin_handoff,
+    is_running,
+)
+
+HANDOFF_RECORDS = 500
+HANDOFF_BYTES = 1_000_000
+
+
+# ---------------------------------------------------------------------------
+# Taking over
+
+
+def begin_serving(state: HomeState, notice: Serving) -> list[Parked]:
+    """Fill ledger and adopted jobs of a partition.
+
+    Returns:
+      The requests that waited for it, to be handled now.
+    """
+    partition = notice.partition
+    adopted = dict(notice.adopted)
+    if notice.handed is not None:
+        _keep_handed(state, partition, notice.handed, adopted)
+    for closed in notice.closed:
+        adopted.pop(closed.key, None)
+        if state.ledger.finished(partition, closed.key) is None:
+            state.ledger.keep_finished(partition, _finished_of_closed(closed))
+    state.adopted[partition] = adopted
+    return state.parked.pop(partition, [])
+
+
+def _keep_handed(
+    state: HomeState,
+    partition: int,
+    handed: HandedLedger,
+    adopted: dict[JobKey, AdoptedJob],
+) -> None:
+    for refused in handed.refused:
+        state.ledger.keep_refused(partition, refused)
+    for finished in handed.finished:
+        if is_running(finished):
+            continue
+        adopted.pop(finished.key, None)
+        state.ledger.keep_finished(partition, finished)
+
+
+def _finished_of_closed(closed: ClosedRecord) -> FinishedRecord:
+    """Return what can still be said of a job that another home ended."""
+    ran = closed.kind is ErrorKind.RESULT_LOST
+    answer = Answer(closed.kind, Work.RAN if ran else Work.UNKNOWN)
+    return FinishedRecord(
+        closed.key, closed.birth, closed.submission_attempt, closed.digest, answer
+    )
+
+
+def resume(
+    state: HomeState,
+    ownership: Ownership,
+    adopted: AdoptedJob,
+    submission: Submission,
+    waiter: Waiter,
+    now: datetime,
+) -> list[Effect]:
+    """Run on with a job that a former owner had accepted.
+
+    Args:
+      state: changed in place.
+      ownership: the partition, served here.
+      adopted: what is known of the job; taken from the adopted ones.
+      submission: a copy with the same birth and digest.
+      waiter: who sent the copy.
+      now: the current time.
+    """
+    partition = ownership.partition
+    state.adopted[partition].pop(submission.key, None)
+    attempt = max(submission.attempt, adopted.submission_attempt)
+    job = Job(submission._replace(attempt=attempt), partition, now)
+    job.waiters.append(waiter)
+    job.resumable = adopted.complete
+    state.add_job(job)
+    effects: list[Effect] = [Count(Counter.JOB_RESUMED)]
+    for number in range(len(job.slots)):
+        effects += _adopt_task(state, job, number, adopted, now)
+    kind = _reason_to_end(job, adopted)
+    if kind is not None:
+        return effects + begin_ending(state, job, kind, now)
+    if job.is_done:
+        return effects + complete(state, job, now)
+    enqueue(state, job)
+    return effects
+
+
+def _adopt_task(
+    state: HomeState, job: Job, number: int, adopted: AdoptedJob, now: datetime
+) -> list[Effect]:
+    slot = job.slots[number]
+    if number not in adopted.started:
+        if not adopted.complete:
+            slot.state = SlotState.UNKNOWN
+        return []
+    record, holder = adopted.started[number]
+    slot.attempt = record.attempt
+    slot.executor = holder
+    if record.state is TaskState.RUNNING:
+        slot.state = SlotState.PLACED
+        return [adopt_running(state, job, number, now)]
+    if record.state is TaskState.DONE:
+        slot.state = SlotState.DONE
+        slot.result = record.result or b""
+        job.undone -= 1
+    else:
+        failed = record.state is TaskState.FAILED
+        slot.state = SlotState.FAILED if failed else SlotState.UNKNOWN
+    return []
+
+
+def _reason_to_end(job: Job, adopted: AdoptedJob) -> ErrorKind | None:
+    states = {slot.state for slot in job.slots}
+    if SlotState.FAILED in states:
+        return ErrorKind.TASK_FAILED
+    if SlotState.UNKNOWN in states:
+        return ErrorKind.WORKER_LOST
+    for record, _ in adopted.started.values():
+        if record.state is TaskState.DONE and record.result is None:
+            return ErrorKind.RESULT_LOST
+    return None
+
+
+def expire(state: HomeState, now: datetime) -> None:
+    """Drop what is known of submissions older than the retention."""
+    policy = state.policy
+    bound = expiry_bound(now, policy.retention, policy.clock_skew)
+    state.ledger.expire(bound)
+    for adopted in state.adopted.values():
+        old = [key for key, job in adopted.items() if job.birth < bound]
+        for key in old:
+            del adopted[key]
+
+
+# ---------------------------------------------------------------------------
+# Giving away
+
+
+def drop_partition(state: HomeState, notice: Lost) -> list[Effect]:
+    """Forget a partition that another home owns; its callers are sent on there."""
+    partition = notice.partition
+    effects = _release(state, partition)
+    answer = answer_of(ErrorKind.NOT_OWNER)
+    for parked in state.parked.pop(partition, []):
+        waiter = Waiter(parked.sender, parked.message.request)
+        effects.append(reply(waiter, _key_of(parked), answer))
+    return effects
+
+
+def _key_of(parked: Parked) -> JobKey:
+    message = parked.message
+    key = getattr(message, "key", None)
+    return key if key is not None else message.submission.key
+
+
+def _release(state: HomeState, partition: int) -> list[Effect]:
+    """Let go of all jobs and decided refusals of a partition, claiming nothing."""
+    effects: list[Effect] = []
+    answer = answer_of(ErrorKind.NOT_OWNER)
+    for job in list(state.jobs.get(partition, {}).values()):
+        state.remove_job(job)
+        job.dropped = True
+        key = job.submission.key
+        effects += [reply(waiter, key, answer) for waiter in job.waiters]
+    waiting = [state.unsent.pop(partition, None)]
+    waiting.append(state.confirmations.pop(partition, (0, None))[1])
+    for confirmation in waiting:
+        for refusal in confirmation.refusals if confirmation else ():
+            effects.append(reply(refusal.waiter, refusal.key, answer))
+    state.ledger.drop(partition)
+    state.adopted.pop(partition, None)
+    return effects
+
+
+def hand_over(state: HomeState, notice: HandoffWanted, now: datetime) -> list[Effect]:
+    """Give a partition's whole ledger to the next home and stop serving it."""
+    ownership = state.serving(notice.partition)
+    if ownership is None:
+        return []
+    handed = _snapshot(state, ownership)
+    row = begin_handoff(state.takeover, notice.partition, handed, now)
+    effects = _release(state, notice.partition)
+    chunks = _handoff_chunks(handed, row, ownership)
+    effects.append(Count(Counter.HANDOFF_SENT))
+    return effects + [Send(notice.target, chunk) for chunk in chunks]
+
+
+def _snapshot(state: HomeState, ownership: Ownership) -> HandedLedger:
+    partition = ownership.partition
+    finished = state.ledger.all_finished(partition)
+    running = [
+        _running_record(
+            job.submission.key,
+            job.submission.birth,
+            job.submission.attempt,
+            job.submission.digest,
+        )
+        for job in state.jobs.get(partition, {}).values()
+    ]
+    adopted = [
+        _running_record(key, job.birth, job.submission_attempt, job.digest)
+        for key, job in state.adopted.get(partition, {}).items()
+    ]
+    floor = ownership.floor
+    return HandedLedger(
+        floor.born_before,
+        floor.lossy_before,
+        tuple(state.ledger.all_refused(partition)),
+        tuple(finished + running + adopted),
+    )
+
+
+def _running_record(
+    key: JobKey, birth: datetime, attempt: int, digest: bytes
+) -> FinishedRecord:
+    answer = Answer(ErrorKind.JOB_RUNNING, Work.RUNNING)
+    return FinishedRecord(key, birth, attempt, digest, answer)
+
+
+def _handoff_chunks(
+    handed: HandedLedger, row: PartitionRow, ownership: Ownership
+) -> list[Handoff]:
+    parts = _finished_parts(handed.finished)
+    refused = [
+        handed.refused[start : start + HANDOFF_RECORDS]
+        for start in range(0, len(handed.refused), HANDOFF_RECORDS)
+    ]
+    count = len(parts) + len(refused)
+    pairs: list[tuple[tuple[RefusedRecord, ...], tuple[FinishedRecord, ...]]] = [
+        ((), part) for part in parts
+    ]
+    pairs += [(part, ()) for part in refused]
+    return [
+        Handoff(
+            ownership.partition,
+            ownership.epoch,
+            row.version,
+            number,
+            count,
+            handed.born_before,
+            ownership.floor.generation,
+            handed.lossy_before,
+            refused_part,
+            finished_part,
+        )
+        for number, (refused_part, finished_part) in enumerate(pairs)
+    ]
+
+
+def _finished_parts(
+    records: tuple[FinishedRecord, ...],
+) -> list[tuple[FinishedRecord, ...]]:
+    """Split records into parts that fit a frame; at least one part."""
+    parts: list[tuple[FinishedRecord, ...]] = []
+    part: list[FinishedRecord] = []
+    size = 0
+    for record in records:
+        part.append(record)
+        size += sum(len(result) for result in record.answer.results)
+        if len(part) >= HANDOFF_RECORDS or size >= HANDOFF_BYTES:
+            parts.append(tuple(part))
+            part, size = [], 0
+    if part or not parts:
+        parts.append(tuple(part))
+    return parts
+
+
+# ---------------------------------------------------------------------------
+# Executors that were lost with their records
+
+
+def retell_lost(state: HomeState, lost: str, now: datetime) -> list[Effect]:
+    """Give what a lost executor knew to another one, for all partitions owned here.
+
+    Each start is known here too. Without this, the death of this home would make
+    unknown all keys that had tasks at the lost executor; one copy more prevents it.
+    """
+    effects: list[Effect] = []
+    for partition in list(state.takeover.owned):
+        ownership = state.serving(partition)
+        if ownership is not None and ownership.floor.lossy_before is None:
+            effects += _retell(state, ownership, lost, now)
+    return effects
+
+
+def _retell(
+    state: HomeState, ownership: Ownership, lost: str, now: datetime
+) -> list[Effect]:
+    helpers = state.takeover.helpers()
+    if not helpers:
+        return []
+    partition = ownership.partition
+    source = f"{lost}@{ownership.epoch}"
+    state.retellings[partition, source] = Retelling(lost, now)
+    closed = [
+        _closed_of_finished(record)
+        for record in state.ledger.all_finished(partition)
+        if record.answer.kind is not ErrorKind.RECORDS_LOST
+    ]
+    started = _started_at(state, partition, lost)
+    target = helpers[state.placement_number % len(helpers)]
+    messages = remember_messages(partition, source, started, closed, (lost,))
+    return [Send(target, message) for message in messages]
+
+
+def _closed_of_finished(record: FinishedRecord) -> ClosedRecord:
+    kind = record.answer.kind or ErrorKind.RESULT_LOST
+    return ClosedRecord(
+        record.key, record.birth, record.submission_attempt, record.digest, kind
+    )
+
+
+def _started_at(state: HomeState, partition: int, lost: str) -> list[StartRecord]:
+    """Return the start records that only the lost executor held."""
+    started = [
+        record
+        for job in state.adopted.get(partition, {}).values()
+        for record, holder in job.started.values()
+        if holder == lost
+    ]
+    for job in state.jobs.get(partition, {}).values():
+        for slot in job.slots:
+            if slot.executor == lost and slot.attempt is not None:
+                started.append(_record_of_slot(job, slot))
+    return started
+
+
+def _record_of_slot(job: Job, slot) -> StartRecord:
+    submission = job.submission
+    done = slot.state is SlotState.DONE
+    return StartRecord(
+        slot.attempt,
+        submission.attempt,
+        submission.birth,
+        submission.digest,
+        len(submission.tasks),
+        TaskState.DONE if done else TaskState.UNKNOWN,
+        slot.result if done else None,
+    )
+
+
+def retold(state: HomeState, message: RememberAck) -> None:
+    """Note that another executor holds a lost one's records."""
+    state.retellings.pop((message.partition, message.source), None)
+
+
+def tell_again(state: HomeState, now: datetime) -> list[Effect]:
+    """Repeat what no executor acknowledged; drop what is no longer owned."""
+    effects: list[Effect] = []
+    for place, retelling in list(state.retellings.items()):
+        if now - retelling.sent < state.policy.takeover_after:
+            continue
+        del state.retellings[place]
+        ownership = state.serving(place[0])
+        if ownership is not None and place[1].endswith(f"@{ownership.epoch}"):
+            effects += _retell(state, ownership, retelling.lost, now)
+    return effects
+
+
+def refuse_handoff(message: Handoff, sender: str) -> list[Effect]:
+    """Tell a giver that its handoff is not taken."""
+    return [Send(sender, HandoffAck(message.partition, message.epoch, False))]
+
+
+def is_handing(state: HomeState, partition: int) -> bool:
+    """Return whether a partition is owned here but not served yet or any more."""
+    ownership = state.takeover.owned.get(partition)
+    return ownership is not None and ownership.phase is not Phase.SERVING
--- /dev/null
+++ b/gypsumspoke/core/dispatch.py
@@ -0,0 +1,361 @@
+"""Placing tasks on executors and following them to their end.
+
+A task may be tried elsewhere only after its executor said "not run". Silence is not
+that: the home asks the same executor again over a new connection, and a worker that is
+gone or stays silent makes the task unknown. Tasks wait here, not at the executors,
+until one is likely to have a free slot, so that a late better choice stays possible.
+"""
+
+import heapq
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    AskAttempt,
+    AttemptId,
+    Count,
+    Counter,
+    Effect,
+    Outcome,
+    RetryReason,
+    Send,
+    StartTask,
+    TaskOutcome,
+    TaskRunning,
+)
+from gypsumspoke.core.endings import begin_ending, complete, note_ending_progress
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.fair_queue import new_fair_queue, peek, pop, push
+from gypsumspoke.core.home_state import HomeState, Placed
+from gypsumspoke.core.jobs import Job, SlotState, TaskSlot
+from gypsumspoke.core.placement import (
+    choose,
+    expected_run,
+    note_load,
+    note_outcome,
+    note_placed,
+)
+
+ASK_AFTER = timedelta(seconds=4)
+FORGET_AFTER = timedelta(seconds=60)
+SCAN_INTERVAL = timedelta(milliseconds=500)
+RETRY_RESERVE = 10.0
+DEFAULT_WEIGHT = 1.0
+
+
+def enqueue(state: HomeState, job: Job) -> None:
+    """Queue all waiting tasks of a job and its deadline."""
+    submission = job.submission
+    for number, slot in enumerate(job.slots):
+        if slot.state is SlotState.WAITING:
+            _enqueue_task(state, job, number)
+    deadline = (submission.deadline, job.partition, submission.key)
+    heapq.heappush(state.deadlines, deadline)
+
+
+def _enqueue_task(state: HomeState, job: Job, number: int) -> None:
+    submission = job.submission
+    team = submission.key.team
+    queue = state.queues.get(submission.service)
+    if queue is None:
+        queue = state.queues[submission.service] = new_fair_queue()
+    cost = expected_run(state.placement, submission.service).total_seconds()
+    weight = state.team_weights.get(team, DEFAULT_WEIGHT)
+    push(queue, team, weight, cost, (job, number))
+    state.team_queued[team] = state.team_queued.get(team, 0) + 1
+    state.queued += 1
+
+
+def place_waiting(state: HomeState, now: datetime) -> list[Effect]:
+    """Place waiting tasks while executors have room."""
+    effects: list[Effect] = []
+    for service, queue in state.queues.items():
+        while (item := peek(queue)) is not None:
+            job, number = item
+            slot = job.slots[number]
+            if job.dropped or job.is_ending or slot.state is not SlotState.WAITING:
+                _take(state, queue)
+                continue
+            target = _choose(state, service, slot, now)
+            if target is None:
+                break
+            _take(state, queue)
+            effects += _place(state, job, number, target, now)
+    return effects
+
+
+def _take(state: HomeState, queue) -> None:
+    job, _ = pop(queue)
+    team = job.submission.key.team
+    state.queued -= 1
+    state.team_queued[team] -= 1
+    if not state.team_queued[team]:
+        del state.team_queued[team]
+
+
+def _choose(
+    state: HomeState, service: str, slot: TaskSlot, now: datetime
+) -> str | None:
+    target = choose(state.placement, service, slot.avoid, now)
+    if target is None and slot.avoid:
+        # All others are full: the ones that refused may have room by now.
+        slot.avoid = frozenset()
+    member = state.takeover.member(target) if target is not None else None
+    if member is None or member.worker == state.member.worker:
+        # On the own worker one death would take home and start record together.
+        return None
+    return target
+
+
+def _place(
+    state: HomeState, job: Job, number: int, target: str, now: datetime
+) -> list[Effect]:
+    slot = job.slots[number]
+    submission = job.submission
+    epoch = state.takeover.owned[job.partition].epoch
+    # One count for all placements of this home: a try's identity never comes twice,
+    # also when the caller resubmits the key after a refusal.
+    state.placement_number += 1
+    slot.attempt = AttemptId(submission.key, number, state.placement_number, epoch)
+    slot.state = SlotState.PLACED
+    slot.executor = target
+    slot.placed = slot.asked = now
+    slot.is_running = False
+    slot.placements += 1
+    if slot.placements == 1:
+        budget = state.retry_tokens + state.policy.retry_budget
+        state.retry_tokens = min(budget, RETRY_RESERVE * 10)
+    job.messages += 1
+    note_placed(state.placement, target, now)
+    state.in_flight.setdefault(target, {})[slot.attempt] = Placed(job, number)
+    start = StartTask(
+        slot.attempt,
+        job.partition,
+        submission.attempt,
+        submission.birth,
+        submission.digest,
+        len(submission.tasks),
+        submission.service,
+        submission.deadline,
+        submission.not_repeatable,
+        submission.tasks[number].body,
+    )
+    return [Count(Counter.TASK_PLACED), Send(target, start)]
+
+
+def adopt_running(state: HomeState, job: Job, number: int, now: datetime) -> Effect:
+    """Follow a task that a former owner placed; its executor is asked."""
+    slot = job.slots[number]
+    slot.placed = slot.asked = now
+    state.in_flight.setdefault(slot.executor, {})[slot.attempt] = Placed(job, number)
+    note_placed(state.placement, slot.executor, now)
+    job.messages += 1
+    return Send(slot.executor, AskAttempt(slot.attempt, job.partition))
+
+
+# ---------------------------------------------------------------------------
+# Outcomes
+
+
+def task_outcome(
+    state: HomeState, message: TaskOutcome, sender: str, now: datetime
+) -> list[Effect]:
+    """Apply the end of one try."""
+    placed = state.in_flight.get(sender, {}).pop(message.attempt, None)
+    if placed is None:
+        note_load(state.placement, sender, message.load, now)
+        return [Count(Counter.LATE_ANSWER_DROPPED)]
+    ejected = note_outcome(
+        state.placement,
+        sender,
+        message.outcome,
+        message.reason,
+        message.load,
+        message.run_time,
+        now,
+    )
+    effects: list[Effect] = [Count(Counter.WORKER_EJECTED)] if ejected else []
+    job, slot = placed.job, placed.job.slots[placed.task]
+    job.messages += 1
+    if job.dropped or slot.attempt != message.attempt:
+        return effects + [Count(Counter.LATE_ANSWER_DROPPED)]
+    if message.outcome is Outcome.DONE:
+        return effects + _task_done(state, job, slot, message, now)
+    if message.outcome is Outcome.NOT_RUN:
+        return effects + _task_not_run(state, job, placed.task, message.reason, now)
+    return effects + _task_lost(state, job, slot, message, now)
+
+
+def _task_done(
+    state: HomeState, job: Job, slot: TaskSlot, message: TaskOutcome, now: datetime
+) -> list[Effect]:
+    slot.state = SlotState.DONE
+    slot.result = message.result
+    job.undone -= 1
+    if message.run_time is not None:
+        job.longest_run = max(job.longest_run, message.run_time)
+    if job.is_done:
+        return complete(state, job, now)
+    if job.is_ending:
+        return note_ending_progress(state, job, now)
+    return []
+
+
+def _task_lost(
+    state: HomeState, job: Job, slot: TaskSlot, message: TaskOutcome, now: datetime
+) -> list[Effect]:
+    """End the job of a task that failed or is unknown; it is never tried again."""
+    failed = message.outcome is Outcome.FAILED
+    slot.state = SlotState.FAILED if failed else SlotState.UNKNOWN
+    if job.is_ending:
+        return note_ending_progress(state, job, now)
+    kind = ErrorKind.TASK_FAILED if failed else ErrorKind.WORKER_LOST
+    detail = f"task {message.attempt.task}: {message.reason}"
+    return begin_ending(state, job, kind, now, detail)
+
+
+def _task_not_run(
+    state: HomeState, job: Job, number: int, reason: str, now: datetime
+) -> list[Effect]:
+    slot = job.slots[number]
+    job.wasted += 2
+    if not job.resumable:
+        # Records of other tries of this task may be lost, so it may have run there.
+        slot.state = SlotState.UNKNOWN
+    else:
+        slot.state = SlotState.WAITING
+    if job.is_ending:
+        return note_ending_progress(state, job, now)
+    if slot.state is SlotState.UNKNOWN:
+        return begin_ending(state, job, ErrorKind.WORKER_LOST, now)
+    if not _may_retry(state, slot):
+        detail = f"task {number}: {reason}"
+        kind = ErrorKind.RETRIES_EXHAUSTED
+        return begin_ending(state, job, kind, now, detail)
+    state.retry_tokens -= 1
+    slot.avoid = slot.avoid | {slot.executor}
+    _enqueue_task(state, job, number)
+    return [Count(RetryReason(reason))]
+
+
+def _may_retry(state: HomeState, slot: TaskSlot) -> bool:
+    if slot.placements >= state.policy.task_attempts:
+        return False
+    return state.retry_tokens > -RETRY_RESERVE
+
+
+def task_running(
+    state: HomeState, message: TaskRunning, sender: str, now: datetime
+) -> list[Effect]:
+    """Note that a task is alive at its executor."""
+    note_load(state.placement, sender, message.load, now)
+    placed = state.in_flight.get(sender, {}).get(message.attempt)
+    if placed is None:
+        return []
+    slot = placed.job.slots[placed.task]
+    slot.asked = now
+    slot.is_running = True
+    placed.job.wasted += 2
+    if placed.job.is_ending and not placed.job.dropped:
+        return note_ending_progress(state, placed.job, now)
+    return []
+
+
+# ---------------------------------------------------------------------------
+# Silence
+
+
+def ask_again(state: HomeState, executor: str, now: datetime) -> list[Effect]:
+    """Ask about all tries at an executor whose connection was replaced."""
+    effects: list[Effect] = []
+    for attempt, placed in state.in_flight.get(executor, {}).items():
+        if placed.job.dropped:
+            continue
+        placed.job.slots[placed.task].asked = now
+        placed.job.messages += 1
+        effects.append(Count(RetryReason.CONNECTION_LOST))
+        effects.append(Send(executor, AskAttempt(attempt, placed.job.partition)))
+    return effects
+
+
+def scan(state: HomeState, now: datetime) -> list[Effect]:
+    """Ask after long silence, and give up on executors that stay unreachable."""
+    if state.last_scan is not None and now - state.last_scan < SCAN_INTERVAL:
+        return []
+    state.last_scan = now
+    effects: list[Effect] = []
+    for executor in list(state.in_flight):
+        if _is_lost(state, executor, now):
+            effects += _give_up(state, executor, now)
+        else:
+            effects += _ask_overdue(state, executor, now)
+        if not state.in_flight[executor]:
+            del state.in_flight[executor]
+    return effects
+
+
+def _is_lost(state: HomeState, executor: str, now: datetime) -> bool:
+    if state.takeover.is_gone(executor):
+        return True
+    silent = state.silent_since.get(executor)
+    return silent is not None and now - silent >= state.policy.unreachable_after
+
+
+def _give_up(state: HomeState, executor: str, now: datetime) -> list[Effect]:
+    """Count every try at a lost executor as unknown and end its job."""
+    effects: list[Effect] = []
+    for attempt, placed in list(state.in_flight[executor].items()):
+        del state.in_flight[executor][attempt]
+        note_outcome(
+            state.placement,
+            executor,
+            Outcome.UNKNOWN,
+            RetryReason.SILENT_EXECUTOR.value,
+            None,
+            None,
+            now,
+        )
+        job, slot = placed.job, placed.job.slots[placed.task]
+        if job.dropped or slot.attempt != attempt:
+            continue
+        slot.state = SlotState.UNKNOWN
+        effects.append(Count(RetryReason.SILENT_EXECUTOR))
+        if job.is_ending:
+            effects += note_ending_progress(state, job, now)
+        else:
+            effects += begin_ending(state, job, ErrorKind.WORKER_LOST, now)
+    return effects
+
+
+def _ask_overdue(state: HomeState, executor: str, now: datetime) -> list[Effect]:
+    effects: list[Effect] = []
+    for attempt, placed in list(state.in_flight[executor].items()):
+        job, slot = placed.job, placed.job.slots[placed.task]
+        if now - slot.asked < ASK_AFTER:
+            continue
+        slot.asked = now
+        if job.dropped:
+            # Not asked: the answer would come here instead of to the next home.
+            if now - slot.placed >= FORGET_AFTER:
+                _forget(state, executor, attempt, now)
+            continue
+        job.messages += 1
+        effects.append(Send(executor, AskAttempt(attempt, job.partition)))
+    return effects
+
+
+def _forget(state: HomeState, executor: str, attempt: AttemptId, now: datetime) -> None:
+    """Stop counting a try whose outcome was lost and that nobody waits for."""
+    del state.in_flight[executor][attempt]
+    reason = RetryReason.CONNECTION_LOST.value
+    note_outcome(state.placement, executor, Outcome.NOT_RUN, reason, None, None, now)
+
+
+def expire_deadlines(state: HomeState, now: datetime) -> list[Effect]:
+    """End jobs whose caller has stopped waiting."""
+    effects: list[Effect] = []
+    while state.deadlines and state.deadlines[0][0] <= now:
+        _, partition, key = heapq.heappop(state.deadlines)
+        job = state.job(partition, key)
+        if job is not None and job.submission.deadline <= now:
+            effects += begin_ending(state, job, ErrorKind.DEADLINE_EXCEEDED, now)
+    return effects
--- /dev/null
+++ b/gypsumspoke/core/endings.py
@@ -0,0 +1,345 @@
+"""Refusals and ends of jobs, and the confirmation that each "not run" needs.
+
+A home that was paused does not know that it was replaced. If it refused a copy with
+"not run" then, the caller would be told so although the new home ran the job. So a
+refusal is decided first and said only after another executor has confirmed the epoch:
+had the new home served by then, that executor would have been fenced. One
+confirmation covers every refusal of its partition that was decided before it was sent,
+so under overload it costs little. When none comes, the answer claims nothing.
+"""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    Answer,
+    CancelTask,
+    CloseAck,
+    ClosedRecord,
+    CloseJob,
+    Count,
+    Counter,
+    Effect,
+    FinishedRecord,
+    Log,
+    Observe,
+    RefusedRecord,
+    Send,
+    Submission,
+)
+from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.home_state import (
+    Confirmation,
+    HomeState,
+    Refusal,
+    answer_of,
+    reply,
+)
+from gypsumspoke.core.jobs import (
+    Job,
+    SlotState,
+    Waiter,
+    complete_answer,
+    failed_answer,
+)
+from gypsumspoke.core.ledger import (
+    REFUSED_LIMIT,
+    floor_birth,
+    needs_new_generation,
+    next_attempt,
+)
+from gypsumspoke.core.takeover import Ownership
+
+CONFIRM_LIMIT = timedelta(milliseconds=500)
+CONFIRM_TRIES = 2
+ENDING_LIMIT = timedelta(milliseconds=300)
+
+
+def refuse(
+    state: HomeState,
+    ownership: Ownership,
+    waiter: Waiter,
+    submission: Submission,
+    kind: ErrorKind,
+    now: datetime,
+    retry_after: timedelta | None = None,
+    detail: str = "",
+) -> list[Effect]:
+    """Decide that this attempt does not run; it is said once confirmed.
+
+    Args:
+      state: changed in place.
+      ownership: the partition, served here.
+      waiter: the copy.
+      submission: what it submits; no task of it has started.
+      kind: a kind that claims "not run".
+      now: the current time.
+      retry_after: when to come back, if known better than in the table.
+      detail: one sentence for a person.
+    """
+    key = submission.key
+    partition = ownership.partition
+    known = state.ledger.refused(partition, key)
+    refused = submission.attempt
+    if known is not None:
+        refused = max(refused, known.submission_attempt)
+    record = RefusedRecord(key, submission.birth, refused, kind)
+    state.ledger.keep_refused(partition, record)
+    _bound_refusals(state, ownership, refused, now)
+    if retry_after is None:
+        retry_after = ANSWER_RULES[kind].retry_after
+    answer = Answer(
+        kind,
+        Work.NOT_RUN,
+        next_attempt=next_attempt(refused, ownership.floor),
+        retry_after=retry_after,
+        detail=detail,
+    )
+    return _confirm_refusal(state, ownership, Refusal(waiter, key, answer))
+
+
+def refuse_below_floor(
+    state: HomeState, ownership: Ownership, waiter: Waiter, submission: Submission
+) -> list[Effect]:
+    """Refuse a key that a former owner may have refused, or an earlier generation.
+
+    No record is needed: the floor itself refuses all attempts below its own.
+    """
+    kind = ErrorKind.BORN_BEFORE_TAKEOVER
+    answer = Answer(
+        kind,
+        Work.NOT_RUN,
+        next_attempt=ownership.floor.attempt,
+        retry_after=ANSWER_RULES[kind].retry_after,
+    )
+    return _confirm_refusal(state, ownership, Refusal(waiter, submission.key, answer))
+
+
+def _bound_refusals(
+    state: HomeState, ownership: Ownership, refused: int, now: datetime
+) -> None:
+    """Let the floor stand for the refusals when their table is full."""
+    full = state.ledger.refused_count(ownership.partition) >= REFUSED_LIMIT
+    if not full and not needs_new_generation(refused, ownership.floor):
+        return
+    born_before = floor_birth(now, state.policy.clock_skew)
+    ownership.floor = ownership.floor.raised(born_before)
+    state.ledger.clear_refused(ownership.partition)
+
+
+# ---------------------------------------------------------------------------
+# Confirmations
+
+
+def _unsent(state: HomeState, ownership: Ownership) -> Confirmation:
+    partition = ownership.partition
+    confirmation = state.unsent.get(partition)
+    if confirmation is None or confirmation.epoch != ownership.epoch:
+        confirmation = Confirmation(partition, ownership.epoch)
+        state.unsent[partition] = confirmation
+    return confirmation
+
+
+def _confirm_refusal(
+    state: HomeState, ownership: Ownership, refusal: Refusal
+) -> list[Effect]:
+    _unsent(state, ownership).refusals.append(refusal)
+    return []
+
+
+def send_confirmations(state: HomeState, now: datetime) -> list[Effect]:
+    """Send what gathered, one question at a time for each partition."""
+    effects: list[Effect] = []
+    for partition in list(state.unsent):
+        if partition not in state.confirmations:
+            confirmation = state.unsent.pop(partition)
+            effects += _ask_next(state, confirmation, now)
+    return effects
+
+
+def _ask_next(
+    state: HomeState, confirmation: Confirmation, now: datetime
+) -> list[Effect]:
+    """Ask an executor that was not asked yet, or give up."""
+    partition = confirmation.partition
+    helpers = [
+        name for name in state.takeover.helpers() if name not in confirmation.asked
+    ]
+    if not helpers or len(confirmation.asked) >= CONFIRM_TRIES:
+        state.confirmations.pop(partition, None)
+        return _settle(state, confirmation, confirmed=False, now=now)
+    state.confirmation_number += 1
+    number = state.confirmation_number
+    executor = helpers[number % len(helpers)]
+    confirmation.asked.append(executor)
+    confirmation.sent = now
+    state.confirmations[partition] = (number, confirmation)
+    closed = tuple(_closed_record(job) for job in confirmation.jobs if job.has_started)
+    question = CloseJob(partition, confirmation.epoch, number, closed)
+    return [Send(executor, question)]
+
+
+def _closed_record(job: Job) -> ClosedRecord:
+    submission = job.submission
+    return ClosedRecord(
+        submission.key,
+        submission.birth,
+        submission.attempt,
+        submission.digest,
+        job.ending or ErrorKind.INTERNAL,
+    )
+
+
+def confirmed(state: HomeState, message: CloseAck, now: datetime) -> list[Effect]:
+    """Say what waited for this confirmation."""
+    number, confirmation = state.confirmations.get(message.partition, (0, None))
+    if confirmation is None or number != message.confirmation:
+        return []
+    del state.confirmations[message.partition]
+    return _settle(state, confirmation, confirmed=True, now=now)
+
+
+def _settle(
+    state: HomeState, confirmation: Confirmation, confirmed: bool, now: datetime
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for refusal in confirmation.refusals:
+        answer = refusal.answer
+        if not confirmed:
+            answer = answer_of(ErrorKind.OWNERSHIP_UNCONFIRMED)
+        if answer.kind is not None:
+            effects.append(Count(answer.kind))
+        effects.append(reply(refusal.waiter, refusal.key, answer))
+    for job in confirmation.jobs:
+        if not job.dropped:
+            job.confirmed = confirmed
+            job.ending_since = job.ending_since or now
+            effects += _end_if_known(state, job, now, waited=not confirmed)
+    return effects
+
+
+# ---------------------------------------------------------------------------
+# Ends of jobs
+
+
+def begin_ending(
+    state: HomeState, job: Job, kind: ErrorKind, now: datetime, detail: str = ""
+) -> list[Effect]:
+    """Give a job up: nothing more of it starts, and its answer follows at once.
+
+    The wait is for one confirmation and for executors' answers to the cancellations,
+    a round trip; ``ENDING_LIMIT`` bounds it when they don't come.
+    """
+    if job.is_ending or job.dropped:
+        return []
+    job.ending = kind
+    job.detail = detail
+    job.ending_since = now
+    effects: list[Effect] = []
+    for slot in job.slots:
+        if slot.state is SlotState.PLACED and slot.attempt and not slot.is_running:
+            effects.append(Send(slot.executor, CancelTask(slot.attempt, job.partition)))
+            job.messages += 1
+    ownership = state.takeover.owned[job.partition]
+    _unsent(state, ownership).jobs.append(job)
+    return effects
+
+
+def note_ending_progress(state: HomeState, job: Job, now: datetime) -> list[Effect]:
+    """End a job whose last open task was heard of."""
+    return _end_if_known(state, job, now, waited=False)
+
+
+def _end_if_known(
+    state: HomeState, job: Job, now: datetime, waited: bool
+) -> list[Effect]:
+    if not waited and (not job.confirmed or job.has_open_slots):
+        return []
+    return _end(state, job, now)
+
+
+def _end(state: HomeState, job: Job, now: datetime) -> list[Effect]:
+    """Give the final answer of a job that was given up on."""
+    answer = failed_answer(job, job.confirmed)
+    submission = job.submission
+    state.remove_job(job)
+    job.dropped = True
+    effects = _end_metrics(job, now)
+    if answer.kind is not None:
+        effects.append(Count(answer.kind))
+    if answer.work is Work.NOT_RUN:
+        record = RefusedRecord(
+            submission.key, submission.birth, submission.attempt, answer.kind
+        )
+        ownership = state.takeover.owned[job.partition]
+        state.ledger.keep_refused(job.partition, record)
+        _bound_refusals(state, ownership, submission.attempt, now)
+        number = next_attempt(submission.attempt, ownership.floor)
+        answer = answer._replace(next_attempt=number)
+    else:
+        _keep(state, job, answer)
+    effects.append(
+        Log(
+            logging.INFO,
+            "job ended",
+            submission.key,
+            attempt=submission.attempt,
+            fields=(("kind", answer.kind.value), ("work", answer.work.value)),
+        )
+    )
+    return effects + _tell_waiters(job, answer)
+
+
+def complete(state: HomeState, job: Job, now: datetime) -> list[Effect]:
+    """Give the answer of a job whose tasks are all done."""
+    answer = complete_answer(job)
+    state.remove_job(job)
+    job.dropped = True
+    _keep(state, job, answer)
+    effects = [Count(Counter.JOB_COMPLETE), *_end_metrics(job, now)]
+    response = now - job.accepted
+    effects.append(Observe("response_seconds", response.total_seconds()))
+    if job.longest_run:
+        ratio = response / job.longest_run
+        effects.append(Observe("response_over_ideal", ratio, job.submission.key.team))
+    return effects + _tell_waiters(job, answer)
+
+
+def _keep(state: HomeState, job: Job, answer: Answer) -> None:
+    submission = job.submission
+    record = FinishedRecord(
+        submission.key,
+        submission.birth,
+        submission.attempt,
+        submission.digest,
+        answer,
+    )
+    state.ledger.keep_finished(job.partition, record)
+
+
+def _end_metrics(job: Job, now: datetime) -> list[Effect]:
+    per_task = job.messages / len(job.slots)
+    return [
+        Observe("messages_per_task", per_task),
+        Observe("wasted_messages", float(job.wasted)),
+    ]
+
+
+def _tell_waiters(job: Job, answer: Answer) -> list[Effect]:
+    key = job.submission.key
+    return [reply(waiter, key, answer) for waiter in job.waiters]
+
+
+def tick(state: HomeState, now: datetime) -> list[Effect]:
+    """Ask another executor, or end without confirmation, when time is up."""
+    effects: list[Effect] = []
+    for _, confirmation in list(state.confirmations.values()):
+        if confirmation.sent is None or now - confirmation.sent >= CONFIRM_LIMIT:
+            effects += _ask_next(state, confirmation, now)
+    for job in state.all_jobs():
+        since = job.ending_since
+        if since is None or not job.confirmed:
+            continue
+        if now - since >= ENDING_LIMIT:
+            effects += _end_if_known(state, job, now, waited=True)
+    return effects
--- /dev/null
+++ b/gypsumspoke/core/home_state.py
@@ -0,0 +1,177 @@
+"""The state of one home, shared by the modules that decide for it.
+
+``home`` takes submissions in, ``dispatch`` places tasks, ``endings`` refuses and ends
+jobs, ``adoption`` takes partitions over and hands them on. They are one reducer in
+four modules; this one holds what all of them touch.
+"""
+
+from collections.abc import Iterator
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.core.data import (
+    DEFAULT_POLICY,
+    Answer,
+    AttemptId,
+    CancelJob,
+    Effect,
+    JobAnswer,
+    JobKey,
+    Member,
+    Policy,
+    QueryJob,
+    Send,
+    SubmitJob,
+)
+from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind
+from gypsumspoke.core.fair_queue import FairQueue
+from gypsumspoke.core.jobs import Job, Waiter
+from gypsumspoke.core.ledger import Ledger
+from gypsumspoke.core.placement import PlacementState, new_placement
+from gypsumspoke.core.takeover import AdoptedJob, Ownership, Phase, TakeoverState
+
+Request = SubmitJob | QueryJob | CancelJob
+
+
+class Parked(NamedTuple):
+    """A request that waits until its partition is served."""
+
+    sender: str
+    message: Request
+    since: datetime
+
+
+class Refusal(NamedTuple):
+    """A "not run" that is decided and not yet confirmed."""
+
+    waiter: Waiter
+    key: JobKey
+    answer: Answer
+
+
+class Confirmation:
+    """A question to an executor whether the home's epoch is current.
+
+    Attributes:
+      executor: whom it went to last.
+      asked: executors that were asked.
+      refusals: answers that wait for it.
+      jobs: ending jobs that wait for it.
+    """
+
+    def __init__(self, partition: int, epoch: int) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.asked: list[str] = []
+        self.sent: datetime | None = None
+        self.refusals: list[Refusal] = []
+        self.jobs: list[Job] = []
+
+
+class Placed(NamedTuple):
+    """Where a try that is in flight belongs."""
+
+    job: Job
+    task: int
+
+
+class Retelling(NamedTuple):
+    """Records of a lost executor that are being given to another one."""
+
+    lost: str
+    sent: datetime
+
+
+class HomeState:
+    """All that one home knows.
+
+    Args:
+      member: this process.
+      partition_count: number of partitions.
+      seed: for the choice of executors.
+    """
+
+    def __init__(self, member: Member, partition_count: int, seed: int) -> None:
+        self.member = member
+        self.takeover = TakeoverState(member, partition_count)
+        self.policy: Policy = DEFAULT_POLICY
+        self.ledger = Ledger(DEFAULT_POLICY.kept_bytes)
+        self.jobs: dict[int, dict[JobKey, Job]] = {}
+        self.job_count = 0
+        self.adopted: dict[int, dict[JobKey, AdoptedJob]] = {}
+        self.parked: dict[int, list[Parked]] = {}
+        self.seed = seed
+        self.placement: PlacementState = new_placement(seed)
+        self.placement_name = ""
+        self.queues: dict[str, FairQueue] = {}
+        self.team_weights: dict[str, float] = {}
+        self.team_queued: dict[str, int] = {}
+        self.queued = 0
+        self.retry_tokens = 0.0
+        self.placement_number = 0
+        self.in_flight: dict[str, dict[AttemptId, Placed]] = {}
+        self.lost_peers: set[str] = set()
+        self.silent_since: dict[str, datetime] = {}
+        self.deadlines: list[tuple[datetime, int, JobKey]] = []
+        self.unsent: dict[int, Confirmation] = {}
+        self.confirmations: dict[int, tuple[int, Confirmation]] = {}
+        self.confirmation_number = 0
+        self.retellings: dict[tuple[int, str], Retelling] = {}
+        self.reachable: frozenset[str] = frozenset()
+        self.clock_is_off = False
+        self.draining_since: datetime | None = None
+        self.last_scan: datetime | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Own incarnation."""
+        return self.member.incarnation
+
+    def job(self, partition: int, key: JobKey) -> Job | None:
+        """Return a job that has no final answer yet, or None."""
+        return self.jobs.get(partition, {}).get(key)
+
+    def all_jobs(self) -> Iterator[Job]:
+        """Return all jobs that have no final answer yet."""
+        for jobs in list(self.jobs.values()):
+            yield from list(jobs.values())
+
+    def add_job(self, job: Job) -> None:
+        """Add an accepted job."""
+        self.jobs.setdefault(job.partition, {})[job.submission.key] = job
+        self.job_count += 1
+
+    def remove_job(self, job: Job) -> None:
+        """Remove a job that has its final answer or left with its partition."""
+        if self.jobs.get(job.partition, {}).pop(job.submission.key, None) is job:
+            self.job_count -= 1
+
+    def serving(self, partition: int) -> Ownership | None:
+        """Return the ownership of a partition that is served here, or None."""
+        ownership = self.takeover.owned.get(partition)
+        if ownership is None or ownership.phase is not Phase.SERVING:
+            return None
+        return ownership
+
+
+def answer_of(
+    kind: ErrorKind, retry_after: timedelta | None = None, detail: str = ""
+) -> Answer:
+    """Return an answer of a kind whose claim the table of kinds fixes.
+
+    Args:
+      kind: the reason.
+      retry_after: when to come back, if known better than in the table.
+      detail: one sentence for a person.
+    """
+    rule = ANSWER_RULES[kind]
+    if rule.work is None:
+        raise ValueError(f"{kind} makes no fixed claim")
+    if retry_after is None:
+        retry_after = rule.retry_after
+    return Answer(kind, rule.work, retry_after=retry_after, detail=detail)
+
+
+def reply(waiter: Waiter, key: JobKey, answer: Answer) -> Effect:
+    """Return the effect that answers one copy."""
+    return Send(waiter.entry, JobAnswer(waiter.request, key, answer))
--- a/gypsumspoke/core/membership.py
+++ b/gypsumspoke/core/membership.py
@@ -143,6 +143,7 @@
         self._next_cleaning: datetime | None = None
         self._leave_deadline: datetime | None = None
         self._map_readable = False
+        self._map_read = False
         # The view.
         self._members_version = 0
         self._partitions_version = 0
@@ -700,8 +701,12 @@
             )
     _read_again(state, PARTITIONS_PREFIX, now)
     changed = _merge_partitions(state, tuple(found))
+    is_first = not state._map_read
+    state._map_read = True
     if changed:
         _heartbeat_soon(state, now)
+    if changed or is_first:
+        # Executors refuse all starts until the map was read, be it empty.
         effects.append(Local(PartitionsChanged(changed)))
     return effects
 
--- /dev/null
+++ b/gypsumspoke/core/sidecar.py
@@ -0,0 +1,154 @@
+"""The sidecar's reducer: membership, home and executor on one loop.
+
+An event goes to each of them in this order; a message that one sends to its own
+incarnation is handled at once without a connection. Leaving has an order too: the home
+hands its partitions over, the executor finishes and gives its records to another, and
+only then does membership end the registration, since from there on others count this
+process as gone with its memory.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from returns.result import Result
+
+from gypsumspoke.core import executor, home, membership
+from gypsumspoke.core.data import (
+    Drain,
+    Effect,
+    Exit,
+    Local,
+    Manifest,
+    Member,
+    Received,
+    Send,
+    Tick,
+)
+
+DEPART_LIMIT = timedelta(seconds=20)
+
+
+class SidecarState:
+    """All that one sidecar knows.
+
+    Args:
+      member: this process.
+      partition_count: number of partitions.
+      seed: for the choice of peers and executors.
+      parse_manifest: turns a manifest's text into a checked one.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        partition_count: int,
+        seed: int,
+        parse_manifest: Callable[[str], Result[Manifest, tuple[str, ...]]],
+    ) -> None:
+        self._incarnation = member.incarnation
+        self.membership = membership.new_membership(
+            member, partition_count, seed, parse_manifest
+        )
+        self.home = home.new_home(member, partition_count, seed)
+        self.executor = executor.new_executor(
+            member.incarnation, member.service, member.slots
+        )
+        self._draining_since: datetime | None = None
+        self._leaving = False
+        self._exited = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether it is on its way out."""
+        return self._draining_since is not None
+
+
+def new_sidecar(
+    member: Member,
+    partition_count: int,
+    seed: int,
+    parse_manifest: Callable[[str], Result[Manifest, tuple[str, ...]]],
+) -> SidecarState:
+    """Return the state of a sidecar that has not registered yet.
+
+    Args:
+      member: this process.
+      partition_count: number of partitions, the same in every process.
+      seed: for the choice of peers and executors.
+      parse_manifest: turns a manifest's text into a checked one.
+    """
+    return SidecarState(member, partition_count, seed, parse_manifest)
+
+
+def is_ready(state: SidecarState) -> bool:
+    """Return whether it is registered and takes work."""
+    return membership.is_registered(state.membership) and not state.is_draining
+
+
+def reduce(state: SidecarState, event: object, now: datetime) -> list[Effect]:
+    """Apply one event.
+
+    Args:
+      state: changed in place.
+      event: a Received message or another event of ``core.data``.
+      now: the current time.
+
+    Returns:
+      What the shell must do, in order.
+    """
+    effects: list[Effect] = []
+    events = deque([event])
+    if isinstance(event, Drain) and state._draining_since is None:
+        state._draining_since = now
+    while events:
+        for effect in _reduce_one(state, events.popleft(), now):
+            inner = _inner_event(state, effect)
+            if inner is None:
+                effects.append(effect)
+            else:
+                events.append(inner)
+    if isinstance(event, Tick):
+        effects += _depart(state, now)
+    return effects
+
+
+def _reduce_one(state: SidecarState, event: object, now: datetime) -> list[Effect]:
+    membership.set_load(state.membership, executor.load(state.executor))
+    home.set_clock_is_off(state.home, membership.clock_is_off(state.membership))
+    effects = membership.reduce(state.membership, event, now)
+    # The executor first: it must know of a higher epoch before the home acts on it.
+    effects += executor.reduce(state.executor, event, now)
+    effects += home.reduce(state.home, event, now)
+    return effects
+
+
+def _inner_event(state: SidecarState, effect: Effect) -> object | None:
+    """Return the event that an effect is for this same process, or None."""
+    if isinstance(effect, Local):
+        return effect.event
+    if isinstance(effect, Send) and effect.to == state._incarnation:
+        return Received(state._incarnation, effect.message)
+    return None
+
+
+def _depart(state: SidecarState, now: datetime) -> list[Effect]:
+    if state._draining_since is None or state._exited:
+        return []
+    if not state._leaving:
+        if not _has_departed(state, now):
+            return []
+        state._leaving = True
+        return membership.reduce(state.membership, membership.Leave(), now)
+    if not membership.has_left(state.membership):
+        return []
+    state._exited = True
+    return [Exit()]
+
+
+def _has_departed(state: SidecarState, now: datetime) -> bool:
+    if not home.is_departed(state.home, now) or not state.executor.idle:
+        return False
+    # Without any other executor the records can't be told; don't stay for ever.
+    late = now - state._draining_since >= DEPART_LIMIT
+    return state.executor.departed or late
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -22,6 +22,7 @@
 
 from gypsumspoke.core.data import (
     DEFAULT_POLICY,
+    AttemptId,
     ClosedRecord,
     Count,
     Counter,
@@ -54,7 +55,7 @@
 )
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.ledger import Floor, floor_birth
-from gypsumspoke.core.partitions import preferred_owner
+from gypsumspoke.core.partitions import partition_of, preferred_owner
 from gypsumspoke.core.rows import (
     MEMBERS_PREFIX,
     member_from_row,
@@ -74,10 +75,11 @@
 HANDOFF_LIMIT = timedelta(seconds=3)
 HANDOFFS_AT_ONCE = 8
 
-_CLAIM = "home:claim"
-_CHECK = "home:check"
-_MEMBERS = "home:members"
-_PROBE = "home:probe"
+REQUEST_PREFIX = "home:"
+_CLAIM = REQUEST_PREFIX + "claim"
+_CHECK = REQUEST_PREFIX + "check"
+_MEMBERS = REQUEST_PREFIX + "members"
+_PROBE = REQUEST_PREFIX + "probe"
 
 
 class Phase(Enum):
@@ -227,6 +229,10 @@
             if member.role is Role.SIDECAR and member.ended is None
         ]
 
+    def member(self, incarnation: str) -> Member | None:
+        """Return a known member, ended ones included, or None."""
+        return self._members.get(incarnation)
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether a process is provably gone with its memory."""
         member = self._members.get(incarnation)
@@ -665,6 +671,14 @@
     return [_log("partition lost to a higher epoch", ownership)]
 
 
+def epoch_refused(state: TakeoverState, attempt: AttemptId) -> None:
+    """Give up the partition of a start that was refused for its epoch."""
+    partition = partition_of(attempt.key, state._partition_count)
+    ownership = state._owned.get(partition)
+    if ownership is not None and ownership.epoch == attempt.epoch:
+        _lose(state, ownership)
+
+
 def _finish_if_fenced(
     state: TakeoverState, ownership: Ownership, now: datetime
 ) -> list[Effect]:
--- /dev/null
+++ b/tests/core/test_home.py
@@ -0,0 +1,117 @@
+"""Homes and executors together, on the plain path and at their borders."""
+
+from datetime import timedelta
+
+from gypsumspoke.core.data import Counter, Outcome
+from gypsumspoke.core.errors import ErrorKind, Work
+from tests.core.system import System
+
+SETTLED = 3.0
+
+
+def settled_system(**options):
+    system = System(**options)
+    system.run(SETTLED)
+    return system
+
+
+def test_every_partition_gets_an_owner():
+    system = settled_system(workers=3, partitions=8)
+    assert len(system.table.read("partitions/")) == 8
+
+
+def test_a_job_is_answered_whole_and_in_order():
+    system = settled_system()
+    submission = system.submission("k", tasks=5)
+    system.submit(submission)
+    system.run(1)
+    (answer,) = system.answers(submission.key)
+    assert answer.kind is None
+    assert answer.results == (b"ok:x0", b"ok:x1", b"ok:x2", b"ok:x3", b"ok:x4")
+    assert set(system.starts(submission.key).values()) == {1}
+
+
+def test_a_home_places_nothing_on_its_own_worker():
+    system = settled_system()
+    for number in range(20):
+        system.submit(system.submission(f"k{number}"))
+    system.run(2)
+    assert len(system.started) == 40
+    for start in system.started:
+        assert not system.owner(start.key).startswith(start.worker + ".")
+
+
+def test_a_copy_waits_for_the_running_job_and_a_later_one_gets_its_answer():
+    system = settled_system()
+    system.hold_upstreams = True
+    submission = system.submission("k")
+    system.submit(submission)
+    system.submit(submission)
+    system.run(0.5)
+    system.hold_upstreams = False
+    system.run(0.5)
+    system.submit(submission)
+    system.run(0.5)
+    answers = system.answers(submission.key)
+    assert len(answers) == 3
+    assert len(set(answers)) == 1
+    assert set(system.starts(submission.key).values()) == {1}
+    assert system.counts[Counter.ATTACHED_TO_RUNNING] == 1
+    assert system.counts[Counter.ANSWERED_FROM_KEPT] == 1
+
+
+def test_a_used_key_with_another_body_is_refused():
+    system = settled_system()
+    system.submit(system.submission("k"))
+    system.run(1)
+    other = system.submission("k", body=b"y")
+    system.submit(other)
+    system.run(1)
+    assert system.answers(other.key)[-1].kind is ErrorKind.KEY_REUSED
+
+
+def test_a_failed_task_fails_the_whole_job():
+    system = settled_system()
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=1)
+    system.submit(submission)
+    system.run(0.5)
+    system.finish_upstreams(Outcome.FAILED)
+    system.run(0.5)
+    (answer,) = system.answers(submission.key)
+    assert answer.kind is ErrorKind.TASK_FAILED
+    assert answer.work is Work.RAN
+    assert answer.results == ()
+
+
+def test_a_key_older_than_the_retention_never_starts():
+    system = settled_system()
+    old = system.submission("k", birth=system.now - timedelta(hours=1))
+    system.submit(old)
+    system.run(1)
+    assert system.answers(old.key)[0].kind is ErrorKind.KEY_EXPIRED
+    assert not system.started
+
+
+def test_cancelled_before_a_start_is_not_run_and_may_come_back_with_a_higher_attempt():
+    system = settled_system()
+    system.hold_upstreams = True
+    for number in range(10):
+        system.submit(system.submission(f"fill{number}", tasks=2))
+    last = system.submission("k", tasks=1)
+    system.submit(last)
+    system.run(0.3)
+    system.cancel(last.key)
+    system.run(1)
+    answer = system.answers(last.key)[0]
+    assert answer.kind is ErrorKind.CANCELLED
+    assert answer.work is Work.NOT_RUN
+    assert not system.starts(last.key)
+    system.hold_upstreams = False
+    system.submit(last)
+    system.submit(last._replace(attempt=answer.next_attempt))
+    system.run(3)
+    assert set(system.starts(last.key).values()) == {1}
+    kinds = [answer.kind for answer in system.answers(last.key)]
+    assert kinds[-1] is None
+    assert ErrorKind.ALREADY_REFUSED in kinds
