Thrift messages, bounded frames and connections between peers

Links find a silent connection by heartbeats, replace it, and give a message only to the incarnation that it names.

--- /dev/null
+++ b/gypsumspoke/wire/connection.py
@@ -0,0 +1,237 @@
+"""One TCP connection to a peer: a greenlet that reads and one that writes.
+
+A connection knows nothing of messages or members; ``wire/links.py`` decides what it
+carries and when it is closed.
+"""
+
+import socket as standard_socket
+from collections import deque
+from collections.abc import Callable
+from datetime import datetime
+from typing import NamedTuple
+
+import gevent
+from gevent.event import Event
+from gevent.socket import socket
+from returns.pipeline import is_successful
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.wire.frames import HEARTBEAT_FRAME, FrameReader
+from gypsumspoke.wire.hello import Hello
+
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+
+_READ_BYTES = 64 * 1024
+_WRITE_BYTES = 64 * 1024
+
+
+class ConnectionHandlers(NamedTuple):
+    """What a connection calls.
+
+    Attributes:
+      on_payload: a frame's payload arrived; returns why the connection must end, or "".
+      on_closed: the connection is closed; called once, with the reason.
+    """
+
+    on_payload: Callable[["Connection", bytes], str]
+    on_closed: Callable[["Connection", str], None]
+
+
+class Connection:
+    """A connected socket with a bounded outgoing queue.
+
+    Args:
+      sock: connected socket; the connection closes it.
+      dialled: incarnation that was dialled; None for an accepted connection.
+      clock: source of the times that tell a silent connection.
+      handlers: what to call.
+    """
+
+    def __init__(
+        self,
+        sock: socket,
+        dialled: str | None,
+        clock: Clock,
+        handlers: ConnectionHandlers,
+    ) -> None:
+        self._sock = sock
+        self._dialled = dialled
+        self._clock = clock
+        self._handlers = handlers
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._writable = Event()
+        self._drained = Event()
+        self._drained.set()
+        self._ended = Event()
+        self._closed = False
+        self._peer: Hello | None = None
+        self._opened = clock.now()
+        self._last_heard = self._opened
+        self._last_sent = self._opened
+        sock.setsockopt(standard_socket.IPPROTO_TCP, standard_socket.TCP_NODELAY, 1)
+
+    @property
+    def dialled(self) -> str | None:
+        """The incarnation that was dialled; None for an accepted connection."""
+        return self._dialled
+
+    @property
+    def peer(self) -> Hello | None:
+        """The peer's hello, once it was accepted."""
+        return self._peer
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._closed
+
+    @property
+    def opened(self) -> datetime:
+        """When the connection was made."""
+        return self._opened
+
+    @property
+    def last_heard(self) -> datetime:
+        """When bytes last arrived."""
+        return self._last_heard
+
+    @property
+    def last_sent(self) -> datetime:
+        """When a frame was last queued."""
+        return self._last_sent
+
+    def start(self) -> None:
+        """Begin to read and write."""
+        # The writer goes first: a peer that differs is refused as soon as its hello is
+        # read, and the own hello must be out by then, so that both ends log why.
+        gevent.spawn(self._write)
+        gevent.spawn(self._read)
+
+    def accept_peer(self, hello: Hello) -> None:
+        """Note that the peer's hello is valid."""
+        self._peer = hello
+
+    def restart_silence(self, now: datetime) -> None:
+        """Count the peer's silence from now on."""
+        self._last_heard = now
+
+    def send(self, framed: bytes) -> bool:
+        """Queue a frame.
+
+        Args:
+          framed: a frame with its length.
+
+        Returns:
+          False when the connection has ended or its queue is full; the frame is lost.
+        """
+        # A peer that stops reading would make the queue grow until the process dies.
+        # Dropping is enough: every message may be lost and is asked for again.
+        if self._closed or self._queued_bytes + len(framed) > MAX_QUEUED_BYTES:
+            return False
+        self._queue.append(framed)
+        self._queued_bytes += len(framed)
+        self._last_sent = self._clock.now()
+        self._drained.clear()
+        self._writable.set()
+        return True
+
+    def send_heartbeat(self) -> None:
+        """Queue a link heartbeat, unless frames already wait to be written."""
+        if not self._queue:
+            self.send(HEARTBEAT_FRAME)
+
+    def finish(self, timeout: float) -> None:
+        """End after all that is queued has reached the peer.
+
+        Closing a socket with unread bytes resets it, and the peer may then lose what it
+        has not read yet: the last answers of a process that stops gracefully. So only
+        the sending half is shut, and the peer closes once it has read everything.
+
+        Args:
+          timeout: bound on each of the two waits, in seconds.
+        """
+        self._drained.wait(timeout)
+        if not self._closed:
+            try:
+                self._sock.shutdown(standard_socket.SHUT_WR)
+                self._ended.wait(timeout)
+            except OSError:
+                pass  # The peer was faster.
+        self.close("finished")
+
+    def close(self, reason: str) -> None:
+        """End the connection; a second call does nothing."""
+        if self._closed:
+            return
+        self._closed = True
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._writable.set()
+        self._drained.set()
+        self._ended.set()
+        try:
+            # Wakes the greenlet that waits in recv; close alone would not.
+            self._sock.shutdown(standard_socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._sock.close()
+        self._handlers.on_closed(self, reason)
+
+    def _read(self) -> None:
+        frames = FrameReader()
+        try:
+            while not self._closed:
+                chunk = self._sock.recv(_READ_BYTES)
+                if not chunk:
+                    cut = " inside a frame" if frames.incomplete else ""
+                    self.close("closed by the peer" + cut)
+                    return
+                self._last_heard = self._clock.now()
+                if not self._take(frames, chunk):
+                    return
+                # recv returns at once while bytes are at hand. Without this turn one
+                # fast sender would hold the loop and the process would miss its
+                # heartbeats to everyone else.
+                gevent.sleep(0)
+        except OSError as error:
+            self.close(f"read failed: {error}")
+
+    def _take(self, frames: FrameReader, chunk: bytes) -> bool:
+        """Hand on the payloads that are complete; return whether to read on."""
+        payloads = frames.feed(chunk)
+        if not is_successful(payloads):
+            self.close(payloads.failure())
+            return False
+        for payload in payloads.unwrap():
+            if self._closed:
+                return False
+            problem = self._handlers.on_payload(self, payload)
+            if problem:
+                self.close(problem)
+                return False
+        return True
+
+    def _write(self) -> None:
+        try:
+            while not self._closed:
+                self._writable.wait()
+                if self._closed:
+                    return
+                self._sock.sendall(self._next_batch())
+                if not self._queue:
+                    self._writable.clear()
+                    self._drained.set()
+        except OSError as error:
+            self.close(f"write failed: {error}")
+
+    def _next_batch(self) -> bytes:
+        """Take frames up to about ``_WRITE_BYTES``, so that many share one call."""
+        batch = []
+        size = 0
+        while self._queue and size < _WRITE_BYTES:
+            framed = self._queue.popleft()
+            batch.append(framed)
+            size += len(framed)
+        self._queued_bytes -= size
+        return b"".join(batch)
--- /dev/null
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -0,0 +1,336 @@
+/**
+ * Messages between the system's own processes.
+ *
+ * Each struct has the fields of the tuple of the same name in core/data.py, in the same
+ * order; tests/wire/test_codec.py compares the two. After a change run, from the root:
+ *
+ *   thrift --gen py:slots -out gypsumspoke/wire gypsumspoke/wire/gypsumspoke.thrift
+ *
+ * Rules for a change: a field number is never used again for something else, a new
+ * field is optional, and PROTOCOL_VERSION in wire/hello.py grows when an old process
+ * could misread a new message. "service" is a reserved word of the language, so the
+ * field is called service_name here.
+ */
+namespace py generated
+
+/** Microseconds since 1970-01-01T00:00:00Z. */
+typedef i64 TimeMicros
+
+/** Microseconds. */
+typedef i64 DurationMicros
+
+/** Value of the enum of that name in core; an unknown one makes the frame invalid. */
+typedef string OutcomeName
+typedef string TaskStateName
+typedef string WorkName
+typedef string ErrorKindName
+
+/** First on each connection, in both directions. Field numbers here never change. */
+struct Hello {
+  1: i64 protocol_version
+  2: string incarnation
+  3: string worker
+  4: i64 partition_count
+}
+
+/** Rates of one team, in tasks per second. */
+struct TeamRates {
+  1: string team
+  2: double offered
+  3: double admitted
+}
+
+/** Identity of a submission: the team and the caller's idempotency key. */
+struct JobKey {
+  1: string team
+  2: string key
+}
+
+/** One task of a job: the body for the upstream and the declared run time. */
+struct Task {
+  1: binary body
+  2: optional DurationMicros declared
+}
+
+/** A job as the caller sent it. */
+struct Submission {
+  1: JobKey key
+  2: TimeMicros birth
+  3: i64 attempt
+  4: string service_name
+  5: TimeMicros deadline
+  6: bool not_repeatable
+  7: list<Task> tasks
+  8: binary digest
+}
+
+/** Entry to home: one copy of a submission. Safe to send again. */
+struct SubmitJob {
+  1: string request
+  2: i64 partition
+  3: Submission submission
+  4: bool wait
+}
+
+/** Entry to home: what became of this key. */
+struct QueryJob {
+  1: string request
+  2: i64 partition
+  3: JobKey key
+}
+
+/** Entry to home: start nothing more of this key. */
+struct CancelJob {
+  1: string request
+  2: i64 partition
+  3: JobKey key
+}
+
+/** The final answer to a submission. */
+struct Answer {
+  1: optional ErrorKindName kind
+  2: WorkName work
+  3: list<binary> results
+  4: list<OutcomeName> outcomes
+  5: optional i64 next_attempt
+  6: optional DurationMicros retry_after
+  7: string detail
+}
+
+/** Home to entry: the answer to one SubmitJob, QueryJob or CancelJob. */
+struct JobAnswer {
+  1: string request
+  2: JobKey key
+  3: Answer answer
+}
+
+/** One try to run one task at one executor. */
+struct AttemptId {
+  1: JobKey key
+  2: i64 task
+  3: i64 number
+  4: i64 epoch
+}
+
+/** Home to executor: run one task, at most once. */
+struct StartTask {
+  1: AttemptId attempt
+  2: i64 partition
+  3: i64 submission_attempt
+  4: TimeMicros birth
+  5: binary digest
+  6: i64 task_count
+  7: string service_name
+  8: TimeMicros deadline
+  9: bool not_repeatable
+  10: binary body
+}
+
+/** Home to executor, after silence or a takeover: what became of this try. */
+struct AskAttempt {
+  1: AttemptId attempt
+  2: i64 partition
+}
+
+/** Home to executor: don't start this try if it still waits. */
+struct CancelTask {
+  1: AttemptId attempt
+  2: i64 partition
+}
+
+/** What an executor says about itself on each answer. */
+struct Load {
+  1: i64 running
+  2: i64 queued
+  3: i64 slots
+  4: optional DurationMicros mean_run
+}
+
+/** Executor to home: the end of one try. */
+struct TaskOutcome {
+  1: AttemptId attempt
+  2: OutcomeName outcome
+  3: binary result
+  4: string reason
+  5: Load load
+  6: optional DurationMicros run_time
+}
+
+/** Executor to home: the answer to AskAttempt while the try waits or runs. */
+struct TaskRunning {
+  1: AttemptId attempt
+  2: Load load
+}
+
+/** New home to executor: refuse epochs below this one and say what you know. */
+struct Fence {
+  1: i64 partition
+  2: i64 epoch
+}
+
+/** An executor's memory of one started task. */
+struct StartRecord {
+  1: AttemptId attempt
+  2: i64 submission_attempt
+  3: TimeMicros birth
+  4: binary digest
+  5: i64 task_count
+  6: TaskStateName state
+  7: optional binary result
+}
+
+/** A job that got a final answer other than complete; nothing of it may start. */
+struct ClosedRecord {
+  1: JobKey key
+  2: TimeMicros birth
+  3: i64 submission_attempt
+  4: binary digest
+  5: ErrorKindName kind
+}
+
+/** Executor to new home: fenced; one chunk of all it knows of the partition. */
+struct FenceAck {
+  1: i64 partition
+  2: i64 epoch
+  3: string incarnation
+  4: i64 chunk
+  5: i64 chunks
+  6: list<StartRecord> started
+  7: list<ClosedRecord> closed
+  8: list<string> covers
+}
+
+/** Executor to home: this executor has promised a higher epoch. */
+struct FenceRefused {
+  1: i64 partition
+  2: i64 epoch
+  3: i64 highest
+}
+
+/** Home to executor: confirm the epoch, and keep these final refusals. */
+struct CloseJob {
+  1: i64 partition
+  2: i64 epoch
+  3: i64 confirmation
+  4: list<ClosedRecord> closed
+}
+
+/** Executor to home: the epoch was current here and the records are kept. */
+struct CloseAck {
+  1: i64 partition
+  2: i64 epoch
+  3: i64 confirmation
+}
+
+/** Keep another executor's records of a partition as if they were one's own. */
+struct Remember {
+  1: i64 partition
+  2: string source
+  3: i64 chunk
+  4: i64 chunks
+  5: list<StartRecord> started
+  6: list<ClosedRecord> closed
+  7: list<string> covers
+}
+
+/** All chunks of a Remember are kept. */
+struct RememberAck {
+  1: i64 partition
+  2: string source
+}
+
+/** A "not run" that a home gave; a copy up to this attempt stays refused. */
+struct RefusedRecord {
+  1: JobKey key
+  2: TimeMicros birth
+  3: i64 submission_attempt
+  4: ErrorKindName kind
+}
+
+/** A final answer that a home keeps. */
+struct FinishedRecord {
+  1: JobKey key
+  2: TimeMicros birth
+  3: i64 submission_attempt
+  4: binary digest
+  5: Answer answer
+}
+
+/** Leaving home to next home: one chunk of the ledger of a partition. */
+struct Handoff {
+  1: i64 partition
+  2: i64 epoch
+  3: i64 version
+  4: i64 chunk
+  5: i64 chunks
+  6: TimeMicros floor
+  7: i64 generation
+  8: optional TimeMicros lossy_before
+  9: list<RefusedRecord> refused
+  10: list<FinishedRecord> finished
+  11: list<RefusedRecord> running
+}
+
+/** Next home to leaving home: it owns the partition now, or never will. */
+struct HandoffAck {
+  1: i64 partition
+  2: i64 epoch
+  3: bool taken
+}
+
+/** Any process to a peer: I am here, and this is how far I know. */
+struct Heartbeat {
+  1: string incarnation
+  2: TimeMicros clock
+  3: i64 manifest_version
+  4: i64 members_version
+  5: i64 partitions_version
+  6: optional Load load
+  7: bool leaving
+  8: bool answer
+}
+
+/** Send me your manifest if it is newer than this version. */
+struct ManifestRequest {
+  1: i64 version
+}
+
+/** A manifest as it stands in the platform's table. */
+struct ManifestUpdate {
+  1: i64 version
+  2: string text
+}
+
+/** Entry to entries: tasks that each team started in the last interval. */
+struct TeamUsage {
+  1: string incarnation
+  2: i64 sequence
+  3: list<TeamRates> usage
+}
+
+/** What a frame holds: exactly one of these. */
+union Message {
+  1: Hello hello
+  2: SubmitJob submit_job
+  3: QueryJob query_job
+  4: CancelJob cancel_job
+  5: JobAnswer job_answer
+  6: StartTask start_task
+  7: AskAttempt ask_attempt
+  8: CancelTask cancel_task
+  9: TaskOutcome task_outcome
+  10: TaskRunning task_running
+  11: Fence fence
+  12: FenceAck fence_ack
+  13: FenceRefused fence_refused
+  14: CloseJob close_job
+  15: CloseAck close_ack
+  16: Remember remember
+  17: RememberAck remember_ack
+  18: Handoff handoff
+  19: HandoffAck handoff_ack
+  20: Heartbeat heartbeat
+  21: ManifestRequest manifest_request
+  22: ManifestUpdate manifest_update
+  23: TeamUsage team_usage
+}
--- /dev/null
+++ b/gypsumspoke/wire/hello.py
@@ -0,0 +1,58 @@
+"""The first message on each connection, in both directions.
+
+Both ends must speak the same protocol and divide keys into the same number of
+partitions. Two processes that disagree about the partition count would send a key to
+two homes, and its tasks could start twice; so such a peer is refused before any other
+message is read.
+"""
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(NamedTuple):
+    """Who speaks on a connection.
+
+    Attributes:
+      protocol_version: version of the messages that the sender speaks.
+      incarnation: the sender.
+      worker: the sender's worker.
+      partition_count: number of partitions that the sender divides keys into.
+    """
+
+    protocol_version: int
+    incarnation: str
+    worker: str
+    partition_count: int
+
+
+def check_hello(own: Hello, other: Hello, expected: str | None) -> Result[Hello, str]:
+    """Decide whether to talk to a peer.
+
+    Args:
+      own: this process's hello.
+      other: the peer's hello.
+      expected: incarnation that was dialled; None for an accepted connection.
+
+    Returns:
+      The peer's hello, or why it is refused.
+    """
+    if other.protocol_version != own.protocol_version:
+        return Failure(
+            f"protocol version {other.protocol_version}, not {own.protocol_version}"
+        )
+    if other.partition_count != own.partition_count:
+        return Failure(
+            f"partition count {other.partition_count}, not {own.partition_count}"
+        )
+    if not other.incarnation:
+        return Failure("no incarnation")
+    # An address is used again by a worker's next incarnation. Without this check a
+    # message for the dead one would reach the living one, which knows none of its
+    # starts, and be answered "never seen".
+    if expected is not None and other.incarnation != expected:
+        return Failure(f"incarnation {other.incarnation}, not {expected}")
+    return Success(other)
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,71 @@
+"""A TCP relay that can lose track of its connections, as middleboxes do."""
+
+from contextlib import ExitStack
+
+import gevent
+from gevent.event import Event
+from gevent.socket import socket
+
+READ_BYTES = 64 * 1024
+
+
+class Relay:
+    """Forwards 127.0.0.1 connections to a target.
+
+    Args:
+      target: (host, port) to forward to.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._listener = socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(64)
+        self._forwarding = Event()
+        self._forwarding.set()
+        self._sockets: list[socket] = []
+        self._greenlets = [gevent.spawn(self._accept)]
+        self.accepted = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where to connect instead of the target."""
+        return self._listener.getsockname()
+
+    def silence(self) -> None:
+        """Forward nothing more on today's connections; new ones work."""
+        self._forwarding.clear()
+        self._forwarding = Event()
+        self._forwarding.set()
+
+    def close(self) -> None:
+        """Close all connections and stop."""
+        gevent.killall(self._greenlets)
+        with ExitStack() as stack:
+            for sock in [self._listener, *self._sockets]:
+                stack.callback(sock.close)
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            far = socket()
+            try:
+                far.connect(self._target)
+            except OSError:
+                near.close()
+                continue
+            self.accepted += 1
+            self._sockets += [near, far]
+            for source, sink in ((near, far), (far, near)):
+                forward = gevent.spawn(self._forward, source, sink, self._forwarding)
+                self._greenlets.append(forward)
+
+    def _forward(self, source: socket, sink: socket, forwarding: Event) -> None:
+        try:
+            while chunk := source.recv(READ_BYTES):
+                forwarding.wait()
+                sink.sendall(chunk)
+            forwarding.wait()
+            sink.shutdown(1)
+        except OSError:
+            sink.close()
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,107 @@
+"""Messages to bytes and back."""
+
+import typing
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+from returns.pipeline import is_successful
+from thrift.protocol import fastbinary
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from gypsumspoke.core.data import JobKey, Message, QueryJob
+from gypsumspoke.wire.codec import WireMessage, decode, encode
+from gypsumspoke.wire.generated import ttypes
+from gypsumspoke.wire.hello import Hello
+from tests.wire.strategies import values_of
+
+KINDS = typing.get_args(WireMessage)
+FEW = settings(
+    derandomize=True,
+    max_examples=30,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+QUERY = QueryJob("r1", 3, JobKey("orchards", "invoice-7"))
+
+
+def test_every_message_of_the_vocabulary_can_be_sent():
+    assert set(typing.get_args(Message)) | {Hello} == set(KINDS)
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
+def test_a_message_comes_back_equal(kind):
+    @FEW
+    @given(values_of(kind))
+    def roundtrip(message):
+        decoded = decode(encode(message)).unwrap()
+        assert decoded == message
+        assert type(decoded) is kind
+
+    roundtrip()
+
+
+def test_the_c_extension_does_the_work():
+    protocol = TCompactProtocolAccelerated(TMemoryBuffer(), fallback=False)
+    assert protocol._fast_encode is fastbinary.encode_compact
+
+
+@FEW
+@given(st.integers(min_value=0))
+def test_a_truncated_message_is_an_error_value(cut):
+    payload = encode(QUERY)
+    assert not is_successful(decode(payload[: cut % len(payload)]))
+
+
+@settings(FEW, max_examples=500)
+@given(st.binary(max_size=200))
+def test_garbage_is_an_error_value_or_a_message(garbage):
+    result = decode(garbage)
+    assert not is_successful(result) or type(result.unwrap()) in KINDS
+
+
+@settings(FEW, max_examples=500)
+@given(st.integers(min_value=0), st.integers(min_value=0, max_value=255))
+def test_a_flipped_byte_is_an_error_value_or_a_message(position, byte):
+    payload = bytearray(encode(QUERY))
+    payload[position % len(payload)] = byte
+    result = decode(bytes(payload))
+    assert not is_successful(result) or type(result.unwrap()) in KINDS
+
+
+def test_deep_nesting_is_an_error_value():
+    """A frame of nested unknown structs makes the decoder recurse once per byte.
+
+    Without the library's bound the C stack overflows and the process is killed.
+    """
+    nested_struct = b"\xfc" + b"\x1c" * 1_000_000
+    assert not is_successful(decode(nested_struct))
+
+
+def test_a_huge_declared_length_is_an_error_value():
+    union = ttypes.Message(team_usage=ttypes.TeamUsage("i", 1, []))
+    buffer = TMemoryBuffer()
+    union.write(TCompactProtocolAccelerated(buffer, fallback=False))
+    payload = buffer.getvalue()
+    empty_list = b"\x19\x0c"
+    assert empty_list in payload
+    huge_list = b"\x19\xfc" + b"\xff\xff\xff\xff\x07"
+    assert not is_successful(decode(payload.replace(empty_list, huge_list)))
+
+
+@pytest.mark.parametrize(
+    "union",
+    [
+        ttypes.Message(),
+        ttypes.Message(query_job=ttypes.QueryJob(request="r")),
+        ttypes.Message(
+            manifest_request=ttypes.ManifestRequest(1),
+            handoff_ack=ttypes.HandoffAck(1, 1, True),
+        ),
+    ],
+    ids=["none", "field absent", "two"],
+)
+def test_an_incomplete_union_is_an_error_value(union):
+    buffer = TMemoryBuffer()
+    union.write(TCompactProtocolAccelerated(buffer, fallback=False))
+    assert not is_successful(decode(buffer.getvalue()))
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,312 @@
+"""Connections between peers, over real sockets on one loop."""
+
+from contextlib import ExitStack
+from datetime import datetime, timedelta, timezone
+
+import gevent
+import pytest
+from gevent.queue import Queue
+from gevent.socket import create_connection, socket
+
+from gypsumspoke.core.clock import ManualClock, SystemClock
+from gypsumspoke.core.data import (
+    JobKey,
+    ManifestUpdate,
+    Member,
+    PeerConnected,
+    PeerLost,
+    QueryJob,
+    Received,
+    Role,
+)
+from gypsumspoke.wire.codec import encode
+from gypsumspoke.wire.frames import HEARTBEAT_FRAME, MAX_FRAME_BYTES, frame
+from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
+from gypsumspoke.wire.links import SILENCE_LIMIT, PeerLinks
+from tests.standins.relay import Relay
+
+HOST = "127.0.0.1"
+BOUND_SECONDS = 30
+PARTITIONS = 64
+START = datetime(2030, 1, 1, tzinfo=timezone.utc)
+QUERY = QueryJob("r1", 3, JobKey("orchards", "invoice-7"))
+
+
+class Process:
+    """One end: its links, the port and what they reported."""
+
+    def __init__(
+        self, name, clock=None, version=PROTOCOL_VERSION, partitions=PARTITIONS
+    ):
+        self.name = name
+        self.links = PeerLinks(
+            Hello(version, name, name, partitions), clock or SystemClock()
+        )
+        self.port = self.links.listen(HOST, 0)
+        self.events = Queue()
+        self.links.start(self.events.put)
+
+    def next_event(self, kind):
+        """Return the next event of this kind; others are passed over."""
+        while True:
+            event = self.events.get(timeout=BOUND_SECONDS)
+            if isinstance(event, kind):
+                return event
+
+    def knows(self, *processes, port=None):
+        """Take the addresses of others, or one other behind a relay's port."""
+        self.links.set_addresses(
+            [member(other.name, port or other.port) for other in processes]
+        )
+
+
+def member(incarnation, port, ended=None):
+    return Member(
+        incarnation, incarnation, Role.SIDECAR, HOST, port, "almaty-1", "rack-1",
+        "estimates", 8, START, ended, 0,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as stack:
+        yield stack
+
+
+@pytest.fixture
+def process(stack):
+    def make(name, **options):
+        made = Process(name, **options)
+        stack.callback(made.links.close)
+        return made
+
+    return make
+
+
+def wait_until(condition):
+    """Let the loop turn until the condition holds; fail after a generous bound."""
+    with gevent.Timeout(BOUND_SECONDS):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def stranger(stack, to, *frames):
+    """Connect as something that is no peer and send these bytes."""
+    sock = create_connection((HOST, to.port))
+    stack.callback(sock.close)
+    sock.settimeout(BOUND_SECONDS)
+    for framed in frames:
+        sock.sendall(framed)
+    return sock
+
+
+def read_to_end(sock):
+    """Read until the other side closes; a test fails by timeout if it does not."""
+    try:
+        while sock.recv(65536):
+            pass
+    except ConnectionError:
+        pass
+
+
+def hello_frame(name="home", version=PROTOCOL_VERSION, partitions=PARTITIONS):
+    return frame(encode(Hello(version, name, name, partitions))).unwrap()
+
+
+def test_a_message_dials_and_the_answer_uses_the_same_connection(process):
+    entry, home = process("entry"), process("home")
+    entry.knows(home)
+    assert entry.links.send("home", QUERY)
+    assert home.next_event(Received) == Received("entry", QUERY)
+    assert home.links.send("entry", QUERY)
+    assert entry.next_event(Received) == Received("home", QUERY)
+    assert home.links.connection_count("entry") == 1
+
+
+def test_an_unknown_peer_is_not_reached(process):
+    assert not process("entry").links.send("nobody", QUERY)
+
+
+def test_both_sides_may_dial_at_once(process):
+    left, right = process("left"), process("right")
+    left.knows(right)
+    right.knows(left)
+    left.links.send("right", QUERY)
+    right.links.send("left", QUERY)
+    assert right.next_event(Received).sender == "left"
+    assert left.next_event(Received).sender == "right"
+    assert left.links.connection_count("right") <= 2
+    assert right.links.connection_count("left") <= 2
+
+
+def test_many_messages_arrive_whole_and_in_number(process):
+    entry, home = process("entry"), process("home")
+    entry.knows(home)
+    sent = [ManifestUpdate(number, "x" * number) for number in range(2000)]
+    for message in sent:
+        assert entry.links.send("home", message)
+    received = [home.next_event(Received).message for _ in sent]
+    assert received == sent
+
+
+def test_an_oversized_message_is_refused_by_its_sender(process):
+    entry, home = process("entry"), process("home")
+    entry.knows(home)
+    assert not entry.links.send("home", ManifestUpdate(1, "x" * MAX_FRAME_BYTES))
+
+
+def test_a_silent_connection_is_replaced(process, stack):
+    """A relay loses track of a connection: nothing passes, and nothing is closed.
+
+    The sender sees no error and every message on it would wait for ever. Both ends miss
+    the link heartbeats, report the peer lost and a new connection carries on.
+    """
+    entry, home = process("entry"), process("home")
+    relay = Relay((HOST, home.port))
+    stack.callback(relay.close)
+    entry.knows(home, port=relay.address[1])
+    entry.links.send("home", QUERY)
+    home.next_event(Received)
+    relay.silence()
+    assert entry.next_event(PeerLost) == PeerLost("home")
+    assert home.next_event(PeerLost) == PeerLost("entry")
+    assert entry.next_event(PeerConnected) == PeerConnected("home")
+    entry.links.send("home", QUERY)
+    assert home.next_event(Received) == Received("entry", QUERY)
+    assert relay.accepted == 2
+
+
+def test_a_pause_of_the_own_process_is_not_the_silence_of_its_peers(process):
+    """A process is paused for longer than the silence limit and wakes.
+
+    Its connections look old though the peers' heartbeats wait in the kernel. It must
+    not close them, or each pause would cut all links of a process at once.
+    """
+    clock = ManualClock(START)
+    entry, home = process("entry", clock=clock), process("home")
+    entry.knows(home)
+    entry.links.send("home", QUERY)
+    home.next_event(Received)
+    entry.links._watch_once(clock.now())
+    entry.links._watch_once(clock.advance(SILENCE_LIMIT * 10))
+    assert entry.links.connection_count("home") == 1
+
+
+def test_silence_in_time_is_noticed(process):
+    clock = ManualClock(START)
+    entry, home = process("entry", clock=clock), process("home")
+    entry.knows(home)
+    entry.links.send("home", QUERY)
+    entry.next_event(PeerConnected)
+    step = timedelta(seconds=0.5)
+    for _ in range(SILENCE_LIMIT // step):
+        entry.links._watch_once(clock.advance(step))
+    assert entry.links.connection_count("home") == 0
+
+
+@pytest.mark.parametrize(
+    "options", [{"version": PROTOCOL_VERSION + 1}, {"partitions": PARTITIONS * 2}]
+)
+def test_a_peer_that_differs_is_refused_and_logged(process, caplog, options):
+    entry, home = process("entry"), process("home", **options)
+    entry.knows(home)
+    entry.links.send("home", QUERY)
+    assert entry.next_event(PeerLost) == PeerLost("home")
+    wait_until(lambda: home.links.counts["refused_hellos"])
+    assert "peer refused" in caplog.messages
+    assert home.events.empty()
+
+
+def test_a_message_never_reaches_another_incarnation(process):
+    """The worker restarted: a new incarnation listens on the address of the old one.
+
+    A message for the old one must be lost and not reach the new one, which would
+    answer truthfully that it never saw the task that the old one had started.
+    """
+    entry, newer = process("entry"), process("home-2")
+    entry.links.set_addresses([member("home-1", newer.port)])
+    entry.links.send("home-1", QUERY)
+    assert entry.next_event(PeerLost) == PeerLost("home-1")
+    wait_until(lambda: newer.links.connection_count("entry") == 0)
+    assert newer.links.counts["messages_received"] == 0
+
+
+def test_a_refused_dial_is_reported_and_tried_again_later(process, stack):
+    closed = socket()
+    closed.bind((HOST, 0))
+    port = closed.getsockname()[1]
+    stack.callback(closed.close)
+    entry = process("entry")
+    entry.links.set_addresses([member("home", port)])
+    assert entry.links.send("home", QUERY)
+    assert entry.next_event(PeerLost) == PeerLost("home")
+    closed.listen()
+    wait_until(lambda: entry.links.send("home", QUERY))
+
+
+@pytest.mark.parametrize(
+    "bytes_sent",
+    [
+        (MAX_FRAME_BYTES + 1).to_bytes(4, "big"),
+        frame(b"\xff" * 50).unwrap(),
+        frame(encode(QUERY)).unwrap(),
+        hello_frame() + frame(encode(QUERY)[:-3]).unwrap(),
+        hello_frame() + hello_frame(),
+        hello_frame(version=PROTOCOL_VERSION + 1),
+        hello_frame(name=""),
+        b"GET / HTTP/1.1\r\n\r\n",
+    ],
+    ids=[
+        "oversized",
+        "garbage",
+        "message before hello",
+        "truncated message",
+        "second hello",
+        "other version",
+        "no name",
+        "http",
+    ],
+)
+def test_a_bad_frame_closes_only_its_connection(process, stack, bytes_sent):
+    entry, home = process("entry"), process("home")
+    entry.knows(home)
+    entry.links.send("home", QUERY)
+    home.next_event(Received)
+    read_to_end(stranger(stack, home, bytes_sent))
+    entry.links.send("home", QUERY)
+    assert home.next_event(Received).sender == "entry"
+
+
+def test_a_stranger_that_only_sends_heartbeats_is_closed(process, stack):
+    sock = stranger(stack, process("home"))
+
+    def keep_alive():
+        while True:
+            sock.sendall(HEARTBEAT_FRAME)
+            gevent.sleep(0.1)
+
+    with pytest.raises(OSError):
+        keep_alive()
+
+
+def test_what_was_sent_before_a_graceful_end_arrives(process):
+    """A process sends its last answers and closes at once.
+
+    Closing with unread bytes would reset the connection and drop the answers on the
+    way; so the sending half is shut first and the peer closes after reading all.
+    """
+    entry, home = process("entry"), process("home")
+    entry.knows(home)
+    entry.links.send("home", QUERY)
+    home.next_event(Received)
+    last = [ManifestUpdate(number, "x" * 1000) for number in range(1000)]
+    for message in last:
+        home.links.send("entry", message)
+    home.links.close()
+    assert [entry.next_event(Received).message for _ in last] == last
+
+
+def test_an_ended_member_is_not_dialled(process):
+    entry, home = process("entry"), process("home")
+    entry.links.set_addresses([member("home", home.port, ended=START)])
+    assert not entry.links.send("home", QUERY)
