--- /dev/null
+++ b/gypsumspoke/shell/runtime.py
@@ -0,0 +1,195 @@
+"""Feeds events to a reducer, one at a time, and carries out its effects.
+
+Every source of events (peers, timers, HTTP callers, the table, the upstream) only
+appends to one queue; a single greenlet takes from it. So a reducer never runs inside
+itself, needs no locks, and sees the same order in production as in a test that replays
+its events.
+"""
+
+import logging
+import signal
+from collections import deque
+from collections.abc import Callable
+from datetime import datetime
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.data import (
+    TICK,
+    Drain,
+    Effect,
+    Exit,
+    Local,
+    MembersChanged,
+    ReadRows,
+    Received,
+    Send,
+    Tick,
+    WriteRows,
+)
+from gypsumspoke.shell.table_client import TableClient
+from gypsumspoke.wire.links import PeerLinks
+
+EXIT_DONE = 0
+EXIT_INTERNAL = 70
+EXIT_SECOND_SIGNAL = 143
+
+Reduce = Callable[[Any, Any, datetime], list[Effect]]
+Performer = Callable[[Any], None]
+
+_EVENTS_PER_TURN = 256
+
+_log = logging.getLogger(__name__)
+
+
+class Runtime:
+    """The loop around one reducer.
+
+    Args:
+      reduce: the role's reducer.
+      state: its state.
+      clock: source of the ``now`` of each event.
+      links: connections to peers.
+      table: client of the platform's table.
+    """
+
+    def __init__(
+        self,
+        reduce: Reduce,
+        state: Any,
+        clock: Clock,
+        links: PeerLinks,
+        table: TableClient,
+    ) -> None:
+        self._reduce = reduce
+        self._state = state
+        self._clock = clock
+        self._links = links
+        self._table = table
+        self._events: deque[Any] = deque()
+        self._pending = Event()
+        self._tick_waits = False
+        self._draining = False
+        self._status: int | None = None
+        self._performers: dict[type, list[Performer]] = {
+            Send: [self._send],
+            ReadRows: [table.call],
+            WriteRows: [table.call],
+            Local: [self._take_local],
+            Exit: [self._take_exit],
+        }
+
+    @property
+    def state(self) -> Any:
+        """The reducer's state, to be read by health checks."""
+        return self._state
+
+    @property
+    def draining(self) -> bool:
+        """Whether a graceful stop has begun."""
+        return self._draining
+
+    def handle(self, effect_type: type, performer: Performer) -> None:
+        """Have effects of this type carried out by one more function.
+
+        Args:
+          effect_type: type of effect.
+          performer: called with the effect; must not block.
+        """
+        self._performers.setdefault(effect_type, []).append(performer)
+
+    def post(self, event: Any) -> None:
+        """Queue an event; safe from any greenlet and returns at once."""
+        self._events.append(event)
+        self._pending.set()
+
+    def drain(self) -> None:
+        """Begin a graceful stop; a second call ends the loop at once."""
+        if self._draining:
+            self._stop(EXIT_SECOND_SIGNAL)
+            return
+        self._draining = True
+        self.post(Drain())
+
+    def run(self) -> int:
+        """Reduce events until the graceful stop is complete.
+
+        Returns:
+          The exit status: 0 after a graceful stop, 143 after a second SIGTERM, 70
+          after an error in the reducer.
+        """
+        on_signal = gevent.signal_handler(signal.SIGTERM, self.drain)
+        ticker = gevent.spawn(self._tick)
+        self._links.start(self.post)
+        self._table.start(self.post)
+        try:
+            while self._status is None:
+                self._pending.wait()
+                self._take_turn()
+                # Lets sockets and timers run between turns, also under load.
+                gevent.sleep(0)
+        finally:
+            ticker.kill()
+            on_signal.cancel()
+        return self._status
+
+    def _take_turn(self) -> None:
+        """Reduce a bounded number of the queued events."""
+        for _ in range(_EVENTS_PER_TURN):
+            if not self._events:
+                self._pending.clear()
+                return
+            self._reduce_one(self._events.popleft())
+            if self._status is not None:
+                return
+
+    def _reduce_one(self, event: Any) -> None:
+        if isinstance(event, Tick):
+            self._tick_waits = False
+        try:
+            effects = self._reduce(self._state, event, self._clock.now())
+        except Exception:
+            # The state may be half changed, and a promise kept in it broken without a
+            # sign. Ending is safe: peers treat it as any other death of a process.
+            _log.exception("reducer failed", extra={"event": type(event).__name__})
+            self._stop(EXIT_INTERNAL)
+            return
+        for effect in effects:
+            self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        for performer in self._performers.get(type(effect), ()):
+            try:
+                performer(effect)
+            except Exception:
+                # One failed log line or metric must not end the process or keep the
+                # effects behind it from being carried out.
+                _log.exception("effect failed", extra={"effect": type(effect).__name__})
+
+    def _send(self, effect: Send) -> None:
+        if effect.to == self._links.incarnation:
+            self.post(Received(effect.to, effect.message))
+            return
+        self._links.send(effect.to, effect.message)
+
+    def _take_local(self, effect: Local) -> None:
+        if isinstance(effect.event, MembersChanged):
+            self._links.set_addresses(effect.event.members)
+
+    def _take_exit(self, effect: Exit) -> None:
+        self._stop(EXIT_DONE)
+
+    def _stop(self, status: int) -> None:
+        self._status = status
+        self._pending.set()
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(TICK.total_seconds())
+            # After a pause or under load ticks would pile up and be reduced in a row.
+            if not self._tick_waits:
+                self._tick_waits = True
+                self.post(Tick())
--- /dev/null
+++ b/gypsumspoke/shell/table_client.py
@@ -0,0 +1,153 @@
+"""Reads and writes the platform's table.
+
+A transaction whose answer is lost may have taken effect. It is reported LOST, never
+COMMITTED and never CONFLICT, and it is not sent again here: the reducer that asked
+reads back and decides.
+"""
+
+import json
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import gevent
+from gevent.queue import Full, Queue
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from gypsumspoke.core.data import (
+    ReadRows,
+    Row,
+    RowsRead,
+    RowsWritten,
+    WriteOutcome,
+    WriteRows,
+)
+from gypsumspoke.shell.http_exchange import ExchangeLimits, HttpAnswer, post
+
+READ_PATH = "/v1/read"
+TRANSACTION_PATH = "/v1/transactions"
+
+MAX_CALLS = 4
+MAX_WAITING = 256
+
+_LIMITS = ExchangeLimits(
+    connect_timeout=timedelta(seconds=1),
+    answer_timeout=timedelta(seconds=5),
+    answer_bytes=16 * 1024 * 1024,
+)
+_HEADERS = (("Content-Type", "application/json"),)
+_OK = 200
+_CONFLICT = 409
+
+_log = logging.getLogger(__name__)
+
+
+class TableClient:
+    """Performs ``ReadRows`` and ``WriteRows`` with a few calls at a time.
+
+    Args:
+      address: IP number and port of the table service.
+      limits: bounds of one call.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], limits: ExchangeLimits = _LIMITS
+    ) -> None:
+        self._address = address
+        self._limits = limits
+        self._post_event: Callable[[RowsRead | RowsWritten], None] | None = None
+        self._waiting: Queue[ReadRows | WriteRows] = Queue(maxsize=MAX_WAITING)
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def start(self, post_event: Callable[[RowsRead | RowsWritten], None]) -> None:
+        """Begin to carry out calls.
+
+        Args:
+          post_event: receives the outcome of each.
+        """
+        self._post_event = post_event
+        self._greenlets = [gevent.spawn(self._work) for _ in range(MAX_CALLS)]
+
+    def close(self) -> None:
+        """Stop; calls under way go unanswered."""
+        gevent.killall(self._greenlets)
+
+    def call(self, effect: ReadRows | WriteRows) -> None:
+        """Queue one call; returns at once."""
+        try:
+            self._waiting.put_nowait(effect)
+        except Full:
+            # With the table down for long, waiting calls would pile up. LOST is the
+            # weakest claim, so it is true of a call that was never made as well.
+            self._post_event(_lost(effect))
+
+    def _work(self) -> None:
+        while True:
+            effect = self._waiting.get()
+            try:
+                event = self._perform(effect)
+            except Exception:
+                _log.exception("table call failed unexpectedly")
+                event = _lost(effect)
+            self._post_event(event)
+
+    def _perform(self, effect: ReadRows | WriteRows) -> RowsRead | RowsWritten:
+        if isinstance(effect, ReadRows):
+            return self._read(effect)
+        return self._write(effect)
+
+    def _read(self, effect: ReadRows) -> RowsRead:
+        answer = self._post(READ_PATH, {"prefix": effect.prefix})
+        if not is_successful(answer) or answer.unwrap()[0] != _OK:
+            return _lost(effect)
+        return RowsRead(effect.request, _rows(answer.unwrap()[1]))
+
+    def _write(self, effect: WriteRows) -> RowsWritten:
+        body = {
+            "checks": [
+                {"key": key, "version": version} for key, version in effect.checks
+            ],
+            "writes": [{"key": key, "value": value} for key, value in effect.writes],
+        }
+        answer = self._post(TRANSACTION_PATH, body)
+        if not is_successful(answer):
+            return _lost(effect)
+        status, fields = answer.unwrap()
+        if status == _OK and fields.get("committed") is True:
+            revision = int(fields["revision"])
+            return RowsWritten(effect.request, WriteOutcome.COMMITTED, revision)
+        if status == _CONFLICT and fields.get("committed") is False:
+            return RowsWritten(effect.request, WriteOutcome.CONFLICT, 0)
+        return _lost(effect)
+
+    def _post(self, path: str, body: Any) -> Result[tuple[int, dict], str]:
+        """Return the status and JSON object of an answer, or why there is none."""
+        payload = json.dumps(body).encode()
+        answered = post(self._address, path, _HEADERS, payload, self._limits)
+        if not is_successful(answered):
+            return Failure(answered.failure().value)
+        return _parse(answered.unwrap())
+
+
+def _parse(answer: HttpAnswer) -> Result[tuple[int, dict], str]:
+    try:
+        fields = json.loads(answer.body)
+    except ValueError:
+        return Failure("the answer is not JSON")
+    if not isinstance(fields, dict):
+        return Failure("the answer is not an object")
+    return Success((answer.status, fields))
+
+
+def _rows(fields: dict) -> tuple[Row, ...]:
+    return tuple(
+        Row(row["key"], row["version"], row["value"]) for row in fields["rows"]
+    )
+
+
+def _lost(effect: ReadRows | WriteRows) -> RowsRead | RowsWritten:
+    if isinstance(effect, ReadRows):
+        return RowsRead(effect.request, None)
+    return RowsWritten(effect.request, WriteOutcome.LOST, 0)
--- /dev/null
+++ b/tests/standins/processes.py
@@ -0,0 +1,199 @@
+"""Processes under test: started with a settings file, ended by their id.
+
+Each prints JSON lines; the one whose message is "listening" gives its ports. A process
+that is still alive at the end of a test is killed by the fixture that owns it.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import gevent
+from geventhttpclient import HTTPClient
+
+BOUND_SECONDS = 30
+ROOT = Path(__file__).resolve().parents[2]
+
+
+class Process:
+    """One started process and the lines it printed.
+
+    Args:
+      arguments: what follows ``python -m``.
+      log_path: file that receives standard output and error.
+    """
+
+    def __init__(self, arguments: list[str], log_path: Path) -> None:
+        self._log_path = log_path
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with log_path.open("wb") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env=environment,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._child.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether it still runs."""
+        return self._child.poll() is None
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Return its JSON lines so far; other output is left out."""
+        parsed = []
+        for line in self._log_path.read_text(errors="replace").splitlines():
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                continue
+            if isinstance(entry, dict):
+                parsed.append(entry)
+        return parsed
+
+    def wait_for_line(self, message: str) -> dict[str, Any]:
+        """Wait for a log line with this message and return it.
+
+        Raises:
+          AssertionError: the process ended or the bound passed; shows its output.
+        """
+        return self._wait(
+            lambda: next(
+                (line for line in self.lines() if line.get("message") == message), None
+            ),
+            f"no line {message!r}",
+        )
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        self._child.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once and reap it."""
+        if self.alive:
+            self._child.send_signal(signal.SIGKILL)
+        self._child.wait(BOUND_SECONDS)
+
+    def terminate(self) -> int:
+        """Ask for a graceful stop and return the exit status."""
+        self._child.send_signal(signal.SIGTERM)
+        return self.wait_exit()
+
+    def wait_exit(self) -> int:
+        """Wait for the end and return the exit status."""
+        with gevent.Timeout(BOUND_SECONDS):
+            while self.alive:
+                gevent.sleep(0.02)
+        return self._child.returncode
+
+    def _wait(self, find, problem: str):
+        with gevent.Timeout(BOUND_SECONDS, False):
+            while self.alive:
+                found = find()
+                if found is not None:
+                    return found
+                gevent.sleep(0.02)
+        raise AssertionError(f"{problem}: {self._log_path.read_text()[-3000:]}")
+
+
+class Processes:
+    """Starts processes and ends all of them on leaving.
+
+    Args:
+      folder: where settings and logs of the processes go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._stack = ExitStack()
+        self._count = 0
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stack.close()
+
+    def start(self, *arguments: str) -> Process:
+        """Start ``python -m arguments``; it is killed on leaving."""
+        self._count += 1
+        process = Process(list(arguments), self._folder / f"{self._count}.log")
+        self._stack.callback(process.kill)
+        return process
+
+    def start_table(self) -> "StandIn":
+        """Start a table and wait until it listens."""
+        return self._start_stand_in("tests.standins.table")
+
+    def start_upstream(self) -> "StandIn":
+        """Start an upstream and wait until it listens."""
+        return self._start_stand_in("tests.standins.upstream")
+
+    def start_role(self, command: str, settings: dict[str, Any]) -> Process:
+        """Start a role of the product and wait until it listens.
+
+        Args:
+          command: the sub-command, "entry" or "sidecar".
+          settings: the whole settings file.
+        """
+        self._count += 1
+        path = self._folder / f"{self._count}.settings.json"
+        path.write_text(json.dumps(settings))
+        process = self.start(
+            "gypsumspoke.tools.command_line", command, "--settings", str(path)
+        )
+        process.wait_for_line("listening")
+        return process
+
+    def _start_stand_in(self, module: str) -> "StandIn":
+        process = self.start(module, "--port", "0")
+        return StandIn(process, process.wait_for_line("listening")["port"])
+
+
+class StandIn:
+    """A running stand-in and its HTTP interface."""
+
+    def __init__(self, process: Process, port: int) -> None:
+        self.process = process
+        self.port = port
+
+    def get(self, path: str) -> Any:
+        """Return the JSON answer to a GET."""
+        return call_json(self.port, "GET", path)[1]
+
+    def post(self, path: str, body: Any) -> Any:
+        """Return the JSON answer to a POST."""
+        return call_json(self.port, "POST", path, body)[1]
+
+
+def call_json(
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, Any]:
+    """Call an HTTP interface on this machine.
+
+    Returns:
+      The status and the JSON body.
+    """
+    client = HTTPClient("127.0.0.1", port, network_timeout=BOUND_SECONDS)
+    try:
+        payload = json.dumps(body).encode() if body is not None else b""
+        response = client.request(method, path, body=payload, headers=headers or {})
+        return response.status_code, json.loads(response.read() or b"null")
+    finally:
+        client.close()
--- /dev/null
+++ b/tests/standins/table.py
@@ -0,0 +1,100 @@
+"""A stand-in for the platform's transactional table service.
+
+Rows live in memory. Versions come from one growing revision, also across deletes, so a
+version never repeats for a key. Faults are switched over HTTP, and reads and writes
+are counted. Run: python -m tests.standins.table --port 0
+"""
+
+from typing import NamedTuple
+
+import click
+import gevent
+
+from tests.standins.server import Routes, Unanswered, serve
+
+
+class Faults(NamedTuple):
+    """What goes wrong now.
+
+    Attributes:
+      down: each request goes unanswered and takes no effect.
+      delay_seconds: wait before each request takes effect.
+      lose_answers: so many further transactions take effect and go unanswered.
+    """
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+
+
+class Table:
+    """Rows, their versions, faults and counts."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, tuple[int, str]] = {}
+        self._revision = 0
+        self._faults = Faults()
+        self._counts = {"reads": 0, "writes": 0}
+
+    @property
+    def routes(self) -> Routes:
+        """The functions behind the HTTP interface."""
+        return {
+            ("POST", "/v1/read"): self._read,
+            ("POST", "/v1/transactions"): self._transact,
+            ("POST", "/faults"): self._set_faults,
+            ("GET", "/counts"): lambda body, environ: (200, self._counts),
+        }
+
+    def _set_faults(self, body, environ):
+        self._faults = Faults(**body)
+        return 200, self._faults._asdict()
+
+    def _read(self, body, environ):
+        self._counts["reads"] += 1
+        self._suffer()
+        rows = [
+            {"key": key, "version": version, "value": value}
+            for key, (version, value) in sorted(self._rows.items())
+            if key.startswith(body["prefix"])
+        ]
+        return 200, {"rows": rows, "revision": self._revision}
+
+    def _transact(self, body, environ):
+        self._counts["writes"] += 1
+        self._suffer()
+        for check in body["checks"]:
+            version, _ = self._rows.get(check["key"], (0, None))
+            if version != check["version"]:
+                return 409, {"committed": False}
+        self._write(body["writes"])
+        if self._faults.lose_answers:
+            left = self._faults.lose_answers - 1
+            self._faults = self._faults._replace(lose_answers=left)
+            raise Unanswered
+        return 200, {"committed": True, "revision": self._revision}
+
+    def _write(self, writes):
+        self._revision += 1
+        for write in writes:
+            if write["value"] is None:
+                self._rows.pop(write["key"], None)
+            else:
+                self._rows[write["key"]] = (self._revision, write["value"])
+
+    def _suffer(self):
+        if self._faults.down:
+            raise Unanswered
+        if self._faults.delay_seconds:
+            gevent.sleep(self._faults.delay_seconds)
+
+
+@click.command()
+@click.option("--port", default=0, help="TCP port on 127.0.0.1; 0 for any.")
+def main(port: int) -> None:
+    """Serve an empty table until SIGTERM."""
+    serve(port, Table().routes)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,94 @@
+"""A stand-in for an upstream: it sleeps for the task's time and echoes.
+
+It keeps a list of all starts, with the headers that name the task. Faults are switched
+over HTTP. Run: python -m tests.standins.upstream --port 0
+"""
+
+from typing import NamedTuple
+
+import click
+import gevent
+from gevent.event import Event
+
+from tests.standins.server import Routes, Unanswered, serve
+
+HEADERS = ("TEAM", "KEY", "TASK", "NOT_REPEATABLE")
+
+
+class Faults(NamedTuple):
+    """What goes wrong now.
+
+    Attributes:
+      hang: a task starts and is never answered while this holds.
+      fail: each task is answered 500 at once.
+      drop: a task starts and the connection closes without an answer.
+      slow_factor: the task's time is multiplied by this.
+    """
+
+    hang: bool = False
+    fail: bool = False
+    drop: bool = False
+    slow_factor: float = 1.0
+
+
+class Upstream:
+    """Starts seen and faults."""
+
+    def __init__(self) -> None:
+        self._starts: list[dict[str, str]] = []
+        self._faults = Faults()
+        self._released = Event()
+        self._running = 0
+
+    @property
+    def routes(self) -> Routes:
+        """The functions behind the HTTP interface."""
+        return {
+            ("POST", "/run"): self._run,
+            ("POST", "/faults"): self._set_faults,
+            ("GET", "/starts"): lambda body, environ: (200, {"starts": self._starts}),
+            ("GET", "/running"): lambda body, environ: (
+                200,
+                {"running": self._running},
+            ),
+        }
+
+    def _set_faults(self, body, environ):
+        self._faults = Faults(**body)
+        if not self._faults.hang:
+            self._released.set()
+            self._released = Event()
+        return 200, self._faults._asdict()
+
+    def _run(self, body, environ):
+        start = {
+            name.lower(): environ.get("HTTP_GYPSUMSPOKE_" + name, "")
+            for name in HEADERS
+        }
+        self._starts.append(start)
+        self._running += 1
+        try:
+            return self._answer(body)
+        finally:
+            self._running -= 1
+
+    def _answer(self, body):
+        if self._faults.drop:
+            raise Unanswered
+        if self._faults.hang:
+            self._released.wait()
+        if self._faults.fail or body.get("fail"):
+            return 500, {"error": "failed as asked"}
+        gevent.sleep(body.get("sleep_seconds", 0) * self._faults.slow_factor)
+        return 200, {"echo": body.get("echo")}
+
+
+@click.command()
+@click.option("--port", default=0, help="TCP port on 127.0.0.1; 0 for any.")
+def main(port: int) -> None:
+    """Run tasks until SIGTERM."""
+    serve(port, Upstream().routes)
+
+
+if __name__ == "__main__":
+    main()
