--- a/gypsumspoke/shell/logs.py
+++ b/gypsumspoke/shell/logs.py
@@ -46,7 +46,7 @@
 
 def _formatter(role: str, worker: str) -> JsonFormatter:
     return JsonFormatter(
-        ["levelname", "name"],
+        ["levelname", "name", "message"],
         rename_fields={"levelname": "level", "name": "logger"},
         static_fields={"role": role, "worker": worker},
         timestamp="time",
@@ -65,7 +65,7 @@
 
 
 def _line(entry: Log) -> dict[str, object]:
-    line: dict[str, object] = {"event": entry.event}
+    line: dict[str, object] = {"message": entry.event}
     if entry.key is not None:
         line["team"] = entry.key.team
         line["key"] = entry.key.key
@@ -84,4 +84,4 @@
     if issubclass(kind, KeyboardInterrupt):
         sys.__excepthook__(kind, error, trace)
         return
-    _logger.critical({"event": "uncaught error"}, exc_info=(kind, error, trace))
+    _logger.critical("uncaught error", exc_info=(kind, error, trace))
--- a/tests/shell/test_logs.py
+++ b/tests/shell/test_logs.py
@@ -31,7 +31,7 @@
         "logger": "gypsumspoke",
         "role": "entry",
         "worker": "entry-1",
-        "event": "task placed",
+        "message": "task placed",
         "team": "tax",
         "key": "k1",
         "task": 2,
@@ -43,3 +43,10 @@
 def test_a_line_below_the_level_is_left_out(stream):
     log(Log(logging.DEBUG, "heartbeat"))
     assert stream.getvalue() == ""
+
+
+def test_a_line_of_plain_logging_has_the_same_shape(stream):
+    logging.getLogger("gypsumspoke.wire").info("listening", extra={"peer_port": 7})
+    line = json.loads(stream.getvalue())
+    assert line["message"] == "listening"
+    assert line["peer_port"] == 7
