--- /dev/null
+++ b/gypsumspoke/tools/measure.py
@@ -0,0 +1,108 @@
+"""The measuring command: ``gypsumspoke measure …``.
+
+It compares settings side by side in one run, because the machines it runs on are
+noisy: for each round the same jobs go through each setting in turn. Settings are
+written ``NAME:key=value,key=value``; a key is a field of ``ModelSettings`` or of
+``Strategy``, and ``strategy=NAME`` starts from a named one.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from gypsumspoke.core.placement import STRATEGIES, Rank, Strategy
+from gypsumspoke.tools.measure_model import ModelSettings, run_model
+from gypsumspoke.tools.measure_report import (
+    Tally,
+    as_json,
+    as_table,
+    reasons_table,
+    teams_table,
+)
+from gypsumspoke.tools.measure_workload import Shape, generate
+
+_FIRST_SEED = 100
+_DEFAULT_LOADS = (0.3, 0.7, 0.95, 1.3)
+
+
+@click.group()
+def measure() -> None:
+    """Measure the policy, the reducers and the processes."""
+
+
+@measure.command()
+@click.option("--setting", "settings", multiple=True, help="NAME:key=value,…")
+@click.option("--load", "loads", multiple=True, type=float, default=_DEFAULT_LOADS)
+@click.option("--rounds", default=5, show_default=True)
+@click.option("--seconds", default=60.0, show_default=True, help="Virtual time.")
+@click.option("--loud", is_flag=True, help="One team at ten times its quota.")
+@click.option("--failing", is_flag=True, help="One worker fails everything.")
+@click.option("--straggler/--no-straggler", default=True, show_default=True)
+@click.option("--teams", "by_team", is_flag=True, help="Also print each team.")
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+def model(
+    settings: tuple[str, ...],
+    loads: tuple[float, ...],
+    rounds: int,
+    seconds: float,
+    loud: bool,
+    failing: bool,
+    straggler: bool,
+    by_team: bool,
+    json_path: Path | None,
+) -> None:
+    """Compare settings of the policy in virtual time with modelled executors."""
+    texts = settings or tuple(f"{name}:strategy={name}" for name in STRATEGIES)
+    chosen = dict(parse_setting(text) for text in texts)
+    every: dict[str, list[Tally]] = {}
+    for load in loads:
+        shape = Shape(load, seconds, loud=loud, failing=failing, straggler=straggler)
+        tallies: dict[str, list[Tally]] = {name: [] for name in chosen}
+        for seed in range(_FIRST_SEED, _FIRST_SEED + rounds):
+            workload = generate(shape, seed)
+            for name, setting in chosen.items():
+                tallies[name].append(run_model(workload, setting, seed))
+        click.echo(f"model figures, load {load}")
+        click.echo(as_table(tallies))
+        click.echo(reasons_table(tallies))
+        if by_team:
+            click.echo(teams_table(tallies))
+        every.update({f"{load} {name}": tallies[name] for name in tallies})
+    if json_path:
+        json_path.write_text(as_json(every))
+
+
+def parse_setting(text: str) -> tuple[str, ModelSettings]:
+    """Return name and settings of ``NAME:key=value,key=value``.
+
+    Raises:
+      click.BadParameter: an unknown key or a value of another type.
+    """
+    name, _, rest = text.partition(":")
+    settings = ModelSettings()
+    for pair in filter(None, rest.split(",")):
+        key, _, value = pair.partition("=")
+        try:
+            settings = _changed(settings, key, value)
+        except (KeyError, ValueError) as error:
+            raise click.BadParameter(f"{pair}: {error}") from error
+    return name, settings
+
+
+def _changed(settings: ModelSettings, key: str, value: str) -> ModelSettings:
+    """Return the settings with one field, or one of its strategy's, replaced."""
+    if key == "strategy":
+        return settings._replace(strategy=STRATEGIES[value])
+    if key in Strategy._fields:
+        strategy = settings.strategy._replace(**{key: _value(key, value)})
+        return settings._replace(strategy=strategy)
+    return settings._replace(**{key: _value(key, value)})
+
+
+def _value(key: str, text: str) -> Any:
+    if key == "rank":
+        return Rank(text)
+    if text in ("true", "false", "none"):
+        return {"true": True, "false": False, "none": None}[text]
+    return float(text) if "." in text else int(text)
