--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -268,7 +268,6 @@
   8: optional TimeMicros lossy_before
   9: list<RefusedRecord> refused
   10: list<FinishedRecord> finished
-  11: list<RefusedRecord> running
 }
 
 /** Next home to leaving home: it owns the partition now, or never will. */
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -215,7 +215,10 @@
 def test_a_peer_that_knows_more_makes_it_read():
     process = Process(sidecar("w1"), (row_of(sidecar("w2"), 1),)).joined()
     process.tick()
-    process.put("partitions/00003", '{"owner": "w2-1", "epoch": 1}')
+    process.put(
+        "partitions/00003",
+        '{"owner": "w2-1", "epoch": 1, "since": "2026-01-01T00:00:00+00:00"}',
+    )
     process.tick(SECOND)
     process.event(heartbeat("w2-1", partitions_version=process.revision))
     process.settle()
