--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,5 +8,11 @@
 from hypothesis import settings
 
 settings.register_profile("fixed", derandomize=True, deadline=None)
-settings.register_profile("search", deadline=None, max_examples=2000, print_blob=True)
+settings.register_profile(
+    "search",
+    deadline=None,
+    max_examples=2000,
+    stateful_step_count=100,
+    print_blob=True,
+)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -102,6 +102,7 @@
         self.exited = False
         self.backlog = []
         self.running = {}
+        self.offset = timedelta(0)
 
 
 class Flight(NamedTuple):
@@ -232,7 +233,7 @@
         if node.paused:
             node.backlog.append(event)
             return
-        for effect in sidecar.reduce(node.state, event, self.now):
+        for effect in sidecar.reduce(node.state, event, self.now + node.offset):
             self._perform(node, effect)
 
     def _perform(self, node, effect):
@@ -293,6 +294,30 @@
                     event = UpstreamAnswered(attempt, outcome, b"ok:" + body, "")
                     self.post(name, event)
 
+    def finish_one(self, name, attempt, outcome):
+        """End one task at an upstream; NOT_RUN means that nothing was sent to it."""
+        node = self.nodes[name]
+        body = node.running.pop(attempt)
+        if outcome is Outcome.NOT_RUN:
+            worker = node.member.worker
+            self.started = [
+                start
+                for start in self.started
+                if (start.key, start.task, start.worker)
+                != (attempt.key, attempt.task, worker)
+            ]
+        self.post(name, UpstreamAnswered(attempt, outcome, b"ok:" + body, ""))
+
+    def lose_connection(self, link):
+        """Drop a connection with all that is on its way on it."""
+        self.flights = [
+            flight
+            for flight in self.flights
+            if isinstance(flight.message, JobAnswer)
+            or frozenset((flight.sender, flight.to)) != link
+        ]
+        self._unlink(link)
+
     def _read(self, name, effect):
         rows = None if self.table.is_down else self.table.read(effect.prefix)
         self.post(name, RowsRead(effect.request, rows))
--- /dev/null
+++ b/tests/core/test_takeover.py
@@ -0,0 +1,370 @@
+"""Homes that die, pause, leave and take over.
+
+Each test tells one history. The system of reducers is driven in virtual time; who gets
+which message when is the test's choice.
+"""
+
+from datetime import timedelta
+
+from gypsumspoke.core.data import Counter, StartTask
+from gypsumspoke.core.errors import ErrorKind, Work
+from tests.core.system import System
+
+SETTLED = 3.0
+TAKEN_OVER = 3.0
+
+
+def settled_system(**options):
+    system = System(**options)
+    system.run(SETTLED)
+    return system
+
+
+def test_a_job_is_resumed_by_the_next_home_without_a_second_start():
+    """The caller sees one complete answer, a few seconds later than usual.
+
+    Its home is killed while some tasks run and others wait. The next home fences the
+    executors, learns of the starts, and on the resubmission starts only the rest.
+    """
+    system = settled_system(workers=4)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=12)
+    system.submit(submission)
+    system.run(0.5)
+    started_before = len(system.started)
+    assert 0 < started_before < 12
+    system.kill(system.owner(submission.key))
+    system.hold_upstreams = False
+    system.run(TAKEN_OVER)
+    system.submit(submission)
+    system.run(2)
+    (answer,) = system.answers(submission.key)
+    assert answer.kind is None
+    assert len(answer.results) == 12
+    assert set(system.starts(submission.key).values()) == {1}
+    assert system.counts[Counter.JOB_RESUMED] == 1
+
+
+def test_a_finished_job_is_answered_by_the_next_home_from_executors_records():
+    """The caller resubmits a job that it got no answer for, and gets the answer.
+
+    All tasks ran, then the home died with its ledger. The executors kept the results.
+    """
+    system = settled_system(workers=4)
+    submission = system.submission("k", tasks=3)
+    system.submit(submission)
+    system.run(1)
+    system.kill(system.owner(submission.key))
+    system.run(TAKEN_OVER)
+    system.submit(submission)
+    system.run(1)
+    first, second = system.answers(submission.key)
+    assert first == second
+    assert set(system.starts(submission.key).values()) == {1}
+
+
+def test_a_paused_home_that_wakes_starts_nothing():
+    """The caller resubmits through another entry while its home is paused.
+
+    The home pauses with tasks waiting. The next home runs the job. The first one wakes
+    and tries to place the rest: each executor refuses its epoch.
+    """
+    system = settled_system(workers=4)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=12)
+    system.submit(submission)
+    system.run(0.5)
+    former = system.owner(submission.key)
+    system.pause(former)
+    system.hold_upstreams = False
+    system.run(TAKEN_OVER)
+    system.submit(submission)
+    system.run(1)
+    system.wake(former)
+    system.submit(submission, to=former)
+    system.run(2)
+    assert set(system.starts(submission.key).values()) == {1}
+    complete = [a for a in system.answers(submission.key) if a.kind is None]
+    assert len(complete) == 1
+
+
+def test_a_paused_home_that_wakes_does_not_say_not_run():
+    """A copy that reaches the former home must not be told "not run" wrongly.
+
+    The home pauses, the next one takes over and runs a key born later. The first home
+    wakes, doesn't know of its replacement, and has no worker for the copy's service.
+    Its refusal needs an executor's confirmation, which none gives.
+    """
+    system = settled_system(workers=4)
+    former = system.owner(system.submission("k").key)
+    system.pause(former)
+    system.run(TAKEN_OVER + 3)
+    submission = system.submission("k")
+    system.submit(submission)
+    system.run(1)
+    assert set(system.starts(submission.key).values()) == {1}
+    # It wakes before any news of the takeover, with a deadline it can't meet.
+    node = system.nodes[former]
+    node.backlog.clear()
+    node.paused = False
+    hasty = submission._replace(deadline=system.now + timedelta(milliseconds=1))
+    system.submit(hasty, to=former)
+    system.deliver_all()
+    system.run(2)
+    for answer in system.answers(submission.key):
+        assert answer.work is not Work.NOT_RUN
+
+
+def test_a_key_refused_before_a_takeover_stays_refused_after_it():
+    """A copy delayed on the way comes to the next home after "not run" was said.
+
+    The first home refused the key and died with that knowledge. The next one can't
+    know, so it refuses every unknown key born before, and gives out an attempt number
+    above all that its predecessor could have given out.
+    """
+    system = settled_system(workers=4)
+    system.hold_upstreams = True
+    for number in range(12):
+        system.submit(system.submission(f"fill{number}"))
+    refused = system.submission("k", tasks=1)
+    system.submit(refused)
+    system.run(0.3)
+    system.cancel(refused.key)
+    system.run(1)
+    first = system.answers(refused.key)[0]
+    assert first.work is Work.NOT_RUN
+    system.kill(system.owner(refused.key))
+    system.hold_upstreams = False
+    system.run(TAKEN_OVER)
+    system.submit(refused)
+    system.submit(refused._replace(attempt=first.next_attempt))
+    system.run(1)
+    assert not system.starts(refused.key)
+    last = system.answers(refused.key)[-1]
+    assert last.kind is ErrorKind.BORN_BEFORE_TAKEOVER
+    system.submit(refused._replace(attempt=last.next_attempt))
+    system.run(1)
+    assert set(system.starts(refused.key).values()) == {1}
+    assert system.answers(refused.key)[-1].kind is None
+
+
+def test_two_deaths_in_a_row_lose_no_start():
+    """H1 dies, H2 takes over and dies too before the retention is over.
+
+    H2's executor held a start that H1 had placed there. H2 told it to another executor
+    when it took over, so H3 knows it and answers the resubmission without a start.
+    """
+    system = settled_system(workers=5, partitions=1)
+    submissions = [system.submission(f"k{number}", tasks=4) for number in range(6)]
+    for submission in submissions:
+        system.submit(submission)
+    system.run(2)
+    key = submissions[0].key
+    first = system.owner(key)
+    system.kill(first)
+    system.run(TAKEN_OVER)
+    second = system.owner(key)
+    assert second != first
+    assert any(start.worker == second.split(".")[0] for start in system.started)
+    system.kill(second)
+    system.join(first.split(".")[0])
+    system.run(TAKEN_OVER + 1)
+    assert system.owner(key) not in (first, second)
+    for submission in submissions:
+        system.submit(submission)
+    system.run(2)
+    for submission in submissions:
+        assert set(system.starts(submission.key).values()) == {1}
+
+
+def test_an_executor_lost_with_its_records_makes_old_unknown_keys_unknown():
+    """The caller is told "unknown", which is true, and never gets a second start.
+
+    The only executor that knew a job dies together with the job's home, and both
+    workers are replaced. Nobody is left who knows whether the key ran.
+    """
+    system = settled_system(workers=3, partitions=1)
+    submission = system.submission("k", tasks=1)
+    system.submit(submission)
+    system.run(1)
+    home = system.owner(submission.key)
+    worker = system.started[0].worker
+    system.kill(home)
+    system.kill(f"{worker}.1")
+    system.join(home.split(".")[0])
+    system.join(worker)
+    system.run(TAKEN_OVER + 2)
+    system.submit(submission)
+    system.run(2)
+    assert system.answers(submission.key)[-1].work is Work.UNKNOWN
+    assert set(system.starts(submission.key).values()) == {1}
+    later = system.submission("later", tasks=1, birth=system.now)
+    system.submit(later)
+    system.run(2)
+    assert system.answers(later.key)[-1].kind is None
+
+
+def test_a_home_tells_on_what_a_lost_executor_knew():
+    """An executor dies and is replaced; later the home dies as well.
+
+    The home had told the executor's starts to another one, so the next home knows
+    that the key ran, and unknown keys are served at once.
+    """
+    system = settled_system(workers=4, partitions=1)
+    submission = system.submission("k", tasks=1)
+    system.submit(submission)
+    system.run(1)
+    worker = system.started[0].worker
+    system.kill(f"{worker}.1")
+    system.join(worker)
+    system.run(3)
+    system.kill(system.owner(submission.key))
+    system.run(TAKEN_OVER + 2)
+    system.submit(submission)
+    system.run(1)
+    assert set(system.starts(submission.key).values()) == {1}
+    assert system.answers(submission.key)[-1].work is Work.RAN
+    assert not system.counts[ErrorKind.RECORDS_LOST]
+
+
+def test_while_an_executor_does_not_answer_its_keys_are_unknown():
+    """The caller is told to come back; nothing starts on both sides of a cut.
+
+    A home dies, and an executor that can't be reached may still serve the old side.
+    Only its replacement's registration, or its answer, ends the doubt.
+    """
+    system = settled_system(workers=4, partitions=1)
+    home = system.owner(system.submission("k").key)
+    silent = next(name for name in system.nodes if name != home)
+    system.kill(home)
+    system.pause(silent)
+    system.run(TAKEN_OVER)
+    submission = system.submission("k")
+    system.submit(submission)
+    system.run(3)
+    (answer,) = system.answers(submission.key)
+    assert answer.kind is ErrorKind.TAKEOVER_IN_PROGRESS
+    assert answer.work is Work.UNKNOWN
+    assert not system.started
+    system.wake(silent)
+    system.run(3)
+    system.submit(submission._replace(birth=system.now))
+    system.run(1)
+    assert set(system.starts(submission.key).values()) == {1}
+
+
+def test_a_joining_executor_between_claim_and_read_refuses_the_former_home():
+    """A worker joins while a takeover has written its claim but not read the members.
+
+    The former home, paused and woken, knows the new worker and places a task there.
+    The worker registered first and read the map second, so it knows the new epoch.
+    """
+    system = settled_system(workers=4, partitions=1)
+    submission = system.submission("k", tasks=2)
+    former = system.owner(submission.key)
+    system.pause(former)
+    system.run(TAKEN_OVER)
+    joined = system.join("new")
+    system.run(1)
+    node = system.nodes[joined]
+    epoch = 1
+    home = system.nodes[former].state.home
+    assert home.takeover.owned[0].epoch == epoch
+    system.wake(former)
+    start = _start_of(submission, system, epoch)
+    from gypsumspoke.core.data import Received
+
+    system.post(joined, Received(former, start))
+    system.deliver_all()
+    assert not node.running
+    assert system.counts[Counter.REFUSED_BY_EPOCH] >= 1
+
+
+def _start_of(submission, system, epoch):
+    from gypsumspoke.core.data import AttemptId
+
+    return StartTask(
+        AttemptId(submission.key, 0, 999, epoch),
+        0,
+        0,
+        submission.birth,
+        submission.digest,
+        2,
+        submission.service,
+        submission.deadline,
+        False,
+        b"x",
+    )
+
+
+def test_a_leaving_sidecar_hands_over_and_its_callers_notice_nothing():
+    """A sidecar is stopped gracefully under load; a resubmission finds its answer.
+
+    The home hands its ledger to the next one, the executor finishes and tells its
+    records to another. No key is answered "unknown" or "not run".
+    """
+    system = settled_system(workers=4, partitions=4)
+    early = [system.submission(f"k{number}", tasks=3) for number in range(8)]
+    for submission in early:
+        system.submit(submission)
+    system.run(1)
+    leaving = system.owner(early[0].key)
+    system.drain(leaving)
+    system.run(4)
+    assert system.nodes[leaving].exited
+    for submission in early:
+        system.submit(submission)
+    system.run(1)
+    for submission in early:
+        first, second = system.answers(submission.key)
+        assert first == second and first.kind is None
+        assert set(system.starts(submission.key).values()) == {1}
+    fresh = system.submission("fresh")
+    system.submit(fresh)
+    system.run(1)
+    assert system.answers(fresh.key)[0].kind is None
+
+
+def test_a_rolling_restart_leaves_no_key_unknown():
+    """Every sidecar is replaced in turn, and each old key still has its answer."""
+    system = settled_system(workers=4, partitions=4)
+    early = [system.submission(f"k{number}", tasks=3) for number in range(8)]
+    for submission in early:
+        system.submit(submission)
+    system.run(1)
+    for number in range(4):
+        system.drain(system.current(f"w{number}"))
+        system.run(4)
+        assert system.nodes[system.current(f"w{number}")].exited
+        system.join(f"w{number}")
+        system.run(4)
+    for submission in early:
+        system.submit(submission)
+    system.run(1)
+    for submission in early:
+        answers = system.answers(submission.key)
+        assert len(set(answers)) == 1 and answers[0].kind is None
+        assert set(system.starts(submission.key).values()) == {1}
+
+
+def test_the_table_down_changes_nothing_for_owned_partitions():
+    """Callers are served while the platform's table is down for long."""
+    system = settled_system(workers=3, partitions=4)
+    system.table.is_down = True
+    system.run(30)
+    submission = system.submission("k")
+    system.submit(submission)
+    system.run(1)
+    assert system.answers(submission.key)[0].kind is None
+
+
+def test_a_claim_whose_answer_was_lost_is_found_by_reading_back():
+    """The table took the claim and its answer was lost; the partition is served."""
+    system = System(workers=3, partitions=2)
+    system.run(0.9)
+    system.table.answers_to_lose = 2
+    system.run(4)
+    submission = system.submission("k")
+    system.submit(submission)
+    system.run(1)
+    assert system.answers(submission.key)[0].kind is None
