--- /dev/null
+++ b/gypsumspoke/shell/role.py
@@ -0,0 +1,143 @@
+"""What both roles do at their start: who they are, and whom they can reach."""
+
+import logging
+import os
+from collections.abc import Callable
+from datetime import datetime
+from functools import partial
+from typing import Any, NamedTuple
+
+from gypsumspoke.core import membership
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.data import Effect, Member
+from gypsumspoke.parser.settings import Settings
+from gypsumspoke.shell.metrics import Metrics
+from gypsumspoke.shell.runtime import Reduce
+from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
+from gypsumspoke.wire.links import PeerLinks
+
+LINK_COUNTS = {
+    "messages_sent": "Messages handed to a connection since the start.",
+    "messages_received": "Messages received since the start.",
+    "messages_dropped": "Messages lost before they left, for want of a connection.",
+    "dropped_too_large": "Messages that exceed the frame bound.",
+    "bytes_sent": "Bytes of the messages sent, with their frames.",
+    "dials_failed": "Connections that could not be made.",
+    "closed_silent": "Connections closed because nothing came any more.",
+    "refused_hellos": "Peers refused: other protocol, partitions or incarnation.",
+    "refused_frames": "Frames that held no valid message.",
+    "refused_too_many_connections": "Connections over the bound.",
+}
+
+_INCARNATION_BYTES = 8
+_SEED_BYTES = 8
+
+_log = logging.getLogger(__name__)
+
+
+class Identity(NamedTuple):
+    """What is drawn at random once for each start of a process.
+
+    Attributes:
+      incarnation: unique name, which begins with the worker's.
+      seed: for all random choices of the reducers and of reconnects.
+    """
+
+    incarnation: str
+    seed: int
+
+
+def new_identity(settings: Settings) -> Identity:
+    """Return the identity of this start of the process."""
+    suffix = os.urandom(_INCARNATION_BYTES).hex()
+    seed = int.from_bytes(os.urandom(_SEED_BYTES), "big")
+    return Identity(f"{settings.worker}-{suffix}", seed)
+
+
+def open_links(settings: Settings, identity: Identity, clock: Clock) -> PeerLinks:
+    """Return the connections to peers, not listening yet."""
+    hello = Hello(
+        PROTOCOL_VERSION,
+        identity.incarnation,
+        settings.worker,
+        settings.partition_count,
+    )
+    return PeerLinks(hello, clock, identity.seed)
+
+
+def own_member(
+    settings: Settings,
+    identity: Identity,
+    peer_port: int,
+    admin_port: int,
+    now: datetime,
+) -> Member:
+    """Return the row with which this process registers.
+
+    Args:
+      settings: checked settings.
+      identity: identity of this start.
+      peer_port, admin_port: the ports it is bound to.
+      now: the current time.
+    """
+    return Member(
+        incarnation=identity.incarnation,
+        worker=settings.worker,
+        role=settings.role,
+        host=settings.host,
+        port=peer_port,
+        failure_domain=settings.failure_domain,
+        rack=settings.rack,
+        service=settings.service,
+        slots=settings.slots,
+        registered=now,
+        ended=None,
+        admin_port=admin_port,
+    )
+
+
+def with_addresses(
+    reduce: Reduce,
+    membership_of: Callable[[Any], membership.MembershipState],
+    links: PeerLinks,
+) -> Reduce:
+    """Return a reducer that gives new addresses to the links before its effects.
+
+    A step that learns of a member may send to it in the same step. Were the address
+    set afterwards, that message, a fence for example, would be lost.
+
+    Args:
+      reduce: the role's reducer.
+      membership_of: returns the membership part of the role's state.
+      links: connections to peers.
+    """
+    known_version = -1
+
+    def reduce_with_addresses(state: Any, event: Any, now: datetime) -> list[Effect]:
+        nonlocal known_version
+        effects = reduce(state, event, now)
+        part = membership_of(state)
+        if part.members_version != known_version:
+            known_version = part.members_version
+            links.set_addresses(membership.members(part))
+        return effects
+
+    return reduce_with_addresses
+
+
+def show_links(metrics: Metrics, links: PeerLinks) -> None:
+    """Show what the links count.
+
+    Args:
+      metrics: metrics of this process.
+      links: connections to peers.
+    """
+    for name, description in LINK_COUNTS.items():
+        metrics.gauge(
+            f"link_{name}", description, partial(links.counts.__getitem__, name)
+        )
+
+
+def log_listening(**ports: int) -> None:
+    """Write the log line that names the bound ports; ports may be 0 in settings."""
+    _log.info({"event": "listening", "details": ports})
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -10,7 +10,7 @@
 import signal
 from collections import deque
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any
 
 import gevent
@@ -22,10 +22,7 @@
     Drain,
     Effect,
     Exit,
-    Local,
-    MembersChanged,
     ReadRows,
-    Received,
     Send,
     Tick,
     WriteRows,
@@ -35,6 +32,7 @@
 
 EXIT_DONE = 0
 EXIT_INTERNAL = 70
+EXIT_DRAIN_TIMEOUT = 75
 EXIT_SECOND_SIGNAL = 143
 
 Reduce = Callable[[Any, Any, datetime], list[Effect]]
@@ -54,6 +52,9 @@
       clock: source of the ``now`` of each event.
       links: connections to peers.
       table: client of the platform's table.
+      drain_timeout: bound on a graceful stop; None for no bound.
+      is_draining: whether the reducer has begun a graceful stop, which an operator
+        or another process may have asked for; None when only SIGTERM can.
     """
 
     def __init__(
@@ -63,6 +64,8 @@
         clock: Clock,
         links: PeerLinks,
         table: TableClient,
+        drain_timeout: timedelta | None = None,
+        is_draining: Callable[[], bool] | None = None,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -73,12 +76,14 @@
         self._pending = Event()
         self._tick_waits = False
         self._draining = False
+        self._drain_timeout = drain_timeout
+        self._is_draining = is_draining or (lambda: False)
+        self._drain_timer: gevent.Greenlet | None = None
         self._status: int | None = None
         self._performers: dict[type, list[Performer]] = {
             Send: [self._send],
             ReadRows: [table.call],
             WriteRows: [table.call],
-            Local: [self._take_local],
             Exit: [self._take_exit],
         }
 
@@ -107,19 +112,28 @@
         self._pending.set()
 
     def drain(self) -> None:
-        """Begin a graceful stop; a second call ends the loop at once."""
+        """Begin a graceful stop, as SIGTERM does; a second call ends the loop."""
         if self._draining:
             self._stop(EXIT_SECOND_SIGNAL)
             return
         self._draining = True
+        self._bound_drain()
         self.post(Drain())
 
+    def _bound_drain(self) -> None:
+        """Start the bound on a graceful stop, once."""
+        if self._drain_timer is None and self._drain_timeout is not None:
+            seconds = self._drain_timeout.total_seconds()
+            self._drain_timer = gevent.spawn_later(
+                seconds, self._stop, EXIT_DRAIN_TIMEOUT
+            )
+
     def run(self) -> int:
         """Reduce events until the graceful stop is complete.
 
         Returns:
-          The exit status: 0 after a graceful stop, 143 after a second SIGTERM, 70
-          after an error in the reducer.
+          The exit status: 0 after a graceful stop, 75 when it took too long, 143
+          after a second SIGTERM, 70 after an error in the reducer.
         """
         on_signal = gevent.signal_handler(signal.SIGTERM, self.drain)
         ticker = gevent.spawn(self._tick)
@@ -132,8 +146,10 @@
                 # Lets sockets and timers run between turns, also under load.
                 gevent.sleep(0)
         finally:
-            ticker.kill()
             on_signal.cancel()
+            ticker.kill()
+            if self._drain_timer is not None:
+                self._drain_timer.kill()
         return self._status
 
     def _take_turn(self) -> None:
@@ -154,7 +170,9 @@
         except Exception:
             # The state may be half changed, and a promise kept in it broken without a
             # sign. Ending is safe: peers treat it as any other death of a process.
-            _log.exception("reducer failed", extra={"event": type(event).__name__})
+            _log.exception(
+                {"event": "reducer failed", "details": {"on": type(event).__name__}}
+            )
             self._stop(EXIT_INTERNAL)
             return
         for effect in effects:
@@ -167,18 +185,13 @@
             except Exception:
                 # One failed log line or metric must not end the process or keep the
                 # effects behind it from being carried out.
-                _log.exception("effect failed", extra={"effect": type(effect).__name__})
+                _log.exception(
+                    {"event": "effect failed", "details": {"of": type(effect).__name__}}
+                )
 
     def _send(self, effect: Send) -> None:
-        if effect.to == self._links.incarnation:
-            self.post(Received(effect.to, effect.message))
-            return
         self._links.send(effect.to, effect.message)
 
-    def _take_local(self, effect: Local) -> None:
-        if isinstance(effect.event, MembersChanged):
-            self._links.set_addresses(effect.event.members)
-
     def _take_exit(self, effect: Exit) -> None:
         self._stop(EXIT_DONE)
 
@@ -193,3 +206,5 @@
             if not self._tick_waits:
                 self._tick_waits = True
                 self.post(Tick())
+            if self._is_draining():
+                self._bound_drain()
--- /dev/null
+++ b/gypsumspoke/shell/sidecar.py
@@ -0,0 +1,99 @@
+"""The process beside an upstream: sockets and timers around ``core/sidecar.py``."""
+
+from contextlib import ExitStack, closing
+
+from gypsumspoke.core import membership, sidecar
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.data import ApplyManifest, StartUpstream
+from gypsumspoke.parser.manifest import parse_manifest
+from gypsumspoke.parser.settings import Settings
+from gypsumspoke.shell import metrics
+from gypsumspoke.shell.admin_http import AdminServer
+from gypsumspoke.shell.role import (
+    log_listening,
+    new_identity,
+    open_links,
+    own_member,
+    show_links,
+    with_addresses,
+)
+from gypsumspoke.shell.runtime import Runtime
+from gypsumspoke.shell.table_client import TableClient
+from gypsumspoke.shell.upstream_client import UpstreamClient
+
+
+def run(settings: Settings, clock: Clock) -> int:
+    """Run a sidecar until its graceful stop is complete.
+
+    Args:
+      settings: checked settings of the role sidecar.
+      clock: source of time.
+
+    Returns:
+      The exit status; see ``Runtime.run``.
+
+    Raises:
+      OSError: a port can't be bound.
+    """
+    with ExitStack() as stack:
+        return _open(settings, clock, stack).run()
+
+
+def _open(settings: Settings, clock: Clock, stack: ExitStack) -> Runtime:
+    """Bind the ports and put the parts together; the stack closes them."""
+    identity = new_identity(settings)
+    links = stack.enter_context(closing(open_links(settings, identity, clock)))
+    peer_port = links.listen(settings.host, settings.peer_port)
+    own_metrics = metrics.Metrics(settings.role.value, settings.worker)
+    show_links(own_metrics, links)
+    # The admin port must be bound before the member, and so the state, is known.
+    # Nothing is served until the loop runs, and by then the state is there.
+    admin = AdminServer(
+        settings.host,
+        settings.admin_port,
+        own_metrics,
+        ready=lambda: sidecar.is_ready(state),
+    )
+    stack.enter_context(admin)
+    member = own_member(settings, identity, peer_port, admin.port, clock.now())
+    state = sidecar.new_sidecar(
+        member, settings.partition_count, identity.seed, parse_manifest
+    )
+    table = TableClient((settings.table_host, settings.table_port))
+    stack.enter_context(closing(table))
+    reduce = with_addresses(sidecar.reduce, _membership_of, links)
+    runtime = Runtime(
+        reduce,
+        state,
+        clock,
+        links,
+        table,
+        drain_timeout=settings.drain_timeout,
+        is_draining=lambda: state.is_draining,
+    )
+    metrics.install(runtime, own_metrics)
+    _install_upstream(settings, state, runtime)
+    log_listening(peer_port=peer_port, admin_port=admin.port)
+    return runtime
+
+
+def _membership_of(state: sidecar.SidecarState) -> membership.MembershipState:
+    return state.membership
+
+
+def _install_upstream(
+    settings: Settings, state: sidecar.SidecarState, runtime: Runtime
+) -> None:
+    """Let tasks run at the upstream, within the bounds of the manifest in force."""
+    upstream = UpstreamClient(
+        (settings.upstream_host, settings.upstream_port), runtime.post
+    )
+
+    def apply_manifest(effect: ApplyManifest) -> None:
+        in_force = membership.manifest(state.membership)
+        for policy in in_force.services:
+            if policy.name == settings.service:
+                upstream.set_policy(policy)
+
+    runtime.handle(StartUpstream, upstream.start)
+    runtime.handle(ApplyManifest, apply_manifest)
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -200,7 +200,7 @@
         framed = frame(encode(message))
         if not is_successful(framed):
             self._counts["dropped_too_large"] += 1
-            _log.error("message too large", extra={"reason": framed.failure()})
+            _note(logging.ERROR, "message too large", to, framed.failure())
             return False
         sent = self._send_frame(to, framed.unwrap())
         self._counts["messages_sent" if sent else "messages_dropped"] += 1
@@ -253,7 +253,7 @@
         peer.retry_at = self._clock.now() + peer.backoff * jitter
         peer.backoff = min(peer.backoff * 2, _LAST_BACKOFF)
         self._counts["dials_failed"] += 1
-        _log.info("dial failed", extra={"peer": incarnation, "reason": reason})
+        _note(logging.INFO, "dial failed", incarnation, reason)
         if peer.take_pending() and not peer.connections:
             self._on_event(PeerLost(incarnation))
         self._forget_if_unused(incarnation)
@@ -267,7 +267,7 @@
             except OSError as error:
                 # Out of descriptors, for one. Without the pause the loop would spin
                 # and nothing else would run; waiting callers stay in the backlog.
-                _log.error("accept failed", extra={"reason": str(error)})
+                _note(logging.ERROR, "accept failed", None, str(error))
                 gevent.sleep(_ACCEPT_PAUSE_SECONDS)
                 continue
             if len(self._connections) >= MAX_CONNECTIONS:
@@ -305,10 +305,7 @@
         checked = check_hello(self._hello, hello, connection.dialled)
         if not is_successful(checked):
             self._counts["refused_hellos"] += 1
-            _log.warning(
-                "peer refused",
-                extra={"peer": hello.incarnation, "reason": checked.failure()},
-            )
+            _note(logging.WARNING, "peer refused", hello.incarnation, checked.failure())
             return checked.failure()
         connection.accept_peer(hello)
         self._add_to_peer(connection, hello.incarnation)
@@ -341,7 +338,7 @@
     def _take_end(self, connection: Connection, reason: str) -> None:
         self._connections.discard(connection)
         name = connection.peer.incarnation if connection.peer else connection.dialled
-        _log.info("connection closed", extra={"peer": name, "reason": reason})
+        _note(logging.INFO, "connection closed", name, reason)
         if connection.peer is not None:
             self._remove_from_peer(connection, connection.peer.incarnation)
         elif connection.dialled is not None:
@@ -392,3 +389,8 @@
             connection.close("no hello")
         elif not timedelta(0) <= now - connection.last_sent < HEARTBEAT_INTERVAL:
             connection.send_heartbeat()
+
+
+def _note(level: int, event: str, peer: str | None, reason: str) -> None:
+    """Write one log line in the shape of ``shell/logs.py``."""
+    _log.log(level, {"event": event, "details": {"peer": peer, "reason": reason}})
