--- a/gypsumspoke/shell/role.py
+++ b/gypsumspoke/shell/role.py
@@ -140,4 +140,4 @@
 
 def log_listening(**ports: int) -> None:
     """Write the log line that names the bound ports; ports may be 0 in settings."""
-    _log.info({"event": "listening", "details": ports})
+    _log.info({"message": "listening", "details": ports})
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -171,7 +171,7 @@
             # The state may be half changed, and a promise kept in it broken without a
             # sign. Ending is safe: peers treat it as any other death of a process.
             _log.exception(
-                {"event": "reducer failed", "details": {"on": type(event).__name__}}
+                {"message": "reducer failed", "details": {"on": type(event).__name__}}
             )
             self._stop(EXIT_INTERNAL)
             return
@@ -186,7 +186,10 @@
                 # One failed log line or metric must not end the process or keep the
                 # effects behind it from being carried out.
                 _log.exception(
-                    {"event": "effect failed", "details": {"of": type(effect).__name__}}
+                    {
+                        "message": "effect failed",
+                        "details": {"of": type(effect).__name__},
+                    }
                 )
 
     def _send(self, effect: Send) -> None:
--- a/gypsumspoke/shell/table_client.py
+++ b/gypsumspoke/shell/table_client.py
@@ -89,7 +89,7 @@
             try:
                 event = self._perform(effect)
             except Exception:
-                _log.exception({"event": "table call failed unexpectedly"})
+                _log.exception({"message": "table call failed unexpectedly"})
                 event = _lost(effect)
             self._post_event(event)
 
--- a/gypsumspoke/shell/upstream_client.py
+++ b/gypsumspoke/shell/upstream_client.py
@@ -98,7 +98,7 @@
         try:
             outcome, result, reason = self._post_task(effect, policy)
         except Exception:
-            _log.exception({"event": "upstream call failed unexpectedly"})
+            _log.exception({"message": "upstream call failed unexpectedly"})
         finally:
             self._running -= 1
             self._report(effect, outcome, result, reason)
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -2,9 +2,9 @@
  * Messages between the system's own processes.
  *
  * Each struct has the fields of the tuple of the same name in core/data.py, in the same
- * order; tests/wire/test_codec.py compares the two. After a change run, from the root:
+ * order; wire/codec.py refuses to load otherwise. After a change run, from the root:
  *
- *   thrift --gen py:slots -out gypsumspoke/wire gypsumspoke/wire/gypsumspoke.thrift
+ *   thrift --gen py:slots,dynamic -out gypsumspoke/wire gypsumspoke/wire/gypsumspoke.thrift
  *
  * Rules for a change: a field number is never used again for something else, a new
  * field is optional, and PROTOCOL_VERSION in wire/hello.py grows when an old process
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -249,11 +249,18 @@
         if peer is None:
             return
         peer.dialling = False
+        # Each further failure says the same; the counter tells how many there are.
+        is_first = peer.backoff == _FIRST_BACKOFF
         jitter = self._random.uniform(0.5, 1.0)
         peer.retry_at = self._clock.now() + peer.backoff * jitter
         peer.backoff = min(peer.backoff * 2, _LAST_BACKOFF)
         self._counts["dials_failed"] += 1
-        _note(logging.INFO, "dial failed", incarnation, reason)
+        _note(
+            logging.INFO if is_first else logging.DEBUG,
+            "dial failed",
+            incarnation,
+            reason,
+        )
         if peer.take_pending() and not peer.connections:
             self._on_event(PeerLost(incarnation))
         self._forget_if_unused(incarnation)
@@ -393,4 +400,4 @@
 
 def _note(level: int, event: str, peer: str | None, reason: str) -> None:
     """Write one log line in the shape of ``shell/logs.py``."""
-    _log.log(level, {"event": event, "details": {"peer": peer, "reason": reason}})
+    _log.log(level, {"message": event, "details": {"peer": peer, "reason": reason}})
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -1,6 +1,6 @@
 """Processes under test: started with a settings file, ended by their id.
 
-Each prints JSON lines; the one whose event is "listening" gives its ports. A process
+Each prints JSON lines; the one whose message is "listening" gives its ports. A process
 that is still alive at the end of a test is killed by the fixture that owns it.
 """
 
@@ -64,14 +64,14 @@
         return parsed
 
     def wait_for_line(self, event: str) -> dict[str, Any]:
-        """Wait for a log line with this event and return it.
+        """Wait for a log line with this message and return it.
 
         Raises:
           AssertionError: the process ended or the bound passed; shows its output.
         """
         return self._wait(
             lambda: next(
-                (line for line in self.lines() if line.get("event") == event), None
+                (line for line in self.lines() if line.get("message") == event), None
             ),
             f"no line {event!r}",
         )
@@ -182,16 +182,18 @@
     path: str,
     body: Any = None,
     headers: dict[str, str] | None = None,
+    parse: bool = True,
 ) -> tuple[int, Any]:
     """Call an HTTP interface on this machine.
 
     Returns:
-      The status and the JSON body.
+      The status and the JSON body, or its bytes unless ``parse``.
     """
     client = HTTPClient("127.0.0.1", port, network_timeout=BOUND_SECONDS)
     try:
         payload = json.dumps(body).encode() if body is not None else b""
         response = client.request(method, path, body=payload, headers=headers or {})
-        return response.status_code, json.loads(response.read() or b"null")
+        raw = bytes(response.read())
+        return response.status_code, json.loads(raw or b"null") if parse else raw
     finally:
         client.close()
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -54,6 +54,6 @@
     server.start()
     stopped = Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
-    print(json.dumps({"event": "listening", "port": server.server_port}), flush=True)
+    print(json.dumps({"message": "listening", "port": server.server_port}), flush=True)
     stopped.wait()
     server.stop(timeout=0)
