--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -114,6 +114,7 @@
     def drain(self) -> None:
         """Begin a graceful stop, as SIGTERM does; a second call ends the loop."""
         if self._draining:
+            self._links.abort()
             self._stop(EXIT_SECOND_SIGNAL)
             return
         self._draining = True
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -168,6 +168,12 @@
         ]
         gevent.joinall(endings)
 
+    def abort(self) -> None:
+        """Drop all connections at once; what is queued is lost."""
+        self._closing = True
+        for connection in list(self._connections):
+            connection.close("aborted")
+
     def set_addresses(self, members: Iterable[Member]) -> None:
         """Take the addresses of all peers that may be dialled.
 
