--- a/gypsumspoke/parser/manifest.py
+++ b/gypsumspoke/parser/manifest.py
@@ -6,7 +6,7 @@
 """
 
 from datetime import timedelta
-from typing import Annotated, NotRequired, TypedDict
+from typing import Annotated, Literal, NotRequired, TypedDict
 
 from msgspec import Meta
 from returns.result import Failure, Result, Success
@@ -18,6 +18,7 @@
     ServicePolicy,
     TeamPolicy,
 )
+from gypsumspoke.core.placement import STRATEGIES
 from gypsumspoke.parser.documents import (
     DocumentError,
     Fields,
@@ -63,6 +64,7 @@
     home_queue_limit_tasks: _Count
     unreachable_after_seconds: Annotated[float, Meta(ge=0.1, le=3600)]
     takeover_after_seconds: Annotated[float, Meta(ge=0.1, le=3600)]
+    placement: Literal[*STRATEGIES]
 
 
 class _ManifestShape(TypedDict):
--- a/tests/parser/test_manifest.py
+++ b/tests/parser/test_manifest.py
@@ -53,6 +53,7 @@
             "services[0].answer_timeout_seconds: must be less than",
         ),
         ({"policy": {"message_weight_share": 1.5}}, "policy.message_weight_share: "),
+        ({"policy": {"placement": "guess"}}, "policy.placement: invalid enum value"),
         ({"policy": 3}, "policy: expected an object"),
     ],
 )
