--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,23 @@
+"""The operators' page names everything that an operator can meet."""
+
+from pathlib import Path
+
+import pytest
+
+from gypsumspoke.core.data import Counter, RetryReason
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.shell.metrics import HISTOGRAMS
+from gypsumspoke.tools.exit_codes import ExitCode
+
+PAGE = (Path(__file__).parents[1] / "docs" / "OPERATIONS.md").read_text()
+
+
+@pytest.mark.parametrize("words", [ErrorKind, RetryReason, Counter])
+def test_every_word_has_its_line(words):
+    assert [word.value for word in words if f"`{word.value}`" not in PAGE] == []
+
+
+def test_every_histogram_and_exit_code_has_its_line():
+    assert [name for name in HISTOGRAMS if f"`gypsumspoke_{name}{{" not in PAGE] == []
+    for code in ExitCode:
+        assert f"| {code.value} | {code.name} |" in PAGE
