--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -209,15 +209,16 @@
 
 @main.command()
 @click.argument("worker")
+@click.option("--incarnation", required=True, help="As `status` shows it.")
 @_admin_option
 @click.confirmation_option(
     prompt="If its process still runs, tasks may start twice. Has it ended for good?"
 )
-def gone(worker: str, admin: tuple[str, int]) -> None:
-    """State that the process of WORKER has ended with its memory."""
+def gone(worker: str, incarnation: str, admin: tuple[str, int]) -> None:
+    """State that a process of WORKER has ended for good with its memory."""
     from gypsumspoke.tools import operator_client
 
-    click.echo(_value(operator_client.gone(_address(admin), worker)))
+    click.echo(_value(operator_client.gone(_address(admin), worker, incarnation)))
 
 
 # ---------------------------------------------------------------------------
--- a/gypsumspoke/tools/http_client.py
+++ b/gypsumspoke/tools/http_client.py
@@ -13,7 +13,8 @@
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
-DEFAULT_TIMEOUT_SECONDS = 30.0
+# Longer than the administration port takes to give a request up by itself.
+DEFAULT_TIMEOUT_SECONDS = 45.0
 _CONNECT_TIMEOUT_SECONDS = 5.0
 
 
--- a/gypsumspoke/tools/operator_client.py
+++ b/gypsumspoke/tools/operator_client.py
@@ -2,8 +2,8 @@
 
 Applying a manifest is the delicate one. The pipeline may race another operator, and an
 answer may be lost after the write took effect. Each apply therefore names the version
-it replaces and a change id of its own: sent again, it either finds its own change id in
-force or conflicts, and never takes effect twice.
+it replaces and a change id of its own, and the entry keeps the ids of accepted changes:
+sent again, the same change gets the version it got before and is not written twice.
 """
 
 import json
@@ -77,12 +77,9 @@
       The version that the manifest got, or why it is not in force or may not be.
     """
     change_id = change_id or str(uuid.uuid4())
-    current = show_manifest(admin)
-    if isinstance(current, Failure):
-        return current
-    if current.unwrap().change_id == change_id:
-        return Success(current.unwrap().version)
-    return _put_manifest(admin, text, current.unwrap().version, change_id)
+    return show_manifest(admin).bind(
+        lambda current: _put_manifest(admin, text, current.version, change_id)
+    )
 
 
 def _put_manifest(
@@ -98,7 +95,7 @@
         reply = exchange(admin, request)
         lost = _lost_reason(reply)
         if lost is None:
-            return _applied(admin, reply.unwrap(), base, change_id)
+            return _applied(reply.unwrap(), base)
     reason = (
         f"no answer after {APPLY_TRIES} tries ({lost}); the manifest may or may not be "
         f"in force: run the command again with --change-id {change_id}"
@@ -115,20 +112,12 @@
     return None
 
 
-def _applied(
-    admin: Address, reply: Reply, base: int, change_id: str
-) -> Result[int, CommandError]:
+def _applied(reply: Reply, base: int) -> Result[int, CommandError]:
     if reply.status not in _CONFLICTS:
         return _accepted(reply).bind(_version)
-    # The answer to an earlier try may have been lost after the write took effect; then
-    # the later try conflicts with this very change.
-    current = show_manifest(admin)
-    if isinstance(current, Success) and current.unwrap().change_id == change_id:
-        return Success(current.unwrap().version)
     reason = (
-        f"another change came first: version {base} is no longer current; this "
-        "manifest is not in force. Look at the new version and decide again.\n"
-        + describe(reply)
+        f"conflict while replacing version {base}; this manifest is not in force. Look "
+        f"at the current version and decide again.\n{describe(reply)}"
     )
     return Failure(CommandError(ExitCode.CONFLICT, reason))
 
@@ -169,20 +158,29 @@
 
 def drain(admin: Address, worker: str) -> Result[str, CommandError]:
     """Have a worker's process finish what it runs, take nothing new and exit."""
-    return _ask_text(admin, _worker_request(worker, "drain"))
+    return _ask_text(admin, Request("POST", _worker_path(worker, "drain")))
 
 
-def gone(admin: Address, worker: str) -> Result[str, CommandError]:
-    """State that a worker's process has ended and will not come back as it was.
+def gone(admin: Address, worker: str, incarnation: str) -> Result[str, CommandError]:
+    """State that a process has ended for good, with its memory.
 
     The system then stops waiting for its records. The statement must be true: see
     docs/OPERATIONS.md.
+
+    Args:
+      admin: administration port of an entry.
+      worker: name of the worker.
+      incarnation: which of its processes, so that a restarted one is not meant.
     """
-    return _ask_text(admin, _worker_request(worker, "gone"))
+    fields = {"incarnation": incarnation, "confirm_ended_for_good": True}
+    headers = {"Content-Type": "application/json"}
+    body = json.dumps(fields).encode()
+    request = Request("POST", _worker_path(worker, "gone"), headers, body)
+    return _ask_text(admin, request)
 
 
-def _worker_request(worker: str, action: str) -> Request:
-    return Request("POST", f"{WORKERS_PATH}{quote(worker, safe='')}/{action}")
+def _worker_path(worker: str, action: str) -> str:
+    return f"{WORKERS_PATH}{quote(worker, safe='')}/{action}"
 
 
 def _ask_text(admin: Address, request: Request) -> Result[str, CommandError]:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -101,7 +101,8 @@
         **own,
     }
     process = processes.start_role(settings["role"], settings)
-    ports = process.wait_for_line("listening")
+    line = process.wait_for_line("listening")
+    ports = line.get("details", line)
     print(f"started  {name} as process {process.pid}")
     return Running(name, process, ports)
 
--- a/tests/tools/test_operator_client.py
+++ b/tests/tools/test_operator_client.py
@@ -13,44 +13,39 @@
 
 
 class FakeEntry:
-    """Keeps one manifest by compare-and-set on its version."""
+    """Keeps one manifest by compare-and-set, and the ids of accepted changes."""
 
     def __init__(self):
         self.version = 3
         self.text = "{}"
-        self.change_id = "first"
-        self.writes = 0
+        self.accepted = {}
         self.answers_to_lose = 0
         self.before_write = lambda: None
 
     def __call__(self, environ, start):
         if environ["REQUEST_METHOD"] == "GET":
-            headers = [
-                ("ETag", f'"{self.version}"'),
-                ("Gypsumspoke-Change-Id", self.change_id),
-            ]
-            start("200 OK", headers)
+            start("200 OK", [("ETag", f'"{self.version}"')])
             return [self.text.encode()]
         self.before_write()
-        status = self.write(environ)
+        status, version = self.write(environ)
         if self.answers_to_lose:
             self.answers_to_lose -= 1
             status = ANSWER_LOST
         start(status, [])
-        return [json.dumps({"version": self.version}).encode()]
+        return [json.dumps({"version": version}).encode()]
 
     def write(self, environ):
-        if environ["HTTP_IF_MATCH"] != f'"{self.version}"':
-            return "412 Precondition Failed"
-        self.replace(environ["wsgi.input"].read().decode())
-        self.change_id = environ["HTTP_GYPSUMSPOKE_CHANGE_ID"]
-        return "200 OK"
+        change_id = environ["HTTP_GYPSUMSPOKE_CHANGE_ID"]
+        if change_id not in self.accepted:
+            if environ["HTTP_IF_MATCH"] != f'"{self.version}"':
+                return "409 Conflict", None
+            self.replace(environ["wsgi.input"].read().decode())
+            self.accepted[change_id] = self.version
+        return "200 OK", self.accepted[change_id]
 
     def replace(self, text):
         self.version += 1
         self.text = text
-        self.change_id = "other"
-        self.writes += 1
 
 
 @pytest.fixture
@@ -86,23 +81,23 @@
 def test_a_lost_answer_is_resolved(entry, admin):
     """The operator learns the version though the first answer never came.
 
-    The write takes effect, its answer is lost, and the same change is sent again. It
-    conflicts with itself, which the change id tells from another's change.
+    The write takes effect, its answer is lost, and the same change is sent again. Its
+    change id is known by then, so it gets the version it got before.
     """
     entry.answers_to_lose = 1
     assert apply_manifest(admin, "new").unwrap() == 4
-    assert entry.writes == 1
+    assert entry.version == 4
 
 
 def test_without_any_answer_the_outcome_is_unknown(entry, admin):
     """The operator is told that the change may be in force, and how to find out.
 
-    All answers are lost, the first after it took effect. The same change id later
-    finds the change in force and does not write again.
+    All answers are lost, the first after the write took effect. The same change id
+    later gets that version and does not write again.
     """
     entry.answers_to_lose = 5
     error = apply_manifest(admin, "new", "change-1").failure()
     assert error.code is ExitCode.UNKNOWN
     assert "--change-id change-1" in error.reason
     assert apply_manifest(admin, "new", "change-1").unwrap() == 4
-    assert entry.writes == 1
+    assert entry.version == 4
