--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -61,7 +61,7 @@
 DEFAULT_STRATEGY = "expected_wait"
 
 STRATEGIES: dict[str, Strategy] = {
-    "expected_wait": Strategy(Rank.EXPECTED_END, 3, 0.25, True),
+    "expected_wait": Strategy(Rank.EXPECTED_END, 3, 0.0, True),
     "two_choices": Strategy(Rank.COUNT, 2, None, False),
     "least_in_flight": Strategy(Rank.COUNT, ALL, None, False),
     "round_robin": Strategy(Rank.TURN, ALL, None, False),
