A task waits at the home rather than take a far worse place

Cause: p99 of 20 at load 0.7 is a 50 ms task on the straggler, which is always free because it is avoided. The chosen executor must promise an end within twice that of the best of a second draw, full ones included.

--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -50,18 +50,22 @@
       queue_share: tasks allowed to wait at an executor, as a share of its slots, by
         what the home knows; None for no bound at the home.
       ejects: whether workers that fail most tasks are taken out.
+      patience: how many times longer than on the best of another draw, full ones
+        included, a task may take; past that it waits at the home. None for no such
+        bound.
     """
 
     rank: Rank
     choices: int
     queue_share: float | None
     ejects: bool
+    patience: float | None = None
 
 
 DEFAULT_STRATEGY = "expected_wait"
 
 STRATEGIES: dict[str, Strategy] = {
-    "expected_wait": Strategy(Rank.EXPECTED_END, 3, 0.0, True),
+    "expected_wait": Strategy(Rank.EXPECTED_END, 3, 0.0, True, 2.0),
     "two_choices": Strategy(Rank.COUNT, 2, None, False),
     "least_in_flight": Strategy(Rank.COUNT, ALL, None, False),
     "round_robin": Strategy(Rank.TURN, ALL, None, False),
@@ -69,6 +73,7 @@
 }
 
 _ASSUMED_RUN = 0.3
+_REFERENCES = 3
 _SMOOTHING = 0.1
 _FAILURE_SMOOTHING = 0.3
 _EJECT_ABOVE = 0.6
@@ -142,6 +147,7 @@
 
     def __init__(self) -> None:
         self.known: set[str] = set()
+        self.usable = _Pool()
         self.free = _Pool()
         self.probes: list[tuple[float, str]] = []
         self.mean_run: float | None = None
@@ -253,7 +259,8 @@
     drawn = _draw(state, pool, exclude)
     if not drawn:
         return None
-    return min(drawn, key=_ranking(state, pool, _seconds(now)))
+    best = min(drawn, key=_ranking(state, pool, _seconds(now)))
+    return best if _is_worth_it(state, pool, best, _seconds(now)) else None
 
 
 def note_placed(state: PlacementState, incarnation: str, now: datetime) -> None:
@@ -418,6 +425,26 @@
     return run * max(1.0, (executor.total + 1) / max(1, executor.slots))
 
 
+def _is_worth_it(state: PlacementState, pool: _Service, best: str, now: float) -> bool:
+    """Tell whether a task should go there rather than wait for a better executor.
+
+    Without this a straggler, always free because it is avoided, takes the overflow
+    whenever the others are full, and whole jobs wait for it. The reference is drawn
+    from the full ones too. It can't hold a task for ever: a full executor that stops
+    answering looks worse with each second, and one without tasks of this home is free.
+    """
+    patience = state._strategy.patience
+    usable = pool.usable.items
+    if patience is None or not usable:
+        return True
+    drawn = state._random.sample(usable, min(_REFERENCES, len(usable)))
+    reference = min(_expected_end(state._executors[item], pool, now) for item in drawn)
+    # The more messages weigh, the longer a task waits at the home: a task sent early
+    # to a poor place is the one that is refused there or cancelled after its start.
+    patience -= state._message_weight * (patience - 1) / 2
+    return _expected_end(state._executors[best], pool, now) <= patience * reference
+
+
 def _mean(executor: _Executor, pool: _Service | None) -> float:
     return executor.mean_run or _service_mean(pool)
 
@@ -549,23 +576,31 @@
 
 
 def _refresh(state: PlacementState, executor: _Executor) -> None:
-    """Put the executor into the set of free ones or take it out."""
+    """Put the executor into the sets it belongs to and take it out of the others."""
     pool = _service(state, executor.member.service)
-    if _is_free(state, executor):
-        pool.free.add(executor.member.incarnation)
+    incarnation = executor.member.incarnation
+    _put(pool.usable, incarnation, _is_usable(executor))
+    _put(pool.free, incarnation, _is_usable(executor) and _has_room(state, executor))
+
+
+def _put(pool: _Pool, item: str, belongs: bool) -> None:
+    if belongs:
+        pool.add(item)
     else:
-        pool.free.remove(executor.member.incarnation)
+        pool.remove(item)
+
 
+def _is_usable(executor: _Executor) -> bool:
+    return executor.reachable and not executor.ejected and executor.slots > 0
 
-def _is_free(state: PlacementState, executor: _Executor) -> bool:
-    """Tell whether the home may place there.
+
+def _has_room(state: PlacementState, executor: _Executor) -> bool:
+    """Tell whether the home may place there now.
 
     An executor where this home has nothing is always free: only answers bring news,
     and one report of a full executor could otherwise keep the home away for good. The
     executor's own queue limit still holds.
     """
-    if not executor.reachable or executor.ejected or executor.slots == 0:
-        return False
     return executor.in_flight == 0 or executor.total < _bound(state, executor)
 
 
@@ -590,6 +625,7 @@
     executor = state._executors.pop(incarnation)
     pool = _service(state, executor.member.service)
     pool.known.discard(incarnation)
+    pool.usable.remove(incarnation)
     pool.free.remove(incarnation)
     if executor.ejected:
         pool.ejected -= 1
--- a/gypsumspoke/tools/measure_model.py
+++ b/gypsumspoke/tools/measure_model.py
@@ -49,6 +49,7 @@
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 _DELAY = 0.0005
 _HEARTBEAT = 1.0
+_TICK = 0.1
 _RUN_SMOOTHING = 0.1
 _DRAIN = 20.0
 
@@ -286,6 +287,8 @@
         plan = job.plan
         if reason is None:
             response = self.time - plan.arrival
+            in_length = self.time <= self._workload.length
+            self.tally.in_length += len(plan.tasks) * in_length
             self.tally.complete(plan.team, len(plan.tasks), response, plan.ideal)
         else:
             self.tally.refuse(reason)
@@ -297,6 +300,8 @@
         end = self._workload.length + _DRAIN
         for step in range(int(end / _HEARTBEAT)):
             self.after(step * _HEARTBEAT, self._heartbeats)
+        for step in range(int(end / _TICK)):
+            self.after(step * _TICK, self._ticks)
         while self._events and self.time < end:
             self.time, _, action = heapq.heappop(self._events)
             action()
@@ -316,6 +321,9 @@
         for home in self._homes:
             for name, executor in self.executors.items():
                 note_load(home.placement, name, executor.load, self.now)
+
+    def _ticks(self) -> None:
+        for home in self._homes:
             home.pump()
 
 
--- a/gypsumspoke/tools/measure_report.py
+++ b/gypsumspoke/tools/measure_report.py
@@ -30,6 +30,7 @@
         self.wasted: Counter[str] = Counter()
         self.messages = 0
         self.tasks = 0
+        self.in_length = 0
         self.jobs = 0
         self.seconds = 0.0
 
@@ -75,7 +76,7 @@
 
     Attributes:
       p50, p99, p999: response over ideal of complete jobs.
-      goodput: tasks of complete jobs per second.
+      goodput: tasks per second of jobs that were complete before arrivals ended.
       complete: share of jobs that were complete in time.
       messages_per_task: messages between processes per task of a complete job.
       wasted_per_task: messages that brought nothing, per task of a complete job.
@@ -101,7 +102,7 @@
     refused = sum(tally.refused.values())
     return Figures(
         *tally.percentiles(),
-        goodput=tally.tasks / max(tally.seconds, 1e-9),
+        goodput=tally.in_length / max(tally.seconds, 1e-9),
         complete=1 - refused / jobs,
         messages_per_task=tally.messages / tasks,
         wasted_per_task=sum(tally.wasted.values()) / tasks,
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -122,6 +122,28 @@
     assert set(chosen) == {"w2-1"}
 
 
+def test_a_straggler_gets_nothing_while_a_better_worker_is_about_to_be_free():
+    """One worker of three takes ten times as long; the other two are full.
+
+    The straggler is always free, because it is avoided, so each burst would put some
+    task there and its whole job would wait. The task stays at the home instead, and
+    goes out as soon as one of the others answers.
+    """
+    state = placement(4)
+    for worker, mean in (("w1-1", 0.2), ("w2-1", 0.2), ("w3-1", 2.0)):
+        note_load(state, worker, load(mean=mean), NOW)
+    chosen = Counter(place(state) for _ in range(100))
+    assert chosen["w3-1"] == 0
+    note_outcome(state, "w1-1", Outcome.DONE, "", load(mean=0.2), None, NOW)
+    assert place(state) == "w1-1"
+
+
+def test_a_straggler_is_used_when_it_is_all_there_is():
+    state = placement(2)
+    note_load(state, "w1-1", load(mean=30.0), NOW)
+    assert place(state) == "w1-1"
+
+
 def test_tasks_of_other_homes_count():
     state = placement(3)
     note_load(state, "w1-1", load(running=SLOTS, queued=SLOTS, mean=0.2), NOW)
--- a/tests/tools/test_measure.py
+++ b/tests/tools/test_measure.py
@@ -50,6 +50,7 @@
 def test_figures_of_a_small_tally():
     tally = Tally()
     tally.seconds = 2.0
+    tally.in_length = 8
     for team, response in (("a", 1.0), ("b", 3.0)):
         tally.offer(team, 4)
         tally.complete(team, 4, response, 1.0)
