--- a/gypsumspoke/tools/measure.py
+++ b/gypsumspoke/tools/measure.py
@@ -6,6 +6,8 @@
 ``Strategy``, and ``strategy=NAME`` starts from a named one.
 """
 
+import json
+import statistics
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +15,12 @@
 
 from gypsumspoke.core.placement import STRATEGIES, Rank, Strategy
 from gypsumspoke.tools.measure_model import ModelSettings, run_model
+from gypsumspoke.tools.measure_reducers import (
+    change_slopes,
+    idle_slopes,
+    ledger_bytes,
+    task_slopes,
+)
 from gypsumspoke.tools.measure_report import (
     Tally,
     as_json,
@@ -23,6 +31,7 @@
 from gypsumspoke.tools.measure_workload import Shape, generate
 
 _FIRST_SEED = 100
+_JOB_SIZES = (1, 26, 130)
 _DEFAULT_LOADS = (0.3, 0.7, 0.95, 1.3)
 
 
@@ -73,6 +82,42 @@
         json_path.write_text(as_json(every))
 
 
+@measure.command()
+@click.option("--rounds", default=3, show_default=True)
+@click.option("--workers", multiple=True, type=int, default=(11, 44))
+@click.option("--partitions", default=64, show_default=True)
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+def reducers(
+    rounds: int, workers: tuple[int, ...], partitions: int, json_path: Path | None
+) -> None:
+    """Time the reducers event by event, for the slopes of docs/CAPACITY.md."""
+    runs = [_slopes(workers, partitions) for _ in range(rounds)]
+    for name in runs[0]:
+        values = [run[name] for run in runs]
+        middle, least, most = statistics.median(values), min(values), max(values)
+        click.echo(f"{name:55} {middle:12.4g}  ({least:.4g} to {most:.4g})")
+    if json_path:
+        json_path.write_text(json.dumps(runs, indent=1))
+
+
+def _slopes(workers: tuple[int, ...], partitions: int) -> dict[str, float]:
+    """Return all slopes of one round under flat names."""
+    slopes: dict[str, float] = {}
+    fewest = min(workers)
+    for tasks in _JOB_SIZES:
+        for name, value in task_slopes(fewest, partitions, tasks).items():
+            slopes[f"jobs of {tasks}: {name}"] = value
+        for name, value in ledger_bytes(fewest, partitions, tasks).items():
+            slopes[f"jobs of {tasks}: {name}"] = value
+    for count in workers:
+        for name, value in idle_slopes(count, partitions).items():
+            slopes[f"{count} workers, idle: {name}"] = value
+        for change, costs in change_slopes(count, partitions).items():
+            for name, value in costs.items():
+                slopes[f"{count} workers, {change}: {name}"] = value
+    return slopes
+
+
 def parse_setting(text: str) -> tuple[str, ModelSettings]:
     """Return name and settings of ``NAME:key=value,key=value``.
 
