--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -5,7 +5,9 @@
 codes are those of ``ExitCode``.
 """
 
+import logging
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import NoReturn
 
@@ -13,8 +15,9 @@
 from returns.result import Failure, Result
 
 from gypsumspoke import __version__
-from gypsumspoke.core.clock import SystemClock
+from gypsumspoke.core.clock import Clock, SystemClock
 from gypsumspoke.core.data import Role
+from gypsumspoke.parser.settings import Settings, read_settings
 from gypsumspoke.tools.exit_codes import ExitCode
 
 
@@ -36,6 +39,8 @@
         return host, int(port)
 
 
+_logger = logging.getLogger(__name__)
+
 _FILE = click.Path(dir_okay=False, path_type=Path)
 
 _settings_option = click.option(
@@ -79,7 +84,7 @@
     settings = _start(path, Role.ENTRY)
     from gypsumspoke.shell import entry as role
 
-    sys.exit(role.run(settings, SystemClock()))
+    _run(role.run, settings)
 
 
 @main.command()
@@ -89,10 +94,10 @@
     settings = _start(path, Role.SIDECAR)
     from gypsumspoke.shell import sidecar as role
 
-    sys.exit(role.run(settings, SystemClock()))
+    _run(role.run, settings)
 
 
-def _start(path: Path, role: Role):
+def _start(path: Path, role: Role) -> Settings:
     """Return checked settings with logs set up, or end the process."""
     from gypsumspoke.shell.logs import configure_logs
 
@@ -105,6 +110,18 @@
     return settings
 
 
+def _run(run: Callable[[Settings, Clock], int], settings: Settings) -> NoReturn:
+    """Run a role and end with its status; a port that can't be had is bad input."""
+    try:
+        status = run(settings, SystemClock())
+    except OSError as error:
+        # As a rule a port is taken, by a process that the settings also name.
+        reason = {"reason": str(error)}
+        _logger.critical("can't start", extra=reason, exc_info=True)
+        sys.exit(ExitCode.BAD_INPUT)
+    sys.exit(status)
+
+
 # ---------------------------------------------------------------------------
 # Checks without a connection
 
@@ -122,9 +139,7 @@
     click.echo(f"{path}: settings are valid")
 
 
-def _load_settings(path: Path):
-    from gypsumspoke.parser.settings import read_settings
-
+def _load_settings(path: Path) -> Settings:
     return _checked(path, read_settings(path))
 
 
--- a/tests/shell/test_logs.py
+++ b/tests/shell/test_logs.py
@@ -11,14 +11,10 @@
 
 
 @pytest.fixture
-def stream():
-    root = logging.getLogger()
-    before = root.handlers[:], root.level
+def stream(restored_logs):
     stream = io.StringIO()
     configure_logs(stream, "INFO", role="entry", worker="entry-1")
-    yield stream
-    root.handlers[:], level = before
-    root.setLevel(level)
+    return stream
 
 
 def test_a_line_names_process_and_submission(stream):
--- a/tests/tools/test_command_line.py
+++ b/tests/tools/test_command_line.py
@@ -1,5 +1,8 @@
 """The command line without a system behind it."""
 
+import socket
+from pathlib import Path
+
 import pytest
 from click.testing import CliRunner
 
@@ -45,6 +48,22 @@
     assert "role: is for the role sidecar" in result.output
 
 
+def test_a_taken_port_ends_the_start_with_a_reason(tmp_path, restored_logs):
+    """The platform sees exit code 2 and a log line, not a traceback.
+
+    Another process holds the port that the settings name, so listening fails before
+    anything was registered.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        text = Path("examples/sidecar.json").read_text()
+        path = tmp_path / "settings.json"
+        path.write_text(text.replace("7201", str(port)))
+        result = run("sidecar", "--settings", str(path))
+    assert result.exit_code == ExitCode.BAD_INPUT
+    assert "can't start" in result.output
+
+
 def test_an_address_without_port_is_a_usage_error():
     result = run("status", "--admin", "127.0.0.1")
     assert result.exit_code == ExitCode.BAD_INPUT
