--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -680,6 +680,7 @@
     HOME_MOVED = "home_moved"
     TABLE_ANSWER_LOST = "table_answer_lost"
     TABLE_CONFLICT = "table_conflict"
+    OTHER = "other"
 
 
 class Counter(Enum):
--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -234,7 +234,15 @@
     state.retry_tokens -= 1
     slot.avoid = slot.avoid | {slot.executor}
     _enqueue_task(state, job, number)
-    return [Count(RetryReason(reason))]
+    return [Count(_known_reason(reason))]
+
+
+def _known_reason(reason: str) -> RetryReason:
+    """Return the reason; a peer of another release may name one unknown here."""
+    try:
+        return RetryReason(reason)
+    except ValueError:
+        return RetryReason.OTHER
 
 
 def _may_retry(state: HomeState, slot: TaskSlot) -> bool:
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -138,11 +138,13 @@
     Args:
       workers: number of workers to start.
       partitions: number of partitions.
-      seed: for the order in which messages are delivered.
+      seed: for choices of the system itself.
+      slots: tasks that each worker runs at once.
     """
 
-    def __init__(self, workers=3, partitions=4, seed=0):
+    def __init__(self, workers=3, partitions=4, seed=0, slots=2):
         self.now = START
+        self.slots = slots
         self.random = random.Random(seed)
         self.partitions = partitions
         self.table = Table()
@@ -175,7 +177,7 @@
             "a",
             "r",
             SERVICE,
-            2,
+            self.slots,
             self.now,
             None,
             0,
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -51,7 +51,7 @@
 
     @initialize(seed=INDEXES, offsets=st.lists(st.floats(-1, 1), min_size=WORKERS))
     def start(self, seed, offsets):
-        self.system = System(workers=WORKERS, partitions=PARTITIONS, seed=seed)
+        self.system = System(WORKERS, PARTITIONS, seed, slots=1)
         for node, offset in zip(self.system.nodes.values(), offsets):
             node.offset = timedelta(seconds=offset * HALF_SKEW)
         self.system.run(3)
@@ -158,6 +158,53 @@
     def finish_all_tasks(self):
         self.system.finish_upstreams()
 
+    # -- what faults are usually followed by
+
+    @rule(count=st.integers(2, 4))
+    def submit_some(self, count):
+        for _ in range(count):
+            self.submit(index=0, early=0.0, anywhere=False)
+        self.system.deliver_all()
+
+    @precondition(lambda self: self.submissions)
+    @rule()
+    def resubmit_all(self):
+        for submission in self.submissions:
+            self.system.submit(submission)
+        self.system.deliver_all()
+
+    @precondition(lambda self: self.submissions)
+    @rule(which=INDEXES, how=st.sampled_from(["pause", "kill", "drain"]))
+    def change_the_owner(self, which, how):
+        """Stop the home of a key and let the next one take over."""
+        key = self.submissions[which % len(self.submissions)].key
+        owner = self.system.owner(key)
+        if owner is not None:
+            getattr(self.system, how)(owner)
+            self.pass_time(ticks=25, delivers=True)
+
+    @precondition(lambda self: self.submissions)
+    @rule(which=INDEXES, index=INDEXES)
+    def replace_the_holder(self, which, index):
+        """Kill and replace a worker that started a task of a key."""
+        key = self.submissions[which % len(self.submissions)].key
+        workers = sorted(
+            {start.worker for start in self.system.started if start.key == key}
+        )
+        if workers:
+            worker = workers[index % len(workers)]
+            self.system.kill(self.system.current(worker))
+            self.system.join(worker)
+            self.pass_time(ticks=15, delivers=True)
+
+    @rule(forgets=st.booleans())
+    def wake_all(self, forgets):
+        for name, node in sorted(self.system.nodes.items()):
+            if node.paused:
+                if forgets:
+                    node.backlog.clear()
+                self.system.wake(name)
+
     # -- faults
 
     def _pick(self, index, wanted):
