--- /dev/null
+++ b/gypsumspoke/core/entry_role.py
@@ -0,0 +1,122 @@
+"""The reducer of an entry process: membership and entry side by side.
+
+Each event goes to both; what one tells the other goes round as a local event. The stop
+is put together here: refuse new requests, answer the waiting ones, end the
+registration, exit.
+"""
+
+from collections import deque
+from datetime import datetime, timedelta
+
+from gypsumspoke.core import entry, membership
+from gypsumspoke.core.data import Drain, Effect, Exit, Local, Member
+
+# The balancer looks at the readiness every second or so and sends callers until then;
+# the port stays open and answers them for as long.
+DRAIN_NOTICE = timedelta(seconds=1)
+
+
+class EntryRoleState:
+    """All state of an entry process; made by ``new_entry_role``."""
+
+    def __init__(
+        self,
+        members: membership.MembershipState,
+        requests: entry.EntryState,
+        drain_timeout: timedelta,
+    ) -> None:
+        self._members = members
+        self._requests = requests
+        self._drain_timeout = drain_timeout
+        self._drain_started: datetime | None = None
+        self._leaving = False
+        self._exited = False
+
+    @property
+    def members(self) -> membership.MembershipState:
+        """The membership view, to be read only."""
+        return self._members
+
+    @property
+    def requests(self) -> entry.EntryState:
+        """The requests, to be read only."""
+        return self._requests
+
+
+def new_entry_role(
+    member: Member,
+    partition_count: int,
+    seed: int,
+    parse_manifest: membership.ParseManifest,
+    drain_timeout: timedelta,
+) -> EntryRoleState:
+    """Return the state of an entry process at its start.
+
+    Args:
+      member: this process.
+      partition_count: number of partitions, the same in every process.
+      seed: for choices that need chance.
+      parse_manifest: turns a manifest's text into a checked manifest.
+      drain_timeout: bound on a graceful stop.
+    """
+    members = membership.new_membership(member, partition_count, seed, parse_manifest)
+    requests = entry.new_entry(member, partition_count, seed)
+    return EntryRoleState(members, requests, drain_timeout)
+
+
+def reduce(state: EntryRoleState, event, now: datetime) -> list[Effect]:
+    """Apply one event.
+
+    Args:
+      state: changed in place.
+      event: any event of the core.
+      now: the time of the event.
+
+    Returns:
+      What the process has to do. Local events have been delivered already; they stand
+      here for the shell, which takes the peers' addresses from them.
+    """
+    effects = _to_both(state, event, now)
+    if isinstance(event, Drain) or entry.is_draining(state.requests):
+        effects += _go_on_stopping(state, now)
+    return effects
+
+
+def is_ready(state: EntryRoleState) -> bool:
+    """Return whether callers may be sent here."""
+    registered = membership.is_registered(state.members)
+    return registered and entry.is_ready(state.requests)
+
+
+def _to_both(state: EntryRoleState, event, now: datetime) -> list[Effect]:
+    effects: list[Effect] = []
+    events = deque([event])
+    while events:
+        current = events.popleft()
+        found = membership.reduce(state.members, current, now)
+        entry.set_clock_off(state.requests, membership.clock_is_off(state.members))
+        found += entry.reduce(state.requests, current, now)
+        for effect in found:
+            effects.append(effect)
+            if isinstance(effect, Local):
+                events.append(effect.event)
+    return effects
+
+
+def _go_on_stopping(state: EntryRoleState, now: datetime) -> list[Effect]:
+    if state._exited:
+        return []
+    if state._drain_started is None:
+        state._drain_started = now
+    effects: list[Effect] = []
+    passed = now - state._drain_started
+    if passed >= state._drain_timeout:
+        effects += entry.give_up_all(state.requests, now)
+    is_done = entry.waiting_count(state.requests) == 0 and passed >= DRAIN_NOTICE
+    if is_done and not state._leaving:
+        state._leaving = True
+        effects += membership.reduce(state.members, membership.Leave(), now)
+    if state._leaving and membership.has_left(state.members):
+        state._exited = True
+        effects.append(Exit())
+    return effects
--- a/gypsumspoke/core/errors.py
+++ b/gypsumspoke/core/errors.py
@@ -68,6 +68,7 @@
     JOB_RUNNING = "job_running"
     CONFLICT = "conflict"
     INVALID_MANIFEST = "invalid_manifest"
+    NO_MANIFEST = "no_manifest"
     STORE_UNAVAILABLE = "store_unavailable"
     INTERNAL = "internal"
 
@@ -199,6 +200,9 @@
     ErrorKind.INVALID_MANIFEST: AnswerRule(
         422, "The manifest is invalid.", Work.NOT_PASSED_ON, None
     ),
+    ErrorKind.NO_MANIFEST: AnswerRule(
+        404, "No manifest has been applied yet.", Work.NOT_PASSED_ON, None
+    ),
     ErrorKind.STORE_UNAVAILABLE: AnswerRule(
         503, "The platform's table does not answer.", Work.UNKNOWN, _LATER
     ),
--- a/gypsumspoke/core/membership.py
+++ b/gypsumspoke/core/membership.py
@@ -91,6 +91,10 @@
     """Event: all work is done; end the registration. See ``has_left``."""
 
 
+class ViewDoubted(NamedTuple):
+    """Local event: members or map have changed, or seem to; read them again soon."""
+
+
 class Heard(NamedTuple):
     """The last heartbeat of a peer and our time when it came."""
 
@@ -231,6 +235,11 @@
     return state._clock_off
 
 
+def is_self(state: MembershipState, incarnation: str) -> bool:
+    """Return whether this process is that incarnation."""
+    return state._member.incarnation == incarnation
+
+
 def members(state: MembershipState) -> tuple[Member, ...]:
     """Return all known members, ended ones included, in the order of their names."""
     return tuple(member for _, member in sorted(state._members.items()))
@@ -366,6 +375,15 @@
     return []
 
 
+@_on.register
+def _on_view_doubted(
+    event: ViewDoubted, state: MembershipState, now: datetime
+) -> list[Effect]:
+    _want_spaced(state, MEMBERS_PREFIX, now)
+    _want_spaced(state, PARTITIONS_PREFIX, now)
+    return _issue_reads(state, now)
+
+
 @_on.register
 def _on_peer_connected(
     event: PeerConnected, state: MembershipState, now: datetime
--- /dev/null
+++ b/gypsumspoke/shell/operator_http.py
@@ -0,0 +1,512 @@
+"""The operators' HTTP interface of an entry, on its administration port.
+
+Operators race one another, and an answer of the table may be lost after the write took
+effect. So every change is a compare-and-set on what was read, and a lost answer is
+resolved before the operator is told anything: the same transaction is sent again, which
+commits, or conflicts with itself, and then the row read back tells whose change it was.
+"""
+
+import hashlib
+import itertools
+import json
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import gevent
+from gevent.event import AsyncResult
+from returns.pipeline import is_successful
+
+from gypsumspoke.core import membership
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.data import (
+    ManifestUpdate,
+    Member,
+    ReadRows,
+    Received,
+    Row,
+    RowsRead,
+    RowsWritten,
+    WriteOutcome,
+    WriteRows,
+)
+from gypsumspoke.core.entry import refusal_of
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.rows import (
+    MANIFEST_KEY,
+    MEMBERS_PREFIX,
+    member_from_row,
+    member_value,
+)
+from gypsumspoke.parser.manifest import parse_manifest
+from gypsumspoke.shell.http_answers import (
+    Environ,
+    HttpAnswer,
+    StartResponse,
+    TooLarge,
+    json_answer,
+    problem,
+    read_body,
+    respond,
+)
+from gypsumspoke.shell.table_client import TableClient
+
+MANIFEST_PATH = "/v1/manifest"
+MANIFEST_STATUS_PATH = "/v1/manifest/status"
+STATUS_PATH = "/v1/status"
+WORKERS_PATH = "/v1/workers/"
+CHANGE_ID_HEADER = "Gypsumspoke-Change-Id"
+MANIFEST_LIMIT = 512 * 1024
+CHANGE_ID_LENGTH = 100
+HISTORY_KEY = "changes/manifest"
+HISTORY_LENGTH = 50
+WRITE_TRIES = 3
+TABLE_ANSWER_SECONDS = 8.0
+
+_log = logging.getLogger(__name__)
+
+
+class OperatorTable:
+    """Calls the platform's table and waits for its answer.
+
+    Args:
+      client: a client of its own, so that operators don't wait behind the role.
+    """
+
+    def __init__(self, client: TableClient) -> None:
+        self._client = client
+        self._numbers = itertools.count(1)
+        self._waiting: dict[str, AsyncResult] = {}
+        client.start(self._resolve)
+
+    def close(self) -> None:
+        """Stop; calls under way go unanswered."""
+        self._client.close()
+
+    def read(self, prefix: str) -> dict[str, Row] | None:
+        """Return the rows whose key starts with ``prefix``, or None without answer."""
+        request = self._next()
+        event = self._call(ReadRows(request, prefix), RowsRead(request, None))
+        if event.rows is None:
+            return None
+        return {row.key: row for row in event.rows}
+
+    def write(
+        self,
+        checks: tuple[tuple[str, int], ...],
+        writes: tuple[tuple[str, str | None], ...],
+    ) -> RowsWritten:
+        """Run one transaction; while its answer is lost, send the very same again.
+
+        Sent again it can't take effect twice, because the first would have changed a
+        checked row. A CONFLICT after a lost answer may be with itself.
+        """
+        for _ in range(WRITE_TRIES):
+            request = self._next()
+            lost = RowsWritten(request, WriteOutcome.LOST, 0)
+            event = self._call(WriteRows(request, checks, writes), lost)
+            if event.outcome is not WriteOutcome.LOST:
+                break
+        return event
+
+    def _call(self, effect: ReadRows | WriteRows, lost: Any) -> Any:
+        result = AsyncResult()
+        self._waiting[effect.request] = result
+        try:
+            self._client.call(effect)
+            return result.get(timeout=TABLE_ANSWER_SECONDS)
+        except gevent.Timeout:
+            return lost
+        finally:
+            del self._waiting[effect.request]
+
+    def _resolve(self, event: RowsRead | RowsWritten) -> None:
+        waiting = self._waiting.get(event.request)
+        if waiting is not None:
+            waiting.set(event)
+
+    def _next(self) -> str:
+        return f"operator:{next(self._numbers)}"
+
+
+class _Refused(Exception):
+    """Carries a refusal out of the checks; never leaves this module."""
+
+    def __init__(self, kind: ErrorKind, detail: str, **more: Any) -> None:
+        super().__init__(detail)
+        self.answer = problem(refusal_of(kind, detail), **more)
+
+
+class _Change(NamedTuple):
+    """One accepted change of the manifest, as kept in the history row.
+
+    Attributes:
+      change_id: the operator's identity of the change.
+      version: version it got; 0 for the newest, whose version is its row's.
+      accepted: when, by the clock of the entry that wrote it.
+      digest: hash of the manifest's text; tells a change id used twice.
+    """
+
+    change_id: str
+    version: int
+    accepted: str
+    digest: str
+
+
+class _Stored(NamedTuple):
+    """The manifest and its history as they stand in the table."""
+
+    version: int
+    text: str
+    history_version: int
+    changes: tuple[_Change, ...]
+
+    def change(self, change_id: str) -> _Change | None:
+        """Return the accepted change with this id, or None if it is not known."""
+        for change in self.changes:
+            if change.change_id == change_id:
+                return change
+        return None
+
+
+class OperatorHttp:
+    """The WSGI application towards operators.
+
+    Args:
+      table: the platform's table.
+      view: gives this process's membership view, to be read only.
+      post: queues an event for the reducer.
+      clock: source of time.
+    """
+
+    def __init__(
+        self,
+        table: OperatorTable,
+        view: Callable[[], membership.MembershipState],
+        post: Callable[[Any], None],
+        clock: Clock,
+    ) -> None:
+        self._table = table
+        self._view = view
+        self._post = post
+        self._clock = clock
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request (WSGI)."""
+        try:
+            answer = self._answer(environ)
+        except _Refused as refused:
+            answer = refused.answer
+        return respond(answer, start)
+
+    def _answer(self, environ: Environ) -> HttpAnswer:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        routes = {
+            ("GET", MANIFEST_PATH): self._show_manifest,
+            ("PUT", MANIFEST_PATH): self._apply_manifest,
+            ("GET", MANIFEST_STATUS_PATH): self._show_manifest_status,
+            ("GET", STATUS_PATH): self._show_status,
+        }
+        if (method, path) in routes:
+            return routes[method, path](environ)
+        worker, _, action = path.removeprefix(WORKERS_PATH).rpartition("/")
+        if method == "POST" and path.startswith(WORKERS_PATH) and worker:
+            if action == "drain":
+                return self._drain(worker)
+            if action == "gone":
+                return self._gone(worker, environ)
+        raise _Refused(ErrorKind.INVALID_REQUEST, f"no such request: {method} {path}")
+
+    # -----------------------------------------------------------------------
+    # Manifest
+
+    def _show_manifest(self, environ: Environ) -> HttpAnswer:
+        stored = self._stored_manifest()
+        if stored.version == 0:
+            return problem(refusal_of(ErrorKind.NO_MANIFEST))
+        headers = [("ETag", f'"{stored.version}"')]
+        for change in stored.changes:
+            if change.version == stored.version:
+                headers.append((CHANGE_ID_HEADER, change.change_id))
+        return HttpAnswer(200, stored.text.encode(), tuple(headers))
+
+    def _apply_manifest(self, environ: Environ) -> HttpAnswer:
+        text = self._body(environ)
+        base = _base_version(environ)
+        change_id = _change_id(environ)
+        parsed = parse_manifest(text)
+        if not is_successful(parsed):
+            errors = list(parsed.failure())
+            raise _Refused(ErrorKind.INVALID_MANIFEST, "; ".join(errors), errors=errors)
+        stored = self._stored_manifest()
+        known = stored.change(change_id)
+        if known is None:
+            version = self._replace_manifest(stored, text, base, change_id)
+        elif known.digest == _digest(text):
+            version = known.version
+        else:
+            detail = "the change id was used with another manifest"
+            raise _Refused(ErrorKind.CONFLICT, detail)
+        _log.info("manifest accepted", extra={"version": version, "change": change_id})
+        self._post(Received("", ManifestUpdate(version, text)))
+        return json_answer({"version": version, "change_id": change_id})
+
+    def _replace_manifest(
+        self, stored: _Stored, text: str, base: int, change_id: str
+    ) -> int:
+        """Write the manifest in place of the version the operator read."""
+        if stored.version != base:
+            raise _conflict(base, stored.version)
+        accepted = self._clock.now().isoformat()
+        change = _Change(change_id, 0, accepted, _digest(text))
+        checks = (
+            (MANIFEST_KEY, stored.version),
+            (HISTORY_KEY, stored.history_version),
+        )
+        changes = (change, *stored.changes)[:HISTORY_LENGTH]
+        writes = ((MANIFEST_KEY, text), (HISTORY_KEY, _history_value(changes)))
+        written = self._table.write(checks, writes)
+        if written.outcome is WriteOutcome.COMMITTED:
+            return written.revision
+        # Whether it took effect or another change came first, the history tells.
+        read_back = self._stored_manifest()
+        found = read_back.change(change_id)
+        if found is not None:
+            return found.version
+        if written.outcome is WriteOutcome.LOST:
+            raise _Refused(
+                ErrorKind.STORE_UNAVAILABLE,
+                "the change may still take effect; ask again with the same change id",
+            )
+        raise _conflict(base, read_back.version)
+
+    def _stored_manifest(self) -> _Stored:
+        # The history is read first: read last, it could name a change that is newer
+        # than the text, and a pipeline would take an old text for its own.
+        history = self._read(HISTORY_KEY).get(HISTORY_KEY, Row(HISTORY_KEY, 0, None))
+        row = self._read(MANIFEST_KEY).get(MANIFEST_KEY, Row(MANIFEST_KEY, 0, None))
+        changes = _history_of(history)
+        return _Stored(row.version, row.value or "", history.version, changes)
+
+    def _show_manifest_status(self, environ: Environ) -> HttpAnswer:
+        view = self._view()
+        own = membership.manifest_version(view)
+        processes = []
+        for member in self._live_members():
+            version = own if membership.is_self(view, member.incarnation) else None
+            heard = membership.heard(view).get(member.incarnation)
+            if heard is not None:
+                version = heard.heartbeat.manifest_version
+            processes.append(
+                {
+                    "worker": member.worker,
+                    "incarnation": member.incarnation,
+                    "role": member.role.value,
+                    "manifest_version": version,
+                }
+            )
+        versions = {process["manifest_version"] for process in processes}
+        newest = max((version for version in versions if version), default=0)
+        return json_answer(
+            {
+                "newest_version": newest,
+                "in_force_everywhere": versions == {newest},
+                "processes": processes,
+            }
+        )
+
+    # -----------------------------------------------------------------------
+    # Members
+
+    def _show_status(self, environ: Environ) -> HttpAnswer:
+        view = self._view()
+        rows = sorted(membership.partition_rows(view).values())
+        partitions = [
+            {"partition": row.partition, "owner": row.owner, "epoch": row.epoch}
+            for row in rows
+        ]
+        members = [self._member_status(member) for member in membership.members(view)]
+        return json_answer(
+            {
+                "manifest_version": membership.manifest_version(view),
+                "members": members,
+                "partitions": partitions,
+            }
+        )
+
+    def _member_status(self, member: Member) -> dict[str, Any]:
+        view = self._view()
+        status = {
+            "worker": member.worker,
+            "incarnation": member.incarnation,
+            "role": member.role.value,
+            "address": f"{member.host}:{member.port}",
+            "admin_port": member.admin_port,
+            "failure_domain": member.failure_domain,
+            "rack": member.rack,
+            "service": member.service,
+            "slots": member.slots,
+            "registered": member.registered.isoformat(),
+            "ended": member.ended.isoformat() if member.ended else None,
+            "draining": member.draining,
+            "reachable": self._is_reachable(member),
+        }
+        heard = membership.heard(view).get(member.incarnation)
+        if heard is not None:
+            status["leaving"] = heard.heartbeat.leaving
+            status["clock_ahead_seconds"] = (
+                heard.heartbeat.clock - heard.at
+            ).total_seconds()
+            if heard.heartbeat.load is not None:
+                load = heard.heartbeat.load
+                status["running"] = load.running
+                status["queued"] = load.queued
+        return status
+
+    def _drain(self, worker: str) -> HttpAnswer:
+        """Mark the worker's row; its process reads the mark and drains.
+
+        The mark reaches it by the versions on heartbeats, also when the connection
+        between it and this entry does not work.
+        """
+        row, member = self._live_row(worker)
+        if not member.draining:
+            member = self._change_member(row, member._replace(draining=True))
+        return json_answer(
+            {"worker": worker, "incarnation": member.incarnation, "draining": True}
+        )
+
+    def _gone(self, worker: str, environ: Environ) -> HttpAnswer:
+        """Declare an incarnation ended with its memory, on the operator's word.
+
+        Homes stop waiting for it. If it still ran, what it starts would be unknown to
+        them; so the operator names the incarnation, which a restarted worker no longer
+        bears, and one that answers this entry is refused.
+        """
+        row, member = self._live_row(worker)
+        self._check_confirmation(environ, member)
+        if self._is_reachable(member):
+            raise _Refused(
+                ErrorKind.CONFLICT, "the process still answers; drain it instead"
+            )
+        ended = member._replace(ended=self._clock.now())
+        self._change_member(row, ended)
+        _log.warning(
+            "declared gone by an operator",
+            extra={"of_worker": worker, "incarnation": member.incarnation},
+        )
+        return json_answer(
+            {"worker": worker, "incarnation": member.incarnation, "ended": True}
+        )
+
+    def _check_confirmation(self, environ: Environ, member: Member) -> None:
+        try:
+            fields = json.loads(self._body(environ) or "{}")
+        except ValueError:
+            fields = None
+        if not isinstance(fields, dict):
+            raise _Refused(ErrorKind.INVALID_REQUEST, "the body is no JSON object")
+        confirmed = fields.get("confirm_ended_for_good") is True
+        if not confirmed or fields.get("incarnation") != member.incarnation:
+            raise _Refused(
+                ErrorKind.INVALID_REQUEST,
+                'the body must be {"incarnation": the one that ended, '
+                '"confirm_ended_for_good": true}',
+                incarnation=member.incarnation,
+            )
+
+    def _live_row(self, worker: str) -> tuple[Row, Member]:
+        """Return the row of the worker's live incarnation, read just now."""
+        live = []
+        for row in self._read(MEMBERS_PREFIX).values():
+            try:
+                member = member_from_row(row)
+            except ValueError:
+                continue
+            if member.worker == worker and member.ended is None:
+                live.append((member.registered, member.incarnation, row, member))
+        if not live:
+            raise _Refused(ErrorKind.INVALID_REQUEST, f"no live worker {worker!r}")
+        _, _, row, member = max(live)
+        return row, member
+
+    def _change_member(self, row: Row, changed: Member) -> Member:
+        value = member_value(changed)
+        written = self._table.write(((row.key, row.version),), ((row.key, value),))
+        if written.outcome is not WriteOutcome.COMMITTED:
+            now = self._read(row.key).get(row.key)
+            if now is None or now.value != value:
+                lost = written.outcome is WriteOutcome.LOST
+                kind = ErrorKind.STORE_UNAVAILABLE if lost else ErrorKind.CONFLICT
+                raise _Refused(kind, "the member's row changed meanwhile")
+        self._post(membership.ViewDoubted())
+        return changed
+
+    def _live_members(self) -> list[Member]:
+        found = membership.members(self._view())
+        return [member for member in found if member.ended is None]
+
+    def _is_reachable(self, member: Member) -> bool:
+        view = self._view()
+        is_self = membership.is_self(view, member.incarnation)
+        return is_self or member.incarnation in membership.reachable(view)
+
+    # -----------------------------------------------------------------------
+    # Table and body
+
+    def _read(self, prefix: str) -> dict[str, Row]:
+        rows = self._table.read(prefix)
+        if rows is None:
+            raise _Refused(ErrorKind.STORE_UNAVAILABLE, "the table does not answer")
+        return rows
+
+    def _body(self, environ: Environ) -> str:
+        try:
+            return read_body(environ, MANIFEST_LIMIT).decode()
+        except TooLarge:
+            raise _Refused(
+                ErrorKind.BODY_TOO_LARGE, f"at most {MANIFEST_LIMIT} bytes are taken"
+            ) from None
+        except (OSError, UnicodeDecodeError) as error:
+            raise _Refused(ErrorKind.INVALID_REQUEST, f"bad body: {error}") from error
+
+
+def _conflict(base: int, current: int) -> _Refused:
+    detail = f"version {base} is not in force, but {current}"
+    return _Refused(ErrorKind.CONFLICT, detail, current_version=current)
+
+
+def _base_version(environ: Environ) -> int:
+    """Return the version that the operator read, from If-Match; 0 for none."""
+    text = environ.get("HTTP_IF_MATCH", "").strip().strip('"')
+    if not text.isdecimal() or len(text) > 18:
+        raise _Refused(
+            ErrorKind.INVALID_REQUEST, 'If-Match must be the version read, as "7"'
+        )
+    return int(text)
+
+
+def _change_id(environ: Environ) -> str:
+    variable = "HTTP_" + CHANGE_ID_HEADER.upper().replace("-", "_")
+    change_id = environ.get(variable, "")
+    if not 0 < len(change_id) <= CHANGE_ID_LENGTH:
+        raise _Refused(
+            ErrorKind.INVALID_REQUEST, f"{CHANGE_ID_HEADER} must name this change"
+        )
+    return change_id
+
+
+def _digest(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+def _history_value(changes: tuple[_Change, ...]) -> str:
+    return json.dumps([change._asdict() for change in changes])
+
+
+def _history_of(row: Row) -> tuple[_Change, ...]:
+    """Return the kept changes, the newest first, each with its version."""
+    changes = [_Change(**fields) for fields in json.loads(row.value or "[]")]
+    if changes:
+        changes[0] = changes[0]._replace(version=row.version)
+    return tuple(changes)
--- /dev/null
+++ b/tests/shell/test_entry.py
@@ -0,0 +1,193 @@
+"""An entry as a process, over real HTTP, with a home that the test plays."""
+
+import json
+from contextlib import closing
+from datetime import timedelta
+
+import gevent
+import pytest
+from gevent import socket
+
+from gypsumspoke.core.data import (
+    Answer,
+    CancelJob,
+    JobAnswer,
+    Outcome,
+    QueryJob,
+    SubmitJob,
+)
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.rows import member_key
+from tests.standins.entry_process import DONE, PARTITIONS, job, request
+from tests.standins.processes import BOUND_SECONDS, call_json
+
+
+def test_a_job_travels_to_its_home_and_its_whole_answer_back(entry, home):
+    caller = entry.submit_later()
+    message = home.answer(DONE)
+    assert [task.body for task in message.submission.tasks] == [b'{"paid": 7}', b"2"]
+    status, _, body = caller.get(timeout=BOUND_SECONDS)
+    assert status == 200
+    assert body["work"] == "ran"
+    assert body["results"] == [{"pot": 1.1}, {"not_json_base64": "cGxhaW4="}]
+
+
+def test_a_refusal_is_a_problem_with_kind_claim_and_time_to_come_back(entry, home):
+    caller = entry.submit_later()
+    home.answer(
+        Answer(
+            ErrorKind.QUEUE_FULL,
+            Work.NOT_RUN,
+            next_attempt=3,
+            outcomes=(Outcome.NOT_RUN, Outcome.NOT_RUN),
+            retry_after=timedelta(seconds=1.2),
+        )
+    )
+    status, headers, body = caller.get(timeout=BOUND_SECONDS)
+    assert status == 503
+    assert headers["content-type"] == "application/problem+json"
+    assert headers["retry-after"] == "2"
+    assert body == {
+        "type": "urn:gypsumspoke:error:queue_full",
+        "title": "The queue is full.",
+        "status": 503,
+        "kind": "queue_full",
+        "work": "not_run",
+        "next_attempt": 3,
+        "outcomes": ["not_run", "not_run"],
+        "retry_after_seconds": 1.2,
+        "team": "pots",
+        "key": "k1",
+    }
+
+
+def test_answers_that_come_in_another_order_reach_their_own_callers(entry, home):
+    """Two callers wait; the home answers the second one first.
+
+    Each gets the answer of its own request, because answers are matched by request id
+    and not by the order on the connection.
+    """
+    first = entry.submit_later(key="a")
+    sender, one = home.take(SubmitJob)
+    second = entry.submit_later(key="b")
+    _, two = home.take(SubmitJob)
+    for message, result in ((two, b'"b"'), (one, b'"a"')):
+        answer = Answer(None, Work.RAN, (result,))
+        key = message.submission.key
+        home.links.send(sender, JobAnswer(message.request, key, answer))
+    assert first.get(timeout=BOUND_SECONDS)[2]["results"] == ["a"]
+    assert second.get(timeout=BOUND_SECONDS)[2]["results"] == ["b"]
+
+
+def test_a_caller_may_ask_for_the_answer_later(entry, home):
+    caller = gevent.spawn(entry.submit, (), {"Prefer": "respond-async"})
+    running = Answer(
+        ErrorKind.JOB_RUNNING, Work.RUNNING, retry_after=timedelta(seconds=1)
+    )
+    assert home.answer(running).wait is False
+    assert caller.get(timeout=BOUND_SECONDS)[0] == 202
+    query = gevent.spawn(request, entry.port, "GET", "/v1/jobs/pots/a%2Fb%20%C3%A9")
+    assert home.answer(DONE, QueryJob).key == ("pots", "a/b é")
+    assert query.get(timeout=BOUND_SECONDS)[0] == 200
+    cancel = gevent.spawn(request, entry.port, "DELETE", "/v1/jobs/pots/k1")
+    home.answer(Answer(ErrorKind.CANCELLED, Work.NOT_RUN), CancelJob)
+    status, _, body = cancel.get(timeout=BOUND_SECONDS)
+    assert (status, body["kind"]) == (200, "cancelled")
+
+
+def test_a_caller_that_disconnects_does_not_cancel(entry, home):
+    """A phone loses its connection while the job runs, and nothing tells the home.
+
+    The home sees no cancellation; the answer finds nobody and is dropped, and the next
+    request on another connection is served.
+    """
+    body = json.dumps(job()).encode()
+    head = f"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    with closing(socket.create_connection(("127.0.0.1", entry.port))) as caller:
+        caller.sendall(head.encode() + body)
+        sender, message = home.take(SubmitJob)
+    answer = JobAnswer(message.request, message.submission.key, DONE)
+    home.links.send(sender, answer)
+    again = entry.submit_later()
+    home.answer(DONE)
+    assert again.get(timeout=BOUND_SECONDS)[0] == 200
+
+
+@pytest.mark.parametrize(
+    "body, status, kind",
+    [
+        (b"{", 400, "invalid_request"),
+        (json.dumps(job(tasks=[{"body": 1}] * 131)).encode(), 400, "invalid_request"),
+        (json.dumps(job(team="nobody")).encode(), 403, "unknown_team"),
+        (json.dumps(job(service="nothing")).encode(), 404, "unknown_service"),
+        (json.dumps(job(deadline_seconds=-1)).encode(), 400, "deadline_in_past"),
+        (
+            json.dumps(job(birth="2999-01-01T00:00:00Z")).encode(),
+            400,
+            "birth_in_future",
+        ),
+        (json.dumps(job(birth="1999-01-01T00:00:00Z")).encode(), 410, "key_expired"),
+        (b" " * 10_000_000, 413, "body_too_large"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_bad_input_gets_a_clear_error(entry, home, body, status, kind):
+    found, _, problem = request(entry.port, "POST", "/v1/jobs", body)
+    assert (found, problem["kind"]) == (status, kind)
+    assert problem["work"] in ("not_passed_on", "unknown")
+    good = entry.submit_later()
+    home.answer(DONE)
+    assert good.get(timeout=BOUND_SECONDS)[0] == 200
+
+
+def test_an_endless_chunked_body_is_refused(entry):
+    piece = b"10000\r\n" + b" " * 0x10000 + b"\r\n"
+    head = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with closing(socket.create_connection(("127.0.0.1", entry.port))) as caller:
+        caller.settimeout(BOUND_SECONDS)
+        caller.sendall(head + piece * 20)
+        assert caller.recv(100).startswith(b"HTTP/1.1 413 ")
+
+
+def test_a_graceful_stop_cuts_no_request_in_flight(entry, home):
+    """The entry is told to stop while a caller waits for its job.
+
+    Its readiness goes off and a new request is refused, but the port stays open; when
+    the home answers, the waiting caller gets the whole answer; then the process exits
+    with status 0.
+    """
+    caller = entry.submit_later()
+    sender, message = home.take(SubmitJob)
+    entry.process.send_signal(15)
+    with gevent.Timeout(BOUND_SECONDS):
+        while request(entry.admin_port, "GET", "/readyz")[0] == 200:
+            gevent.sleep(0.02)
+    assert entry.submit({"key": "late"})[2]["kind"] == "entry_draining"
+    answer = JobAnswer(message.request, message.submission.key, DONE)
+    home.links.send(sender, answer)
+    assert caller.get(timeout=BOUND_SECONDS)[0] == 200
+    assert entry.process.wait_exit() == 0
+
+
+def test_an_idle_entry_stops_with_status_0_and_ends_its_registration(entry, table):
+    assert entry.process.terminate() == 0
+    [row] = [
+        row
+        for row in table.post("/v1/read", {"prefix": "members/entry"})["rows"]
+        if row["key"] == member_key(entry.incarnation)
+    ]
+    assert json.loads(row["value"])["ended"] is not None
+
+
+def test_serves_while_the_table_is_down(entry, table, home):
+    table.post("/faults", {"down": True})
+    caller = entry.submit_later()
+    home.answer(DONE)
+    assert caller.get(timeout=BOUND_SECONDS)[0] == 200
+
+
+def test_the_admin_port_shows_members_and_partitions(entry, home):
+    status, body = call_json(entry.admin_port, "GET", "/v1/status")
+    assert status == 200
+    assert {member["worker"] for member in body["members"]} == {"entry-a", "home"}
+    assert len(body["partitions"]) == PARTITIONS
--- /dev/null
+++ b/tests/standins/entry_process.py
@@ -0,0 +1,148 @@
+"""An entry process under test and the home that a test plays for it."""
+
+import json
+from contextlib import closing
+from datetime import datetime, timezone
+
+import gevent
+from gevent.queue import Queue
+from geventhttpclient import HTTPClient
+
+from gypsumspoke.core.clock import SystemClock
+from gypsumspoke.core.data import (
+    Answer,
+    CancelJob,
+    JobAnswer,
+    Member,
+    QueryJob,
+    Received,
+    Role,
+    SubmitJob,
+)
+from gypsumspoke.core.errors import Work
+from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
+from gypsumspoke.wire.links import PeerLinks
+from tests.standins.processes import BOUND_SECONDS
+
+PARTITIONS = 4
+MANIFEST = {
+    "services": [{"name": "estimate"}],
+    "teams": [{"name": "pots", "tasks_per_second": 1000, "burst_tasks": 500}],
+}
+DONE = Answer(None, Work.RAN, (b'{"pot": 1.10}', b"plain"))
+
+
+class Home:
+    """A member that the test plays; it keeps what it is sent."""
+
+    def __init__(self):
+        clock = SystemClock()
+        hello = Hello(PROTOCOL_VERSION, "home-1", "home", PARTITIONS)
+        self.links = PeerLinks(hello, clock)
+        self.port = self.links.listen("127.0.0.1", 0)
+        self.jobs = Queue()
+        self.links.start(self._take)
+
+    def member(self):
+        now = datetime.now(timezone.utc)
+        return Member(
+            incarnation="home-1",
+            worker="home",
+            role=Role.SIDECAR,
+            host="127.0.0.1",
+            port=self.port,
+            failure_domain="a",
+            rack="r",
+            service="estimate",
+            slots=8,
+            registered=now,
+            ended=None,
+            admin_port=1,
+        )
+
+    def take(self, kind):
+        """Return (sender, message) of the next job message."""
+        sender, message = self.jobs.get(timeout=BOUND_SECONDS)
+        assert isinstance(message, kind)
+        return sender, message
+
+    def answer(self, answer, kind=SubmitJob):
+        sender, message = self.take(kind)
+        key = message.submission.key if kind is SubmitJob else message.key
+        self.links.send(sender, JobAnswer(message.request, key, answer))
+        return message
+
+    def _take(self, event):
+        if isinstance(event, Received) and isinstance(
+            event.message, (SubmitJob, QueryJob, CancelJob)
+        ):
+            self.jobs.put((event.sender, event.message))
+
+
+class Entry:
+    """The process under test and its ports."""
+
+    def __init__(self, processes, table):
+        self.process = processes.start_role(
+            "entry",
+            {
+                "role": "entry",
+                "worker": "entry-a",
+                "host": "127.0.0.1",
+                "peer_port": 0,
+                "http_port": 0,
+                "admin_port": 0,
+                "failure_domain": "a",
+                "rack": "r",
+                "region": "north",
+                "table_host": "127.0.0.1",
+                "table_port": table.port,
+                "partition_count": PARTITIONS,
+                "drain_timeout_seconds": 20,
+            },
+        )
+        line = self.process.wait_for_line("listening")
+        self.port = line["http_port"]
+        self.admin_port = line["admin_port"]
+        self.incarnation = line["incarnation"]
+
+    def wait_ready(self):
+        with gevent.Timeout(BOUND_SECONDS):
+            while request(self.admin_port, "GET", "/readyz")[0] != 200:
+                gevent.sleep(0.02)
+        return self
+
+    def submit(self, changes=(), headers=None):
+        body = json.dumps(job(**dict(changes))).encode()
+        return request(self.port, "POST", "/v1/jobs", body, headers)
+
+    def submit_later(self, **changes):
+        return gevent.spawn(self.submit, changes)
+
+
+def job(**changes):
+    fields = {
+        "key": "k1",
+        "birth": datetime.now(timezone.utc).isoformat(),
+        "team": "pots",
+        "service": "estimate",
+        "deadline_seconds": 20,
+        "tasks": [{"body": {"paid": 7}}, {"body": 2}],
+    }
+    return {**fields, **changes}
+
+
+def request(port, method, path, body=b"", headers=None):
+    """Return status, headers and JSON body."""
+    client = HTTPClient("127.0.0.1", port, network_timeout=BOUND_SECONDS)
+    with closing(client):
+        response = client.request(method, path, body=body, headers=headers or {})
+        text = response.read()
+        found = {name.lower(): value for name, value in response.headers}
+        is_json = "json" in found.get("content-type", "")
+        return response.status_code, found, json.loads(text) if is_json else text
+
+
+def write(table, rows):
+    writes = [{"key": key, "value": value} for key, value in rows.items()]
+    table.post("/v1/transactions", {"checks": [], "writes": writes})
