--- a/gypsumspoke/core/entry_role.py
+++ b/gypsumspoke/core/entry_role.py
@@ -73,8 +73,7 @@
       now: the time of the event.
 
     Returns:
-      What the process has to do. Local events have been delivered already; they stand
-      here for the shell, which takes the peers' addresses from them.
+      What the process has to do; local events have been delivered already.
     """
     effects = _to_both(state, event, now)
     if isinstance(event, Drain) or entry.is_draining(state.requests):
@@ -88,6 +87,11 @@
     return registered and entry.is_ready(state.requests)
 
 
+def is_draining(state: EntryRoleState) -> bool:
+    """Return whether a graceful stop has begun."""
+    return entry.is_draining(state.requests)
+
+
 def _to_both(state: EntryRoleState, event, now: datetime) -> list[Effect]:
     effects: list[Effect] = []
     events = deque([event])
@@ -97,9 +101,10 @@
         entry.set_clock_off(state.requests, membership.clock_is_off(state.members))
         found += entry.reduce(state.requests, current, now)
         for effect in found:
-            effects.append(effect)
             if isinstance(effect, Local):
                 events.append(effect.event)
+            else:
+                effects.append(effect)
     return effects
 
 
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -1,139 +1,136 @@
-"""The process of an entry: binds the ports, joins the parts, runs the loop."""
+"""The process of an entry: sockets and timers around ``core/entry_role.py``."""
 
-import logging
-import uuid
+from collections.abc import Callable
 from contextlib import ExitStack, closing
-from datetime import datetime, timezone
+from datetime import timedelta
 
-from gypsumspoke.core import entry_role
+from gypsumspoke.core import entry_role, membership
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Deliver, Member, Role
+from gypsumspoke.core.data import Deliver
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
+from gypsumspoke.shell import metrics
 from gypsumspoke.shell.admin_http import AdminServer
 from gypsumspoke.shell.entry_http import CallerServer, EntryHttp
-from gypsumspoke.shell.metrics import Metrics, install
 from gypsumspoke.shell.operator_http import OperatorHttp, OperatorTable
+from gypsumspoke.shell.role import (
+    log_listening,
+    new_identity,
+    open_links,
+    own_member,
+    show_links,
+    with_addresses,
+)
 from gypsumspoke.shell.runtime import Runtime
 from gypsumspoke.shell.table_client import TableClient
-from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
-from gypsumspoke.wire.links import PeerLinks
 
 OPERATOR_PREFIX = "/v1/"
-
-_log = logging.getLogger(__name__)
-_NOT_YET = datetime.min.replace(tzinfo=timezone.utc)
+# The reducer ends a stop that takes too long by itself, with an answer to everybody
+# who waits; the runtime's bound is for a reducer that doesn't.
+_REDUCER_STOPS_WITHIN = timedelta(seconds=5)
 
 
 def run(settings: Settings, clock: Clock) -> int:
-    """Run an entry until it is told to stop.
+    """Run an entry until its graceful stop is complete.
 
     Args:
       settings: checked settings of the role entry.
       clock: source of time.
 
     Returns:
-      The exit status of the process.
+      The exit status; see ``Runtime.run``.
 
     Raises:
-      OSError: a port can't be had.
+      OSError: a port can't be bound.
     """
     with ExitStack() as stack:
-        return _Entry(settings, clock, stack).run()
-
-
-class _Entry:
-    """The parts of the process; the exit stack closes them in reverse order."""
-
-    def __init__(self, settings: Settings, clock: Clock, stack: ExitStack) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._metrics = Metrics(settings.role.value, settings.worker)
-        incarnation = f"{settings.worker}-{uuid.uuid4().hex}"
-        seed = uuid.uuid4().int
-        links = self._make_links(incarnation, seed, stack)
-        peer_port = links.listen(settings.host, settings.peer_port)
-        admin_port = self._start_admin(stack)
-        member = self._member(incarnation, peer_port, admin_port)
-        self._state = entry_role.new_entry_role(
-            member,
-            settings.partition_count,
-            seed,
-            parse_manifest,
-            settings.drain_timeout,
-        )
-        table = stack.enter_context(closing(TableClient(self._table_address)))
-        self._runtime = Runtime(entry_role.reduce, self._state, clock, links, table)
-        install(self._runtime, self._metrics)
-        ports = {
-            "peer_port": peer_port,
-            "http_port": self._start_callers(stack),
-            "admin_port": admin_port,
-        }
-        _log.info("listening", extra={"incarnation": incarnation, **ports})
-
-    @property
-    def _table_address(self) -> tuple[str, int]:
-        return self._settings.table_host, self._settings.table_port
-
-    def run(self) -> int:
-        """Turn the loop until the process has to end and return its status."""
-        return self._runtime.run()
-
-    def _make_links(self, incarnation: str, seed: int, stack: ExitStack) -> PeerLinks:
-        settings = self._settings
-        hello = Hello(
-            PROTOCOL_VERSION, incarnation, settings.worker, settings.partition_count
-        )
-        return stack.enter_context(closing(PeerLinks(hello, self._clock, seed)))
-
-    def _member(self, incarnation: str, peer_port: int, admin_port: int) -> Member:
-        settings = self._settings
-        return Member(
-            incarnation=incarnation,
-            worker=settings.worker,
-            role=Role.ENTRY,
-            host=settings.host,
-            port=peer_port,
-            failure_domain=settings.failure_domain,
-            rack=settings.rack,
-            service="",
-            slots=0,
-            registered=_NOT_YET,
-            ended=None,
-            admin_port=admin_port,
-        )
-
-    def _start_admin(self, stack: ExitStack) -> int:
-        """Start the administration port; it answers once the loop runs."""
-        table = OperatorTable(TableClient(self._table_address))
-        stack.enter_context(closing(table))
-        operators = OperatorHttp(
-            table,
-            lambda: self._state.members,
-            lambda event: self._runtime.post(event),
-            self._clock,
-        )
-        server = AdminServer(
-            self._settings.host,
-            self._settings.admin_port,
-            self._metrics,
-            lambda: entry_role.is_ready(self._state),
-            {OPERATOR_PREFIX: operators},
-        )
-        return stack.enter_context(server).port
-
-    def _start_callers(self, stack: ExitStack) -> int:
-        """Start the callers' port."""
-        application = EntryHttp(
-            self._runtime.post,
-            self._metrics.count,
-            self._clock,
-            lambda: self._runtime.draining,
-        )
-        self._runtime.handle(Deliver, application.deliver)
-        settings = self._settings
-        server = CallerServer(settings.host, settings.http_port, application)
-        stack.enter_context(closing(server))
-        server.start()
-        return server.port
+        return _open(settings, clock, stack).run()
+
+
+def _open(settings: Settings, clock: Clock, stack: ExitStack) -> Runtime:
+    """Bind the ports and put the parts together; the stack closes them."""
+    identity = new_identity(settings)
+    links = stack.enter_context(closing(open_links(settings, identity, clock)))
+    peer_port = links.listen(settings.host, settings.peer_port)
+    own_metrics = metrics.Metrics(settings.role.value, settings.worker)
+    show_links(own_metrics, links)
+    # The admin port must be bound before the member, and so the state, is known.
+    # Nothing is served until the loop runs, and by then state and runtime are there.
+    operators = _open_operators(
+        settings,
+        clock,
+        lambda: state.members,
+        lambda event: runtime.post(event),
+        stack,
+    )
+    admin = AdminServer(
+        settings.host,
+        settings.admin_port,
+        own_metrics,
+        ready=lambda: entry_role.is_ready(state),
+        extra_routes={OPERATOR_PREFIX: operators},
+    )
+    stack.enter_context(admin)
+    member = own_member(settings, identity, peer_port, admin.port, clock.now())
+    state = entry_role.new_entry_role(
+        member,
+        settings.partition_count,
+        identity.seed,
+        parse_manifest,
+        settings.drain_timeout,
+    )
+    table = stack.enter_context(closing(_table_client(settings)))
+    runtime = Runtime(
+        with_addresses(entry_role.reduce, _membership_of, links),
+        state,
+        clock,
+        links,
+        table,
+        drain_timeout=settings.drain_timeout + _REDUCER_STOPS_WITHIN,
+        is_draining=lambda: entry_role.is_draining(state),
+    )
+    metrics.install(runtime, own_metrics)
+    callers = _open_callers(settings, clock, state, runtime, own_metrics)
+    stack.enter_context(closing(callers))
+    log_listening(peer_port=peer_port, http_port=callers.port, admin_port=admin.port)
+    return runtime
+
+
+def _membership_of(state: entry_role.EntryRoleState) -> membership.MembershipState:
+    return state.members
+
+
+def _table_client(settings: Settings) -> TableClient:
+    return TableClient((settings.table_host, settings.table_port))
+
+
+def _open_operators(
+    settings: Settings,
+    clock: Clock,
+    view: Callable[[], membership.MembershipState],
+    post: Callable[[object], None],
+    stack: ExitStack,
+) -> OperatorHttp:
+    """Return the operators' interface, with a table client of its own."""
+    table = stack.enter_context(closing(OperatorTable(_table_client(settings))))
+    return OperatorHttp(table, view, post, clock)
+
+
+def _open_callers(
+    settings: Settings,
+    clock: Clock,
+    state: entry_role.EntryRoleState,
+    runtime: Runtime,
+    own_metrics: metrics.Metrics,
+) -> CallerServer:
+    """Start the callers' port and join it to the runtime."""
+    application = EntryHttp(
+        runtime.post,
+        own_metrics.count,
+        clock,
+        is_draining=lambda: entry_role.is_draining(state),
+    )
+    runtime.handle(Deliver, application.deliver)
+    server = CallerServer(settings.host, settings.http_port, application)
+    server.start()
+    return server
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -134,7 +134,8 @@
             limit = max(patience, timedelta(0)) + _ANSWER_SLACK
             return result.get(timeout=limit.total_seconds())
         except gevent.Timeout:
-            _log.error("no answer from the reducer", extra={"request": event.request})
+            details = {"request": event.request}
+            _log.error({"message": "no answer from the reducer", "details": details})
             self._post(CallerLeft(event.request))
             return refusal_of(ErrorKind.INTERNAL)
         finally:
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -247,7 +247,7 @@
         else:
             detail = "the change id was used with another manifest"
             raise _Refused(ErrorKind.CONFLICT, detail)
-        _log.info("manifest accepted", extra={"version": version, "change": change_id})
+        _note(logging.INFO, "manifest accepted", version=version, change_id=change_id)
         self._post(Received("", ManifestUpdate(version, text)))
         return json_answer({"version": version, "change_id": change_id})
 
@@ -391,9 +391,11 @@
             )
         ended = member._replace(ended=self._clock.now())
         self._change_member(row, ended)
-        _log.warning(
-            "declared gone by an operator",
-            extra={"of_worker": worker, "incarnation": member.incarnation},
+        _note(
+            logging.WARNING,
+            "worker declared gone by an operator",
+            of_worker=worker,
+            incarnation=member.incarnation,
         )
         return json_answer(
             {"worker": worker, "incarnation": member.incarnation, "ended": True}
@@ -471,6 +473,11 @@
             raise _Refused(ErrorKind.INVALID_REQUEST, f"bad body: {error}") from error
 
 
+def _note(level: int, event: str, **details: str | int) -> None:
+    """Write one log line in the shape of ``shell/logs.py``."""
+    _log.log(level, {"message": event, "details": details})
+
+
 def _conflict(base: int, current: int) -> _Refused:
     detail = f"version {base} is not in force, but {current}"
     return _Refused(ErrorKind.CONFLICT, detail, current_version=current)
--- a/tests/standins/entry_process.py
+++ b/tests/standins/entry_process.py
@@ -101,15 +101,17 @@
                 "drain_timeout_seconds": 20,
             },
         )
-        line = self.process.wait_for_line("listening")
-        self.port = line["http_port"]
-        self.admin_port = line["admin_port"]
-        self.incarnation = line["incarnation"]
+        ports = self.process.wait_for_line("listening")["details"]
+        self.port = ports["http_port"]
+        self.admin_port = ports["admin_port"]
 
     def wait_ready(self):
         with gevent.Timeout(BOUND_SECONDS):
             while request(self.admin_port, "GET", "/readyz")[0] != 200:
                 gevent.sleep(0.02)
+        status = request(self.admin_port, "GET", "/v1/status")[2]
+        [own] = [m for m in status["members"] if m["worker"] == "entry-a"]
+        self.incarnation = own["incarnation"]
         return self
 
     def submit(self, changes=(), headers=None):
