--- a/tests/test_built_file.py
+++ b/tests/test_built_file.py
@@ -74,7 +74,7 @@
     }
 
 
-@pytest.mark.parametrize("role", ["sidecar"])
+@pytest.mark.parametrize("role", ["entry", "sidecar"])
 def test_each_role_runs_as_one_process_and_stops(
     role, environment, tmp_path, monkeypatch
 ):
@@ -83,7 +83,8 @@
         table, upstream = processes.start_table(), processes.start_upstream()
         settings = settings_of(role, table, upstream)
         process = processes.start_role(role, settings, BUILT_FILE)
-        ports = process.wait_for_line("listening")["details"]
+        line = process.wait_for_line("listening")
+        ports = line.get("details", line)
         health = call_json(ports["admin_port"], "GET", "/healthz", parse=False)
         assert health == (200, b"ok\n")
         children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
