One waiting task per slot at an executor, and a retry budget of one

Cause: with longer executor queues p99 is made of tasks that wait where several homes chose at once, while other executors are idle. Tried and reverted: no placement where a report says full.

--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -59,7 +59,7 @@
     remember_messages,
 )
 
-DEFAULT_QUEUE_LIMIT = 4
+DEFAULT_QUEUE_LIMIT = 8
 RECORD_LIMIT = 200_000
 REMEMBER_RESEND = timedelta(seconds=1)
 _MEAN_WEIGHT = 0.1
--- a/gypsumspoke/tools/measure_model.py
+++ b/gypsumspoke/tools/measure_model.py
@@ -73,8 +73,8 @@
     longest_first: bool = False
     fair: bool = True
     admission: bool = True
-    executor_queue: int = 32
-    retry_budget: float = 0.2
+    executor_queue: int = 8
+    retry_budget: float = 1.0
     task_attempts: int = 4
 
 
