--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -80,8 +80,9 @@
 _REINSTATE_BELOW = 0.3
 _EJECT_RELATIVE = 2.0
 _MOST_EJECTED_SHARE = 1 / 3
-_FIRST_PROBE = 1.0
+_FIRST_PROBE = 5.0
 _LAST_PROBE = 60.0
+_PROBE_GROWTH = 4.0
 _UNBOUNDED = 1 << 30
 _BROKEN_UPSTREAM = frozenset(
     {
@@ -535,7 +536,7 @@
     """Space probes out while they fail; reinstate after a few good ones."""
     pool = _service(state, executor.member.service)
     if failed:
-        executor.probe_pause = min(_LAST_PROBE, 2 * executor.probe_pause)
+        executor.probe_pause = min(_LAST_PROBE, _PROBE_GROWTH * executor.probe_pause)
         _schedule_probe(state, executor, now)
     elif executor.failure_rate < _REINSTATE_BELOW:
         executor.ejected = False
