An executor that was paused asks whether it still counts before it starts anything

Cause: a home and an executor paused together and replaced by the platform start tasks again when both wake: the next home rightly counts the executor as gone and does not fence it. Ruled out: the epoch alone, which nobody told this executor. Change: a pause of a second or more makes the executor read its own row before any start. Before: the new history ends with a second start; after: it passes, also with the table down. A second finding of the walks: the deadline estimate refused every job of a home with an empty queue after slow tasks; such a job is tried now.

--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -662,6 +662,7 @@
     EXECUTOR_QUEUE_FULL = "executor_queue_full"
     EXECUTOR_LEAVING = "executor_leaving"
     EXECUTOR_JOINING = "executor_joining"
+    EXECUTOR_PAUSED = "executor_paused"
     STALE_EPOCH = "stale_epoch"
     ALREADY_STARTED = "already_started"
     REFUSED_FOR_GOOD = "refused_for_good"
--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -37,11 +37,13 @@
     PartitionsChanged,
     Policy,
     ReachabilityChanged,
+    ReadRows,
     Received,
     Remember,
     RememberAck,
     RetryReason,
     Role,
+    RowsRead,
     Send,
     StartRecord,
     StartTask,
@@ -52,6 +54,7 @@
     Tick,
     UpstreamAnswered,
 )
+from gypsumspoke.core.rows import member_from_row, member_key
 from gypsumspoke.core.start_records import (
     StartRecords,
     expiry_bound,
@@ -61,6 +64,9 @@
 
 DEFAULT_QUEUE_LIMIT = 8
 RECORD_LIMIT = 200_000
+OWN_PAUSE = timedelta(seconds=1)
+SELF_READ_RETRY = timedelta(seconds=1)
+_SELF_READ = "executor:self"
 REMEMBER_RESEND = timedelta(seconds=1)
 _MEAN_WEIGHT = 0.1
 
@@ -126,6 +132,10 @@
         self._unremembered: set[int] | None = None
         self._remember_sent: datetime | None = None
         self._remember_round = 0
+        self._last_event: datetime | None = None
+        self._unsure = False
+        self._self_read: datetime | None = None
+        self._self_read_number = 0
 
     @property
     def records(self) -> StartRecords:
@@ -174,7 +184,32 @@
     Returns:
       What the shell must do, in order.
     """
-    return _on(event, state, now)
+    effects = _notice_own_pause(state, now)
+    return effects + _on(event, state, now)
+
+
+def _notice_own_pause(state: ExecutorState, now: datetime) -> list[Effect]:
+    """Start nothing after a pause until the table says that this process still counts.
+
+    While it was paused the platform may have replaced it. The replacement's
+    registration tells new homes that nothing starts here any more; if a former home
+    woke up with it, the two would start tasks that others started long ago. Reading
+    the own row after the pause is enough: a process is not replaced while it runs.
+    """
+    last = state._last_event
+    state._last_event = now
+    if last is None or now - last < OWN_PAUSE:
+        return []
+    state._unsure = True
+    return _read_own_row(state, now)
+
+
+def _read_own_row(state: ExecutorState, now: datetime) -> list[Effect]:
+    # The number tells the answer apart from one that was asked for before the pause.
+    state._self_read_number += 1
+    state._self_read = now
+    request = f"{_SELF_READ}:{state._self_read_number}"
+    return [ReadRows(request, member_key(state._incarnation))]
 
 
 @singledispatch
@@ -235,6 +270,8 @@
         return RetryReason.JOB_CLOSED
     if _is_refused(state, attempt):
         return RetryReason.REFUSED_FOR_GOOD
+    if state._unsure:
+        return RetryReason.EXECUTOR_PAUSED
     if state._leaving:
         return RetryReason.EXECUTOR_LEAVING
     if message.service != state._service:
@@ -286,6 +323,8 @@
 def _start_waiting(state: ExecutorState, now: datetime) -> list[Effect]:
     """Fill free slots from the queue; refuse what waited past its deadline."""
     effects: list[Effect] = []
+    if state._unsure:
+        return effects
     while state._waiting and len(state._running) < state._slots:
         waiting = state._waiting.popleft()
         if now >= waiting.start.deadline:
@@ -415,6 +454,17 @@
     ]
 
 
+@_on.register
+def _(event: RowsRead, state: ExecutorState, now: datetime) -> list[Effect]:
+    if event.request != f"{_SELF_READ}:{state._self_read_number}":
+        return []
+    for row in event.rows or ():
+        is_own = row.key == member_key(state._incarnation)
+        if is_own and member_from_row(row).ended is None:
+            state._unsure = False
+    return _start_waiting(state, now)
+
+
 @_on_message.register
 def _(
     message: AskAttempt, sender: str, state: ExecutorState, now: datetime
@@ -617,6 +667,8 @@
     _expire_refused(state, now)
     overdue = [waiting for waiting in state._waiting if now >= waiting.start.deadline]
     effects = _drop_waiting(state, overdue, RetryReason.DEADLINE_PASSED)
+    if state._unsure and now - state._self_read >= SELF_READ_RETRY:
+        effects += _read_own_row(state, now)
     return effects + _start_waiting(state, now) + _tell_records(state, now)
 
 
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -294,7 +294,9 @@
     if ahead > state.policy.home_queue_limit:
         return Shortage(ErrorKind.QUEUE_FULL, wait)
     run = expected_run(state.placement, submission.service)
-    if now + wait + run > submission.deadline:
+    # With nothing queued the job is tried whatever the estimate says: an estimate from
+    # a time of slow upstreams would else refuse all jobs and never be corrected.
+    if state.queued and now + wait + run > submission.deadline:
         return Shortage(ErrorKind.DEADLINE_UNREACHABLE, wait)
     return None
 
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -234,6 +234,17 @@
         if dead:
             self.system.join(dead[index % len(dead)])
 
+    @rule(index=INDEXES)
+    def replace_a_paused_one(self, index):
+        """The platform gives up a paused worker and starts its replacement."""
+        workers = [
+            worker
+            for worker in sorted(self.system.incarnations)
+            if self.system.nodes[self.system.current(worker)].paused
+        ]
+        if workers:
+            self.system.join(workers[index % len(workers)])
+
     @rule(index=INDEXES)
     def pause(self, index):
         name = self._pick(index, lambda node: not node.paused)
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -347,6 +347,36 @@
         assert set(system.starts(submission.key).values()) == {1}
 
 
+def test_a_replaced_pair_that_wakes_starts_nothing():
+    """A job runs at the next home; the former home and an executor wake as one.
+
+    Both were paused together and replaced by the platform, so the next home counts the
+    executor as gone and does not fence it. Awake again, the former home takes a copy
+    and places it there. The executor noticed its pause and finds its row ended.
+    """
+    system = settled_system(workers=3, partitions=1)
+    former = system.owner(system.submission("k").key)
+    pair = [name for name in system.nodes if name != former][0]
+    for name in (former, pair):
+        system.pause(name)
+        system.join(name.split(".")[0])
+    system.run(TAKEN_OVER + 2)
+    submission = system.submission("k", tasks=2)
+    system.submit(submission)
+    system.run(1)
+    assert set(system.starts(submission.key).values()) == {1}
+    for name in (former, pair):
+        system.nodes[name].backlog.clear()
+        system.nodes[name].paused = False
+    system.table.is_down = True
+    system.submit(submission, to=former)
+    system.deliver_all()
+    assert set(system.starts(submission.key).values()) == {1}
+    system.table.is_down = False
+    system.run(1)
+    assert set(system.starts(submission.key).values()) == {1}
+
+
 def test_the_table_down_changes_nothing_for_owned_partitions():
     """Callers are served while the platform's table is down for long."""
     system = settled_system(workers=3, partitions=4)
