Covers of an owner end with its ownership; lost executors are told on only if heard

Ruled out: the fences, each history had them all. Change: such a cover carries the epoch and counts for the direct next owner only; an unheard executor is never told on.

--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -331,7 +331,10 @@
     effects: list[Effect] = []
     for partition in list(state.takeover.owned):
         ownership = state.serving(partition)
-        if ownership is not None and ownership.floor.lossy_before is None:
+        if ownership is None or ownership.floor.lossy_before is not None:
+            continue
+        # Who went before it was heard may have started tasks unknown here.
+        if lost not in ownership.unheard:
             effects += _retell(state, ownership, lost, now)
     return effects
 
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -543,6 +543,8 @@
     ]
     effects = takeover.set_members(state.takeover, event.members, now)
     _update_placement(state)
+    # A takeover may have ended with this event; what it learned must be told too.
+    effects += _act_on_notices(state, now)
     for incarnation in lost:
         effects += adoption.retell_lost(state, incarnation, now)
     return effects
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -6,7 +6,9 @@
 older than the retention, since from then on the key itself is refused.
 
 ``covers`` names other incarnations whose records of a partition also stand here; a
-new home needs it to tell "nothing was started" from "the record is lost".
+new home needs it to tell "nothing was started" from "the record is lost". A name alone
+is of a process that starts nothing any more; ``name@epoch`` is of one that owned the
+partition under that epoch and counts only as long as no later home owned it.
 """
 
 import heapq
@@ -27,6 +29,7 @@
 
 CHUNK_RECORDS = 500
 CHUNK_BYTES = 1_000_000
+_COVER_MARK = "@"
 
 _STATE_RANK = {
     TaskState.UNKNOWN: 0,
@@ -155,8 +158,10 @@
     def keep_covers(self, incarnations: Iterable[str]) -> None:
         """Drop covers of all but these: rows stand until the retention is over."""
         known = set(incarnations)
-        for covered in self._covers.values():
-            covered &= known
+        for partition, covered in self._covers.items():
+            self._covers[partition] = {
+                cover for cover in covered if cover.split(_COVER_MARK)[0] in known
+            }
 
     def expire(self, born_before: datetime) -> None:
         """Drop everything about submissions born before a time."""
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -137,6 +137,8 @@
       handed: the former owner's ledger, if it handed it over.
       giver: incarnation that waits for a HandoffAck; empty if none.
       now: the current time.
+
+    ``unheard`` names incarnations whose records were lost before they were heard.
     """
 
     def __init__(
@@ -160,6 +162,7 @@
         self.required: set[str] = set()
         self.parts: dict[str, dict[int, FenceAck]] = {}
         self.acknowledged: set[str] = set()
+        self.unheard: frozenset[str] = frozenset()
         self.remember_to = ""
         self.remembered = False
 
@@ -689,7 +692,8 @@
         for name in ownership.acknowledged
         for part in ownership.parts[name].values()
     ]
-    lossy = bool(_uncovered(state, ownership, parts, now))
+    ownership.unheard = frozenset(_uncovered(state, ownership, parts, now))
+    lossy = bool(ownership.unheard)
     ownership.floor = _floor(state, ownership, lossy, now)
     adopted = _adopt(state, ownership, parts, complete=not lossy)
     closed = tuple(record for part in parts for record in part.closed)
@@ -730,9 +734,20 @@
         # It may hold starts that an earlier owner placed there.
         suspects.add(former.owner)
     covered = {name for part in parts for name in part.covers}
+    if former is not None and cover_as_owner(former.owner, former.epoch) in covered:
+        suspects.discard(former.owner)
     return suspects - covered - ownership.acknowledged
 
 
+def cover_as_owner(incarnation: str, epoch: int) -> str:
+    """Return the cover for an executor whose process owns the partition.
+
+    While it owns the partition it starts none of its tasks, so what it told on taking
+    over stays all that it holds, but only until another home owns it.
+    """
+    return f"{incarnation}@{epoch}"
+
+
 def _adopt(
     state: TakeoverState,
     ownership: Ownership,
@@ -811,10 +826,11 @@
     started = [record for part in parts for record in part.started]
     closed = [record for part in parts for record in part.closed]
     covers = {name for part in parts for name in part.covers}
-    covers.add(state._incarnation)
+    covers.discard(state._incarnation)
+    covers.add(cover_as_owner(state._incarnation, ownership.epoch))
     messages = remember_messages(
         ownership.partition,
-        _remember_source(state, ownership),
+        cover_as_owner(state._incarnation, ownership.epoch),
         started,
         closed,
         tuple(sorted(covers)),
@@ -822,14 +838,12 @@
     return [Send(ownership.remember_to, message) for message in messages]
 
 
-def _remember_source(state: TakeoverState, ownership: Ownership) -> str:
-    return f"{state._incarnation}@{ownership.epoch}"
-
-
 def remember_acknowledged(state: TakeoverState, message: RememberAck) -> list[Effect]:
     """Note that another executor holds the own executor's records."""
     ownership = state._owned.get(message.partition)
-    if ownership is not None and message.source == _remember_source(state, ownership):
+    if ownership is None:
+        return []
+    if message.source == cover_as_owner(state._incarnation, ownership.epoch):
         ownership.remembered = True
         ownership.parts.clear()
     return []
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -153,6 +153,7 @@
         self.flights = []
         self.links = set()
         self.cuts = set()
+        self.is_lost = lambda message: False
         self.told = []
         self.started = []
         self.counts = Tally()
@@ -348,6 +349,8 @@
             return
         if frozenset((flight.sender, flight.to)) in self.cuts:
             return
+        if self.is_lost(flight.message):
+            return
         self.post(flight.to, Received(flight.sender, flight.message))
 
     def _tell(self, message):
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -317,6 +317,14 @@
             assert version >= self.versions.get(name, 0)
             self.versions[name] = version
 
+    def _nodes(self):
+        return list(self.system.nodes.values())
+
+    def _replace_all(self):
+        for worker in list(self.system.incarnations):
+            if not self.system.nodes[self.system.current(worker)].alive:
+                self.system.join(worker)
+
     def teardown(self):
         """After the faults a new job is served, and old ones still not twice."""
         if not hasattr(self, "submissions"):
@@ -329,9 +337,10 @@
                 system.wake(name)
         system.hold_upstreams = False
         system.run(8)
-        for worker in list(system.incarnations):
-            if not system.nodes[system.current(worker)].alive:
-                system.join(worker)
+        self._replace_all()
+        while any(node.alive and node.state.is_draining for node in self._nodes()):
+            system.run(1)
+        self._replace_all()
         system.run(12)
         for submission in self.submissions:
             system.submit(submission)
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -6,7 +6,14 @@
 
 from datetime import timedelta
 
-from gypsumspoke.core.data import Counter, StartTask
+from gypsumspoke.core.data import (
+    AttemptId,
+    Counter,
+    Handoff,
+    Received,
+    Remember,
+    StartTask,
+)
 from gypsumspoke.core.errors import ErrorKind, Work
 from tests.core.system import System
 
@@ -177,6 +184,145 @@
         assert set(system.starts(submission.key).values()) == {1}
 
 
+def test_a_death_before_the_records_were_told_makes_old_keys_unknown():
+    """H2 takes over from H1 and dies before it could tell what its executor held.
+
+    The caller of a job that H1 had run at H2's worker hears "unknown". "Not run" would
+    be wrong: the only record of the start died with H2.
+    """
+    system = settled_system(workers=4, partitions=1)
+    submissions = [system.submission(f"k{number}", tasks=1) for number in range(8)]
+    for submission in submissions:
+        system.submit(submission)
+    system.run(1)
+    first = system.owner(submissions[0].key)
+    system.is_lost = lambda message: (
+        isinstance(message, Remember) and not message.source.startswith(first)
+    )
+    system.kill(first)
+    system.run(TAKEN_OVER)
+    second = system.owner(submissions[0].key)
+    lost = [s for s in system.started if second.startswith(s.worker + ".")]
+    assert lost
+    # The second home learns that the first one is gone, tells on what that one knew,
+    # and dies before it could give the partition back to the first one's worker.
+    system.join(first.split(".")[0])
+    system.is_lost = lambda message: (
+        isinstance(message, Handoff)
+        or isinstance(message, Remember)
+        and not message.source.startswith(first)
+    )
+    while not system.counts[Counter.HANDOFF_SENT]:
+        system.run(0.1)
+    system.kill(second)
+    system.run(TAKEN_OVER + 1)
+    for submission in submissions:
+        system.submit(submission)
+    system.run(1)
+    for start in lost:
+        assert system.answers(start.key)[-1].work is Work.UNKNOWN
+
+
+def test_what_an_owner_told_does_not_cover_what_its_executor_started_later():
+    """H2 told its records when it took over, then gave the partition to H3.
+
+    H3 places a job on H2's worker, and both workers die. A third executor still holds
+    what H2 told as owner; it must not pass for all that H2's executor ever started, or
+    the job's resubmission would be told "not run".
+    """
+    system = settled_system(workers=4, partitions=1)
+    first = system.owner(system.submission("k").key)
+    system.kill(first)
+    system.run(TAKEN_OVER)
+    second = system.owner(system.submission("k").key)
+    system.join(first.split(".")[0])
+    system.run(TAKEN_OVER)
+    third = system.owner(system.submission("k").key)
+    assert third not in (first, second)
+    born = system.now
+    for number in range(8):
+        system.submit(system.submission(f"k{number}", tasks=1, birth=born))
+    system.run(1)
+    lost = [s for s in system.started if second.startswith(s.worker + ".")]
+    assert lost
+    for name in (second, third):
+        system.kill(name)
+    for name in (second, third):
+        system.join(name.split(".")[0])
+    system.run(TAKEN_OVER + 1)
+    for start in lost:
+        system.submit(system.submission(start.key.key, tasks=1, birth=born))
+    system.run(1)
+    for start in lost:
+        assert system.answers(start.key)[-1].work is Work.UNKNOWN
+
+
+def test_an_executor_lost_while_a_handed_partition_waits_is_told_on_in_full():
+    """A home hands over; while the next one waits for a fence, two executors die.
+
+    One had answered the fence with a start, the other had not. Both are replaced, the
+    partition is served, and its home dies too. The job on the first must not be told
+    "not run", and a job on the second must not be started again.
+    """
+    system = settled_system(workers=5, partitions=1)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=8)
+    system.submit(submission)
+    system.run(0.5)
+    home = system.owner(submission.key)
+    workers = sorted({start.worker for start in system.started})
+    silent, answering = (f"{worker}.1" for worker in workers[:2])
+    system.pause(silent)
+    system.drain(home)
+    system.run(1)
+    assert system.owner(submission.key) != home
+    system.kill(silent)
+    system.kill(answering)
+    for worker in workers[:2]:
+        system.join(worker)
+    system.run(TAKEN_OVER)
+    system.hold_upstreams = False
+    system.kill(system.owner(submission.key))
+    system.run(TAKEN_OVER + 1)
+    system.join("more")
+    system.run(1)
+    system.submit(submission)
+    system.run(3)
+    assert set(system.starts(submission.key).values()) == {1}
+    for answer in system.answers(submission.key):
+        assert answer.work is not Work.NOT_RUN
+
+
+def test_a_key_born_ahead_of_the_next_homes_clock_stays_refused():
+    """A caller whose clock runs ahead is refused; its late copy must not run.
+
+    The first home's clock runs ahead too, so it took the birth. The next home's clock
+    shows a time before that birth when it takes over.
+    """
+    system = settled_system(workers=4, partitions=1)
+    former = system.owner(system.submission("k").key)
+    system.nodes[former].offset = timedelta(seconds=0.9)
+    system.hold_upstreams = True
+    for number in range(10):
+        system.submit(system.submission(f"fill{number}"))
+    born = system.now + timedelta(seconds=2.1)
+    refused = system.submission("k", tasks=1, birth=born)
+    system.run(0.3)
+    system.submit(refused)
+    system.cancel(refused.key)
+    system.run(0.2)
+    assert system.answers(refused.key)[0].work is Work.NOT_RUN
+    system.kill(former)
+    system.hold_upstreams = False
+    while system.owner(refused.key) == former:
+        system.run(0.1)
+    system.run(0.2)
+    assert system.now < born
+    system.submit(refused)
+    system.run(1)
+    assert not system.starts(refused.key)
+
+
 def test_an_executor_lost_with_its_records_makes_old_unknown_keys_unknown():
     """The caller is told "unknown", which is true, and never gets a second start.
 
@@ -272,8 +418,6 @@
     assert home.takeover.owned[0].epoch == epoch
     system.wake(former)
     start = _start_of(submission, system, epoch)
-    from gypsumspoke.core.data import Received
-
     system.post(joined, Received(former, start))
     system.deliver_all()
     assert not node.running
@@ -281,8 +425,6 @@
 
 
 def _start_of(submission, system, epoch):
-    from gypsumspoke.core.data import AttemptId
-
     return StartTask(
         AttemptId(submission.key, 0, 999, epoch),
         0,
