An idle home forgets slow runs instead of refusing every job

Cause: after a long pause of the workers the mean run time passes every deadline, so the home refused all jobs as unreachable, ran none, and never learned that runs are fast again; found by the stateful test of the promises. Without a task in flight the expected wait is now zero and the run the assumed one. The test of the waiting time gave an idle home a wait of a second; it is replaced by one with a task in flight and an exact rate. The stateful test fails before and passes after.

--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -151,6 +151,7 @@
         self.usable = _Pool()
         self.free = _Pool()
         self.probes: list[tuple[float, str]] = []
+        self.in_flight = 0
         self.mean_run: float | None = None
         self.failure_rate = 0.0
         self.ejected = 0
@@ -272,6 +273,7 @@
     if executor.in_flight == 0:
         executor.quiet_since = _seconds(now)
     executor.in_flight += 1
+    _service(state, executor.member.service).in_flight += 1
     if executor.ejected:
         _schedule_probe(state, executor, _seconds(now))
     _refresh(state, executor)
@@ -303,7 +305,9 @@
     executor = state._executors.get(incarnation)
     if executor is None:
         return False
-    executor.in_flight = max(0, executor.in_flight - 1)
+    if executor.in_flight:
+        executor.in_flight -= 1
+        _service(state, executor.member.service).in_flight -= 1
     executor.quiet_since = _seconds(now)
     if outcome is Outcome.DONE and run_time is not None:
         _learn_run(state, executor, run_time.total_seconds())
@@ -328,8 +332,15 @@
 
 
 def expected_run(state: PlacementState, service: str) -> timedelta:
-    """Return the mean run time of the service's tasks as observed."""
+    """Return the mean run time of the service's tasks as observed.
+
+    Without a task in flight it is the assumed one. A home refuses jobs by this value:
+    after a time of slow runs it would refuse all, run none, and so never learn that
+    runs are fast again. This way an idle home tries one job and learns from it.
+    """
     pool = state._services.get(service)
+    if pool is None or not pool.in_flight:
+        return timedelta(seconds=_ASSUMED_RUN)
     return timedelta(seconds=_service_mean(pool))
 
 
@@ -345,9 +356,12 @@
       queued: tasks that wait at this home in front.
 
     Returns:
-      The time; that of a whole run per task when no executor is in sight.
+      The time; that of a whole run per task when no executor is in sight; zero
+      without a task in flight, for the reason given at ``expected_run``.
     """
     pool = state._services.get(service)
+    if pool is not None and not pool.in_flight:
+        return timedelta(0)
     rate = 0.0
     for incarnation in pool.known if pool else ():
         executor = state._executors[incarnation]
@@ -625,6 +639,7 @@
     """Drop an executor that is no longer registered."""
     executor = state._executors.pop(incarnation)
     pool = _service(state, executor.member.service)
+    pool.in_flight -= executor.in_flight
     pool.known.discard(incarnation)
     pool.usable.remove(incarnation)
     pool.free.remove(incarnation)
