Failure tests with real processes: home killed, home paused past takeover

A fixture brings up a table, four upstreams, four sidecars and two entries; each answer is checked to be whole, its own, and true when it says "not run".

--- /dev/null
+++ b/tests/failures/system.py
@@ -0,0 +1,350 @@
+"""A whole system of real processes for one test: table, upstreams, sidecars, entries."""
+
+import json
+import os
+from collections import Counter
+from contextlib import ExitStack
+from pathlib import Path
+from time import monotonic
+from typing import Any, NamedTuple
+
+import gevent
+from returns.result import Success
+
+from gypsumspoke.core.clock import SystemClock
+from gypsumspoke.core.data import JobKey
+from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.tools.caller_client import JOBS_PATH, new_key
+from gypsumspoke.tools.http_client import Address, Request, exchange
+from gypsumspoke.tools.operator_client import apply_manifest
+from tests.standins.processes import Process, Processes, call_json
+from tests.standins.relay import Relay
+
+HOST = "127.0.0.1"
+BOUND_SECONDS = 60
+PARTITIONS = 16
+SERVICE = "estimate"
+TEAM = "tax"
+WORKERS = ("worker-1", "worker-2", "worker-3", "worker-4")
+ENTRIES = ("entry-1", "entry-2")
+PAUSE_SECONDS = 0.1
+
+
+class Said(NamedTuple):
+    """One answer to a caller; ``status`` is 0 when none came."""
+
+    status: int
+    body: dict[str, Any]
+
+    @property
+    def kind(self) -> str:
+        """Error kind; "complete" for a complete answer."""
+        return "complete" if self.status == 200 else self.body.get("kind", "no_answer")
+
+    @property
+    def work(self) -> str:
+        """What is claimed about the work."""
+        return self.body.get("work", "")
+
+
+def manifest(teams=None, services=None, **policy) -> str:
+    """Return a manifest with short bounds; ``policy`` goes over them."""
+    bounds = {"takeover_after_seconds": 2, "unreachable_after_seconds": 3}
+    service = {"name": SERVICE, "queue_limit_tasks": 64, **(services or {})}
+    rate = {"tasks_per_second": 10_000, "burst_tasks": 10_000}
+    others = [{"name": name, **quota} for name, quota in (teams or {}).items()]
+    return json.dumps(
+        {
+            "services": [service],
+            "teams": [{"name": TEAM, **rate}, *others],
+            "policy": {**bounds, **policy},
+        }
+    )
+
+
+def job(key: str | None = None, tasks: int = 1, sleep: float = 0.0, **more) -> dict:
+    """Return a job whose tasks sleep and echo their number."""
+    bodies = [{"body": {"sleep_seconds": sleep, "echo": n}} for n in range(tasks)]
+    return {
+        "key": key or new_key(SystemClock()),
+        "team": TEAM,
+        "service": SERVICE,
+        "deadline_seconds": 30,
+        "tasks": bodies,
+        **more,
+    }
+
+
+def wait_until(condition, what: str):
+    """Return the first true value of ``condition``.
+
+    Raises:
+      AssertionError: the bound passed first.
+    """
+    with gevent.Timeout(BOUND_SECONDS, False):
+        while True:
+            found = condition()
+            if found:
+                return found
+            gevent.sleep(0.05)
+    raise AssertionError(f"waited in vain for {what}")
+
+
+class System:
+    """The processes of one test and what their callers see.
+
+    Args:
+      folder: for settings and logs.
+      text: the manifest.
+      relayed: put a relay in front of the peer port of each process.
+    """
+
+    def __init__(self, folder: Path, text: str, relayed: bool = False) -> None:
+        self._stack = ExitStack()
+        self._processes = self._stack.enter_context(Processes(folder))
+        self._relayed = relayed
+        self._own_reads = 0
+        self.relays: list[Relay] = []
+        self.table = self._processes.start_table()
+        self.upstreams = {name: self._processes.start_upstream() for name in WORKERS}
+        self.roles: dict[str, Process] = {}
+        for name in ENTRIES + WORKERS:
+            self.start(name, wait=False)
+        for name in ENTRIES + WORKERS:
+            self.roles[name].wait_for_line("listening")
+        self.version = wait_until(lambda: self._apply(text), "the manifest")
+        wait_until(self.settled, "all partitions owned and known")
+        self._settled_counts = self._table_counts()
+
+    def close(self) -> None:
+        """End all processes."""
+        self._stack.close()
+
+    # -----------------------------------------------------------------------
+    # Processes
+
+    def start(self, name: str, wait: bool = True) -> None:
+        """Start a role; under a name used before it is the replacement."""
+        port = self._add_relay(name) if self._relayed else None
+        self.roles[name] = self._processes.start_role(
+            "entry" if name in ENTRIES else "sidecar", self._settings(name), wait=wait
+        )
+        if port is not None:
+            self.relays[-1].aim((HOST, self.ports(name)["peer_port"]))
+
+    def ports(self, name: str) -> dict[str, int]:
+        """Return the ports of a process."""
+        return self.roles[name].wait_for_line("listening")["details"]
+
+    def ready(self, name: str) -> bool:
+        """Return whether a process says that it takes new work."""
+        admin = self.ports(name)["admin_port"]
+        return call_json(admin, "GET", "/readyz", parse=False)[0] == 200
+
+    def metric(self, name: str, metric: str) -> float:
+        """Return the sum of a metric's series at one process."""
+        admin = self.ports(name)["admin_port"]
+        text = call_json(admin, "GET", "/metrics", parse=False)[1].decode()
+        lines = [line for line in text.splitlines() if line.startswith(metric)]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+
+    def admin(self, name: str = ENTRIES[0]) -> Address:
+        """Return a process's administration port."""
+        return Address(HOST, self.ports(name)["admin_port"])
+
+    def settled(self) -> bool:
+        """Return whether live workers own all partitions and all are ready."""
+        live = [name for name in WORKERS if self.roles[name].alive]
+        owners = set(self.owners().values())
+        entries = [name for name in ENTRIES if self.roles[name].alive]
+        return (
+            len(self.owners()) == PARTITIONS
+            and owners <= set(live)
+            and all(self.ready(name) for name in entries + live)
+        )
+
+    # -----------------------------------------------------------------------
+    # The table
+
+    def rows(self, prefix: str) -> dict[str, Any]:
+        """Return the values of rows by the rest of their key."""
+        self._own_reads += 1
+        rows = self.table.post("/v1/read", {"prefix": prefix})["rows"]
+        return {
+            row["key"].removeprefix(prefix): json.loads(row["value"]) for row in rows
+        }
+
+    def table_use(self) -> dict[str, int]:
+        """Return the processes' reads and writes since the system was settled."""
+        counts = self._table_counts()
+        return {what: counts[what] - self._settled_counts[what] for what in counts}
+
+    def owners(self) -> dict[int, str]:
+        """Return the worker that owns each partition; empty for none that lives."""
+        members = self.rows("members/")
+        live = {key: m["worker"] for key, m in members.items() if m["ended"] is None}
+        return {
+            int(number): live.get(row["owner"], "")
+            for number, row in self.rows("partitions/").items()
+        }
+
+    def partitions_of(self, worker: str) -> list[int]:
+        """Return the partitions that a worker owns."""
+        return [number for number, owner in self.owners().items() if owner == worker]
+
+    def key_in(self, partitions: list[int]) -> str:
+        """Return a new key of one of these partitions."""
+        while True:
+            key = new_key(SystemClock())
+            if partition_of(JobKey(TEAM, key), PARTITIONS) in partitions:
+                return key
+
+    def owner_of(self, key: str) -> str:
+        """Return the worker that is home of a key."""
+        return self.owners()[partition_of(JobKey(TEAM, key), PARTITIONS)]
+
+    # -----------------------------------------------------------------------
+    # Callers
+
+    def submit(self, entry: str, body: dict) -> Said:
+        """Submit one copy and return what is said to it."""
+        address = Address(HOST, self.ports(entry)["http_port"])
+        request = Request("POST", JOBS_PATH, {}, json.dumps(body).encode())
+        reply = exchange(address, request, BOUND_SECONDS)
+        if not isinstance(reply, Success):
+            return Said(0, {})
+        said = Said(reply.unwrap().status, json.loads(reply.unwrap().body))
+        self._check(said, body)
+        return said
+
+    def submit_later(self, entry: str, body: dict) -> gevent.Greenlet:
+        """Submit one copy in the background."""
+        return gevent.spawn(self.submit, entry, body)
+
+    def until_final(self, body: dict, first: str = ENTRIES[0]) -> list[Said]:
+        """Resubmit as a careful caller does; return all answers, the last is final."""
+        said: list[Said] = []
+        order = sorted(ENTRIES, key=lambda name: name != first)
+        deadline = monotonic() + BOUND_SECONDS
+        while monotonic() < deadline:
+            live = [name for name in order if self.roles[name].alive]
+            entry = live[len(said) % len(live)]
+            said.append(self.submit(entry, body))
+            if said[-1].work == "not_run" and "next_attempt" in said[-1].body:
+                body = {**body, "attempt": said[-1].body["next_attempt"]}
+            elif said[-1].status and "retry_after_seconds" not in said[-1].body:
+                return said
+            gevent.sleep(PAUSE_SECONDS)
+        raise AssertionError(f"no final answer: {said}")
+
+    def starts(self, key: str) -> Counter[str]:
+        """Return how often each task of a key started, over all upstreams."""
+        return Counter(start["task"] for start in self._starts() if start["key"] == key)
+
+    def most_starts(self) -> int:
+        """Return the most starts of any task of any key."""
+        counts = Counter((start["key"], start["task"]) for start in self._starts())
+        return max(counts.values(), default=0)
+
+    def running_at(self, key: str) -> str:
+        """Return the worker at whose upstream a task of this key started, or ""."""
+        for name, upstream in self.upstreams.items():
+            starts = upstream.get("/starts")["starts"]
+            if any(start["key"] == key for start in starts):
+                return name
+        return ""
+
+    # -----------------------------------------------------------------------
+    # Availability
+
+    def serve_again(self, fault: str, partitions: list[int], since: float) -> None:
+        """Serve one first-seen key of each partition and report how that went."""
+        jobs = [job(self.key_in([number])) for number in partitions]
+        probes = [gevent.spawn(self._probe, body, since) for body in jobs]
+        gevent.joinall(probes, raise_error=True)
+        answers = [said for probe in probes for said in probe.value[1]]
+        report = {
+            "fault": fault,
+            "served_again_seconds": round(max(p.value[0] for p in probes), 2),
+            "keys": len(jobs),
+            "unknown_at_last": sum(p.value[1][-1].work == "unknown" for p in probes),
+            "answers": len(answers),
+            "unknown_answers": sum(said.work == "unknown" for said in answers),
+            "kinds": Counter(said.kind for said in answers),
+            "table": self.table_use(),
+        }
+        note(report)
+        assert all(p.value[1][-1].status == 200 for p in probes), report
+
+    def _probe(self, body: dict, since: float) -> tuple[float, list[Said]]:
+        said = self.until_final(body)
+        return monotonic() - since, said
+
+    # -----------------------------------------------------------------------
+
+    def _table_counts(self) -> dict[str, int]:
+        counts = self.table.get("/counts")
+        return {**counts, "reads": counts["reads"] - self._own_reads}
+
+    def _apply(self, text: str) -> int:
+        return apply_manifest(self.admin(), text).value_or(0)
+
+    def _starts(self) -> list[dict[str, str]]:
+        return [
+            start
+            for upstream in self.upstreams.values()
+            for start in upstream.get("/starts")["starts"]
+        ]
+
+    def _check(self, said: Said, body: dict) -> None:
+        """Check one answer: whole, its own, and true when it says "not run"."""
+        if said.status == 200:
+            echoes = [result["echo"] for result in said.body["results"]]
+            assert echoes == [task["body"]["echo"] for task in body["tasks"]]
+            assert said.body["key"] == body["key"]
+        if said.work == "not_run":
+            assert not self.starts(body["key"]), (said, body["key"])
+
+    def _add_relay(self, name: str) -> int:
+        relay = Relay(None)
+        self._stack.callback(relay.close)
+        self.relays.append(relay)
+        port = relay.address[1]
+        self.table.post("/advertised", {"worker": name, "port": port})
+        return port
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        number = name.rpartition("-")[2]
+        settings = {
+            "role": "entry",
+            "worker": name,
+            "host": HOST,
+            "peer_port": 0,
+            "admin_port": 0,
+            "failure_domain": f"domain-{number}",
+            "rack": f"rack-{number}",
+            "region": "region-1",
+            "table_host": HOST,
+            "table_port": self.table.port,
+            "partition_count": PARTITIONS,
+        }
+        if name in ENTRIES:
+            return {**settings, "http_port": 0}
+        return {
+            **settings,
+            "role": "sidecar",
+            "service": SERVICE,
+            "slots": 8,
+            "upstream_host": HOST,
+            "upstream_port": self.upstreams[name].port,
+        }
+
+
+def note(report: dict[str, Any]) -> None:
+    """Print a measured figure, and keep it where GYPSUMSPOKE_AVAILABILITY says."""
+    line = json.dumps(report)
+    print(line)
+    path = os.environ.get("GYPSUMSPOKE_AVAILABILITY")
+    if path:
+        with open(path, "a") as file:
+            file.write(line + "\n")
--- /dev/null
+++ b/tests/failures/test_home_lost.py
@@ -0,0 +1,53 @@
+"""The home of a running job dies or pauses."""
+
+import signal
+from time import monotonic
+
+import gevent
+
+from tests.failures.system import job, wait_until
+
+
+def test_home_killed_while_a_job_runs(system):
+    """The caller resubmits through the other entry and gets one complete answer.
+
+    The home is killed once all tasks have started elsewhere. Another home takes the
+    partition, learns of the starts from the executors, and answers from their results.
+    """
+    body = job(tasks=4, sleep=1.0)
+    home = system.owner_of(body["key"])
+    partitions = system.partitions_of(home)
+    waiting = system.submit_later("entry-1", body)
+    wait_until(lambda: len(system.starts(body["key"])) == 4, "all tasks started")
+    system.roles[home].kill()
+    killed = monotonic()
+    again = gevent.spawn(system.until_final, body, "entry-2")
+    system.serve_again("home killed", partitions, killed)
+    assert again.get()[-1].status == 200
+    assert waiting.get().work in ("ran", "unknown")
+    assert system.most_starts() == 1
+
+
+def test_home_paused_past_takeover_and_woken(system):
+    """No task starts twice, and nothing that ran is said not to have.
+
+    The home stops while a job's tasks run and while others wait; it wakes when all its
+    partitions have another owner and still believes that it owns them. Executors
+    refuse its lower epoch, so it can neither start nor deny anything.
+    """
+    body = job(tasks=4, sleep=0.5)
+    home = system.owner_of(body["key"])
+    partitions = system.partitions_of(home)
+    late = job(system.key_in(partitions))
+    system.submit_later("entry-1", body)
+    wait_until(lambda: len(system.starts(body["key"])) == 4, "all tasks started")
+    system.roles[home].send_signal(signal.SIGSTOP)
+    stopped = monotonic()
+    copy = system.submit_later("entry-1", late)
+    wait_until(lambda: not system.partitions_of(home), "takeover")
+    system.roles[home].send_signal(signal.SIGCONT)
+    system.serve_again("home paused past takeover", partitions, stopped)
+    for resubmitted in (body, late):
+        assert system.until_final(resubmitted, "entry-2")[-1].status == 200
+    copy.get()
+    assert system.most_starts() == 1
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -150,7 +150,11 @@
         return self._start_stand_in("tests.standins.upstream")
 
     def start_role(
-        self, command: str, settings: dict[str, Any], built_file: Path | None = None
+        self,
+        command: str,
+        settings: dict[str, Any],
+        built_file: Path | None = None,
+        wait: bool = True,
     ) -> Process:
         """Start a role of the product and wait until it listens.
 
@@ -158,6 +162,7 @@
           command: the sub-command, "entry" or "sidecar".
           settings: the whole settings file.
           built_file: the one executable file, to start it in place of the sources.
+          wait: False returns before it listens.
         """
         self._count += 1
         path = self._folder / f"{self._count}.settings.json"
@@ -166,7 +171,8 @@
         if built_file is None:
             arguments.insert(0, "gypsumspoke")
         process = self.start(*arguments, program=built_file)
-        process.wait_for_line("listening")
+        if wait:
+            process.wait_for_line("listening")
         return process
 
     def _start_stand_in(self, module: str) -> "StandIn":
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -13,10 +13,10 @@
     """Forwards 127.0.0.1 connections to a target.
 
     Args:
-      target: (host, port) to forward to.
+      target: (host, port) to forward to; None until ``aim`` tells it.
     """
 
-    def __init__(self, target: tuple[str, int]) -> None:
+    def __init__(self, target: tuple[str, int] | None) -> None:
         self._target = target
         self._listener = socket()
         self._listener.bind(("127.0.0.1", 0))
@@ -32,6 +32,10 @@
         """Where to connect instead of the target."""
         return self._listener.getsockname()
 
+    def aim(self, target: tuple[str, int]) -> None:
+        """Forward new connections to this (host, port)."""
+        self._target = target
+
     def silence(self) -> None:
         """Forward nothing more on today's connections; new ones work."""
         self._forwarding.clear()
@@ -48,6 +52,9 @@
     def _accept(self) -> None:
         while True:
             near, _ = self._listener.accept()
+            if self._target is None:
+                near.close()
+                continue
             far = socket()
             try:
                 far.connect(self._target)
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -5,11 +5,13 @@
 are counted. Run: python -m tests.standins.table --port 0
 """
 
+import json
 from typing import NamedTuple
 
 import click
 import gevent
 
+from gypsumspoke.core.rows import MEMBERS_PREFIX
 from tests.standins.server import Routes, Unanswered, serve
 
 
@@ -35,6 +37,7 @@
         self._revision = 0
         self._faults = Faults()
         self._counts = {"reads": 0, "writes": 0}
+        self._advertised: dict[str, int] = {}
 
     @property
     def routes(self) -> Routes:
@@ -43,6 +46,7 @@
             ("POST", "/v1/read"): self._read,
             ("POST", "/v1/transactions"): self._transact,
             ("POST", "/faults"): self._set_faults,
+            ("POST", "/advertised"): self._set_advertised,
             ("GET", "/counts"): lambda body, environ: (200, self._counts),
         }
 
@@ -50,6 +54,11 @@
         self._faults = Faults(**body)
         return 200, self._faults._asdict()
 
+    def _set_advertised(self, body, environ):
+        """Registrations of this worker name a relay's port from now on."""
+        self._advertised[body["worker"]] = body["port"]
+        return 200, {}
+
     def _read(self, body, environ):
         self._counts["reads"] += 1
         self._suffer()
@@ -80,7 +89,15 @@
             if write["value"] is None:
                 self._rows.pop(write["key"], None)
             else:
-                self._rows[write["key"]] = (self._revision, write["value"])
+                value = self._with_relay(write["key"], write["value"])
+                self._rows[write["key"]] = (self._revision, value)
+
+    def _with_relay(self, key: str, value: str) -> str:
+        if not self._advertised or not key.startswith(MEMBERS_PREFIX):
+            return value
+        member = json.loads(value)
+        member["port"] = self._advertised.get(member["worker"], member["port"])
+        return json.dumps(member)
 
     def _suffer(self):
         if self._faults.down:
