--- /dev/null
+++ b/tests/core/test_safeguards.py
@@ -0,0 +1,162 @@
+"""Each safeguard switched off: the history that it is for then breaks its promise.
+
+A test that passes proves little if it also passes without the mechanism. Here each
+mechanism is taken out, and the history that needs it must fail.
+"""
+
+from datetime import datetime, timezone
+
+import pytest
+
+from gypsumspoke.core import (
+    dispatch,
+    endings,
+    executor,
+    home,
+    ledger,
+    start_records,
+    takeover,
+)
+from gypsumspoke.core.data import RetryReason
+from tests.core import test_executor_starts as starts, test_takeover as histories
+
+LONG_AGO = datetime(2000, 1, 1, tzinfo=timezone.utc)
+
+
+def _without_refusal(reason):
+    with_all = executor._refusal
+
+    def refusal(state, message, now):
+        found = with_all(state, message, now)
+        return None if found is reason else found
+
+    return refusal
+
+
+def _keep_waiting(state, partition, epoch):
+    known = state._epochs.get(partition, 0)
+    state._epochs[partition] = max(known, epoch)
+    return []
+
+
+def _settle_unasked(state, confirmation, now):
+    state.confirmations.pop(confirmation.partition, None)
+    return endings._settle(state, confirmation, confirmed=True, now=now)
+
+
+def _uncovered_but_for_the_former_owner(state, ownership, parts, now):
+    found = _UNCOVERED(state, ownership, parts, now)
+    former = ownership.former
+    return found - ({former.owner} if former is not None else set())
+
+
+_UNCOVERED = takeover._uncovered
+
+SWITCHED_OFF = [
+    pytest.param(
+        executor,
+        "_refusal",
+        _without_refusal(RetryReason.STALE_EPOCH),
+        histories.test_a_paused_home_that_wakes_starts_nothing,
+        id="executors refuse lower epochs",
+    ),
+    pytest.param(
+        executor,
+        "_refusal",
+        _without_refusal(RetryReason.EXECUTOR_JOINING),
+        starts.test_nothing_starts_before_the_map_was_read,
+        id="executors wait for the map",
+    ),
+    pytest.param(
+        executor,
+        "_raise_epoch",
+        _keep_waiting,
+        starts.test_a_fence_drops_the_former_homes_waiting_tasks,
+        id="a fence drops waiting tasks",
+    ),
+    pytest.param(
+        executor,
+        "_mark_refused",
+        lambda state, attempt, until: None,
+        starts.test_a_try_said_never_seen_does_not_start_when_its_message_comes_late,
+        id="refused tries are marked",
+    ),
+    pytest.param(
+        executor,
+        "_notice_own_pause",
+        lambda state, now: [],
+        histories.test_a_replaced_pair_that_wakes_starts_nothing,
+        id="a paused executor asks whether it still counts",
+    ),
+    pytest.param(
+        takeover,
+        "floor_birth",
+        lambda now, skew: LONG_AGO,
+        histories.test_a_key_refused_before_a_takeover_stays_refused_after_it,
+        id="older unknown keys need a new attempt number",
+    ),
+    pytest.param(
+        takeover,
+        "floor_birth",
+        lambda now, skew: now,
+        histories.test_a_key_born_ahead_of_the_next_homes_clock_stays_refused,
+        id="the floor allows for clocks that differ",
+    ),
+    pytest.param(
+        takeover,
+        "_uncovered",
+        lambda state, ownership, parts, now: set(),
+        histories.test_keys_whose_records_were_lost_are_unknown,
+        id="lost records make old keys unknown",
+    ),
+    pytest.param(
+        takeover,
+        "_uncovered",
+        _uncovered_but_for_the_former_owner,
+        histories.test_a_death_before_the_records_were_told_makes_old_keys_unknown,
+        id="the former owner's executor must be covered",
+    ),
+    pytest.param(
+        takeover,
+        "cover_as_owner",
+        lambda incarnation, epoch: incarnation,
+        histories.test_what_an_owner_told_does_not_cover_later_starts,
+        id="an owner's cover ends with its ownership",
+    ),
+    pytest.param(
+        endings,
+        "_ask_next",
+        _settle_unasked,
+        histories.test_a_paused_home_that_wakes_does_not_say_not_run,
+        id="not run is confirmed before it is said",
+    ),
+    pytest.param(
+        home.adoption,
+        "retell_lost",
+        lambda state, lost, now: [],
+        histories.test_a_home_tells_on_what_a_lost_executor_knew,
+        id="homes tell on what lost executors knew",
+    ),
+    pytest.param(
+        takeover,
+        "_adopt",
+        lambda state, ownership, parts, complete: {},
+        histories.test_a_job_is_resumed_by_the_next_home_without_a_second_start,
+        id="the next home adopts what was started",
+    ),
+]
+
+
+@pytest.mark.parametrize("module, name, without, history", SWITCHED_OFF)
+def test_without_its_safeguard_the_history_breaks(
+    monkeypatch, module, name, without, history
+):
+    monkeypatch.setattr(module, name, without)
+    with pytest.raises((AssertionError, ValueError)):
+        history()
+
+
+def test_the_modules_under_test_are_the_ones_in_use():
+    assert dispatch.complete is endings.complete
+    assert takeover.floor_birth is ledger.floor_birth
+    assert executor.fence_acks is start_records.fence_acks
