--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -238,6 +238,11 @@
     return effects + [Send(notice.target, chunk) for chunk in chunks]
 
 
+def forgotten_before(state: HomeState, ownership: Ownership) -> datetime:
+    """Return the birth before which a key may have run without a record here."""
+    return max(ownership.forgotten_before, state.ledger.forgotten_before)
+
+
 def _snapshot(state: HomeState, ownership: Ownership) -> HandedLedger:
     partition = ownership.partition
     finished = state.ledger.all_finished(partition)
@@ -258,6 +263,7 @@
     return HandedLedger(
         floor.born_before,
         floor.lossy_before,
+        forgotten_before(state, ownership),
         tuple(state.ledger.all_refused(partition)),
         tuple(finished + running + adopted),
     )
@@ -293,6 +299,7 @@
             handed.born_before,
             ownership.floor.generation,
             handed.lossy_before,
+            handed.forgotten_before,
             refused_part,
             finished_part,
         )
@@ -355,7 +362,14 @@
     ]
     started = _started_at(state, partition, lost)
     target = helpers[state.placement_number % len(helpers)]
-    messages = remember_messages(partition, source, started, closed, (lost,))
+    messages = remember_messages(
+        partition,
+        source,
+        started,
+        closed,
+        (lost,),
+        forgotten_before(state, ownership),
+    )
     return [Send(target, message) for message in messages]
 
 
--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -10,7 +10,7 @@
 another's. Times are aware UTC datetimes, durations are timedeltas, bodies are bytes.
 """
 
-from datetime import datetime, timedelta
+from datetime import datetime, timedelta, timezone
 from enum import Enum
 from typing import NamedTuple
 
@@ -59,6 +59,7 @@
 
 
 MAX_TASKS = 130
+NOTHING_FORGOTTEN = datetime(1970, 1, 1, tzinfo=timezone.utc)
 
 
 class Answer(NamedTuple):
@@ -473,6 +474,7 @@
       started: start records, including ones remembered for other executors.
       closed: closed jobs.
       covers: incarnations all of whose records of the partition stand here.
+      forgotten_before: records of submissions born before may have been dropped.
     """
 
     partition: int
@@ -483,6 +485,7 @@
     started: tuple[StartRecord, ...]
     closed: tuple[ClosedRecord, ...]
     covers: tuple[str, ...]
+    forgotten_before: datetime
 
 
 class FenceRefused(NamedTuple):
@@ -529,6 +532,7 @@
       chunk, chunks: position of this chunk, from 0, and how many there are.
       started, closed: the records.
       covers: ``source`` and all that it covers itself.
+      forgotten_before: records of submissions born before may have been dropped.
     """
 
     partition: int
@@ -538,6 +542,7 @@
     started: tuple[StartRecord, ...]
     closed: tuple[ClosedRecord, ...]
     covers: tuple[str, ...]
+    forgotten_before: datetime
 
 
 class RememberAck(NamedTuple):
@@ -555,6 +560,7 @@
       chunk, chunks: position of this chunk, from 0, and how many there are.
       floor, generation: see ``Ownership`` in core/ledger.py.
       lossy_before: unknown keys born before this are RECORDS_LOST; None if none.
+      forgotten_before: keys born before this may have been dropped from the ledger.
       refused, finished: the ledger. A job that still runs stands in ``finished`` with
         kind JOB_RUNNING; the fence finds what it started.
     """
@@ -567,6 +573,7 @@
     floor: datetime
     generation: int
     lossy_before: datetime | None
+    forgotten_before: datetime
     refused: tuple[RefusedRecord, ...]
     finished: tuple[FinishedRecord, ...]
 
--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -64,7 +64,7 @@
 
 DEFAULT_QUEUE_LIMIT = 8
 RECORD_LIMIT = 200_000
-OWN_PAUSE = timedelta(seconds=1)
+OWN_PAUSE = timedelta(seconds=2)
 SELF_READ_RETRY = timedelta(seconds=1)
 _SELF_READ = "executor:self"
 REMEMBER_RESEND = timedelta(seconds=1)
@@ -194,7 +194,8 @@
     While it was paused the platform may have replaced it. The replacement's
     registration tells new homes that nothing starts here any more; if a former home
     woke up with it, the two would start tasks that others started long ago. Reading
-    the own row after the pause is enough: a process is not replaced while it runs.
+    the own row after the pause is enough: a process is not replaced while it runs, and
+    a shorter pause than this is too short for a replacement to start and register.
     """
     last = state._last_event
     state._last_event = now
@@ -278,6 +279,8 @@
         return RetryReason.WRONG_SERVICE
     if now >= message.deadline or now > message.birth + state._policy.retention:
         return RetryReason.DEADLINE_PASSED
+    if message.birth < state._records.forgotten_before:
+        return RetryReason.DEADLINE_PASSED
     return _shortage(state)
 
 
@@ -601,6 +604,7 @@
 
 
 def _keep_part(state: ExecutorState, part: Remember) -> None:
+    state._records.note_forgotten(part.forgotten_before)
     for record in part.started:
         if record.state is TaskState.RUNNING:
             # It runs elsewhere; its end is not known here.
@@ -652,7 +656,14 @@
     started = [record for chunk in chunks for record in chunk.started]
     closed = [record for chunk in chunks for record in chunk.closed]
     covers = state._records.covers(partition)
-    messages = remember_messages(partition, state._incarnation, started, closed, covers)
+    messages = remember_messages(
+        partition,
+        state._incarnation,
+        started,
+        closed,
+        covers,
+        state._records.forgotten_before,
+    )
     return [Send(target, message) for message in messages]
 
 
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -165,7 +165,8 @@
         return ErrorKind.CLOCK_OFF
     if submission.birth > now + policy.clock_skew:
         return ErrorKind.BIRTH_IN_FUTURE
-    if submission.birth < now - policy.retention:
+    forgotten_before = adoption.forgotten_before(state, ownership)
+    if submission.birth < max(now - policy.retention, forgotten_before):
         # Its record may be gone, so a start now could be the second one.
         return ErrorKind.KEY_EXPIRED
     if submission.attempt >= ownership.floor.ceiling:
--- a/gypsumspoke/core/ledger.py
+++ b/gypsumspoke/core/ledger.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from gypsumspoke.core.data import (
+    NOTHING_FORGOTTEN,
     Answer,
     FinishedRecord,
     JobKey,
@@ -84,6 +85,12 @@
         self._results: OrderedDict[tuple[int, JobKey], int] = OrderedDict()
         self._result_bytes = 0
         self._finished_count = 0
+        self._forgotten_before = NOTHING_FORGOTTEN
+
+    @property
+    def forgotten_before(self) -> datetime:
+        """Records of submissions born before this may have been dropped."""
+        return self._forgotten_before
 
     @property
     def finished_count(self) -> int:
@@ -154,6 +161,7 @@
 
     def expire(self, born_before: datetime) -> None:
         """Drop everything about submissions born before a time."""
+        self._forgotten_before = max(self._forgotten_before, born_before)
         while self._expiry and self._expiry[0][0] < born_before:
             _, partition, key = heapq.heappop(self._expiry)
             finished = self._finished.get(partition, {})
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from gypsumspoke.core.data import (
+    NOTHING_FORGOTTEN,
     AttemptId,
     ClosedRecord,
     FenceAck,
@@ -79,6 +80,7 @@
         self._results: OrderedDict[tuple[int, JobKey, int], int] = OrderedDict()
         self._result_bytes = 0
         self._count = 0
+        self._forgotten_before = NOTHING_FORGOTTEN
 
     @property
     def count(self) -> int:
@@ -90,6 +92,15 @@
         """Bytes of results held."""
         return self._result_bytes
 
+    @property
+    def forgotten_before(self) -> datetime:
+        """Records of submissions born before this may have been dropped.
+
+        It never falls. A longer retention would else bring keys back whose records a
+        shorter one has dropped, and their resubmission would start a second time.
+        """
+        return self._forgotten_before
+
     def set_kept_bytes(self, limit: int) -> None:
         """Change the bound on the bytes of results."""
         self._kept_bytes = limit
@@ -140,6 +151,10 @@
             del tasks[attempt.task]
             self._count -= 1
 
+    def note_forgotten(self, born_before: datetime) -> None:
+        """Note that records told by another executor were not complete before."""
+        self._forgotten_before = max(self._forgotten_before, born_before)
+
     def close(self, partition: int, record: ClosedRecord) -> None:
         """Remember that nothing more of a job may start."""
         closed = self._closed.setdefault(partition, {})
@@ -165,6 +180,7 @@
 
     def expire(self, born_before: datetime) -> None:
         """Drop everything about submissions born before a time."""
+        self._forgotten_before = max(self._forgotten_before, born_before)
         while self._expiry and self._expiry[0][0] < born_before:
             _, partition, key = heapq.heappop(self._expiry)
             tasks = self._started.get(partition, {}).pop(key, {})
@@ -239,6 +255,7 @@
             chunk.started,
             chunk.closed,
             covers,
+            records.forgotten_before,
         )
         for number, chunk in enumerate(chunks)
     ]
@@ -250,6 +267,7 @@
     started: list[StartRecord],
     closed: list[ClosedRecord],
     covers: tuple[str, ...],
+    forgotten_before: datetime,
 ) -> list[Remember]:
     """Return the messages that give records of ``source`` to another executor."""
     chunks = chunk_records(started, closed)
@@ -262,6 +280,7 @@
             chunk.started,
             chunk.closed,
             covers,
+            forgotten_before,
         )
         for number, chunk in enumerate(chunks)
     ]
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -22,6 +22,7 @@
 
 from gypsumspoke.core.data import (
     DEFAULT_POLICY,
+    NOTHING_FORGOTTEN,
     AttemptId,
     ClosedRecord,
     Count,
@@ -97,6 +98,7 @@
 
     born_before: datetime
     lossy_before: datetime | None
+    forgotten_before: datetime
     refused: tuple[RefusedRecord, ...]
     finished: tuple[FinishedRecord, ...]
 
@@ -139,6 +141,7 @@
       now: the current time.
 
     ``unheard`` names incarnations whose records were lost before they were heard.
+    Keys born before ``forgotten_before`` may have run without leaving a record.
     """
 
     def __init__(
@@ -163,6 +166,7 @@
         self.parts: dict[str, dict[int, FenceAck]] = {}
         self.acknowledged: set[str] = set()
         self.unheard: frozenset[str] = frozenset()
+        self.forgotten_before = NOTHING_FORGOTTEN
         self.remember_to = ""
         self.remembered = False
 
@@ -695,11 +699,19 @@
     ownership.unheard = frozenset(_uncovered(state, ownership, parts, now))
     lossy = bool(ownership.unheard)
     ownership.floor = _floor(state, ownership, lossy, now)
+    ownership.forgotten_before = _forgotten_before(ownership, parts)
     adopted = _adopt(state, ownership, parts, complete=not lossy)
     closed = tuple(record for part in parts for record in part.closed)
     return _serve(state, ownership, adopted, closed, now)
 
 
+def _forgotten_before(ownership: Ownership, parts: list[FenceAck]) -> datetime:
+    bounds = [part.forgotten_before for part in parts]
+    if ownership.handed is not None:
+        bounds.append(ownership.handed.forgotten_before)
+    return max(bounds, default=NOTHING_FORGOTTEN)
+
+
 def _floor(
     state: TakeoverState, ownership: Ownership, lossy: bool, now: datetime
 ) -> Floor:
@@ -834,6 +846,7 @@
         started,
         closed,
         tuple(sorted(covers)),
+        ownership.forgotten_before,
     )
     return [Send(ownership.remember_to, message) for message in messages]
 
@@ -939,6 +952,7 @@
     return HandedLedger(
         first.floor,
         first.lossy_before,
+        first.forgotten_before,
         tuple(record for part in parts for record in part.refused),
         tuple(record for part in parts for record in part.finished),
     )
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -198,6 +198,7 @@
   6: list<StartRecord> started
   7: list<ClosedRecord> closed
   8: list<string> covers
+  9: TimeMicros forgotten_before
 }
 
 /** Executor to home: this executor has promised a higher epoch. */
@@ -231,6 +232,7 @@
   5: list<StartRecord> started
   6: list<ClosedRecord> closed
   7: list<string> covers
+  8: TimeMicros forgotten_before
 }
 
 /** All chunks of a Remember are kept. */
@@ -266,8 +268,9 @@
   6: TimeMicros floor
   7: i64 generation
   8: optional TimeMicros lossy_before
-  9: list<RefusedRecord> refused
-  10: list<FinishedRecord> finished
+  9: TimeMicros forgotten_before
+  10: list<RefusedRecord> refused
+  11: list<FinishedRecord> finished
 }
 
 /** Next home to leaving home: it owns the partition now, or never will. */
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -344,6 +344,7 @@
         system.run(12)
         for submission in self.submissions:
             system.submit(submission)
+        system.run(5)
         fresh = system.submission("fresh", tasks=TASKS, body=b"fresh")
         self.submissions.append(fresh)
         system.submit(fresh)
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -137,6 +137,13 @@
         histories.test_a_home_tells_on_what_a_lost_executor_knew,
         id="homes tell on what lost executors knew",
     ),
+    pytest.param(
+        home.adoption,
+        "forgotten_before",
+        lambda state, ownership: LONG_AGO,
+        histories.test_a_longer_retention_brings_no_forgotten_key_back,
+        id="what was forgotten stays expired",
+    ),
     pytest.param(
         takeover,
         "_adopt",
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -10,12 +10,13 @@
     AttemptId,
     Counter,
     Handoff,
+    ManifestChanged,
     Received,
     Remember,
     StartTask,
 )
 from gypsumspoke.core.errors import ErrorKind, Work
-from tests.core.system import System
+from tests.core.system import MANIFEST, POLICY, System
 
 SETTLED = 3.0
 TAKEN_OVER = 3.0
@@ -518,6 +519,37 @@
     assert set(system.starts(submission.key).values()) == {1}
 
 
+def test_a_longer_retention_brings_no_forgotten_key_back():
+    """An operator shortens the retention and lengthens it again.
+
+    A job's records were dropped in between. Its resubmission is as old as the longer
+    retention allows, yet nobody knows any more whether it ran, not even the next home.
+    """
+    system = settled_system(workers=4, partitions=1)
+    submission = system.submission("k", tasks=1)
+    system.submit(submission)
+    system.run(1)
+    change_retention(system, timedelta(seconds=4))
+    system.run(8)
+    change_retention(system, timedelta(minutes=10))
+    system.submit(submission)
+    system.run(1)
+    system.kill(system.owner(submission.key))
+    system.run(TAKEN_OVER)
+    system.submit(submission)
+    system.run(1)
+    kinds = [answer.kind for answer in system.answers(submission.key)]
+    assert kinds == [None, ErrorKind.KEY_EXPIRED, ErrorKind.KEY_EXPIRED]
+    assert set(system.starts(submission.key).values()) == {1}
+
+
+def change_retention(system, retention):
+    policy = POLICY._replace(retention=retention)
+    manifest = MANIFEST._replace(policy=policy)
+    for name in list(system.nodes):
+        system.post(name, ManifestChanged(2, manifest))
+
+
 def test_the_table_down_changes_nothing_for_owned_partitions():
     """Callers are served while the platform's table is down for long."""
     system = settled_system(workers=3, partitions=4)
