The end of one of two connections is reported

A peer that both sides dialled has two connections. The loss is now reported and the connection that is up follows at once, so that copies are sent and tries asked about again. The test in tests/wire waited in vain before the change.

--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -846,7 +846,10 @@
 
 
 class PeerLost(NamedTuple):
-    """No connection to this incarnation is left or the last went silent."""
+    """A connection to this incarnation ended, and messages on it may be lost.
+
+    If another one is up, PeerConnected follows at once.
+    """
 
     incarnation: str
 
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -360,9 +360,13 @@
     def _remove_from_peer(self, connection: Connection, incarnation: str) -> None:
         peer = self._peers[incarnation]
         peer.connections.remove(connection)
+        # Messages under way on this connection may be lost though another one works,
+        # as when both sides dialled or the peer has replaced a silent one. Kept
+        # quiet, a caller's copy would wait for its deadline; reported, it is resent.
+        self._on_event(PeerLost(incarnation))
         if peer.connections:
+            self._on_event(PeerConnected(incarnation))
             return
-        self._on_event(PeerLost(incarnation))
         self._dial(incarnation, peer)
         self._forget_if_unused(incarnation)
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -176,6 +176,28 @@
     assert relay.accepted == 2
 
 
+def test_the_silence_of_one_of_two_connections_is_reported(process, stack):
+    """Both sides dialled, so there are two connections; one of them goes silent.
+
+    What was sent on it is lost while the other works on. Unless the loss is reported,
+    an entry waits until the deadline for the answer to a copy that never arrived.
+    """
+    entry, home = process("entry"), process("home")
+    relay = Relay((HOST, home.port))
+    stack.callback(relay.close)
+    entry.knows(home, port=relay.address[1])
+    home.knows(entry)
+    entry.links.send("home", QUERY)
+    home.links.send("entry", QUERY)
+    wait_until(lambda: entry.links.connection_count("home") == 2)
+    wait_until(lambda: home.links.connection_count("entry") == 2)
+    relay.silence()
+    for end, other in ((entry, "home"), (home, "entry")):
+        assert end.next_event(PeerLost) == PeerLost(other)
+        assert end.next_event(PeerConnected) == PeerConnected(other)
+        assert end.links.connection_count(other) >= 1
+
+
 def test_a_pause_of_the_own_process_is_not_the_silence_of_its_peers(process):
     """A process is paused for longer than the silence limit and wakes.
 
