--- a/gypsumspoke/core/sidecar.py
+++ b/gypsumspoke/core/sidecar.py
@@ -99,10 +99,12 @@
     """
     effects: list[Effect] = []
     events = deque([event])
-    if isinstance(event, Drain) and state._draining_since is None:
-        state._draining_since = now
     while events:
-        for effect in _reduce_one(state, events.popleft(), now):
+        current = events.popleft()
+        # A Drain may also come from within: the own row was marked or ended.
+        if isinstance(current, Drain) and state._draining_since is None:
+            state._draining_since = now
+        for effect in _reduce_one(state, current, now):
             inner = _inner_event(state, effect)
             if inner is None:
                 effects.append(effect)
