--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -27,7 +27,7 @@
     Submission,
     TaskState,
 )
-from gypsumspoke.core.dispatch import adopt_running, enqueue
+from gypsumspoke.core.dispatch import adopt_running, enqueue, release
 from gypsumspoke.core.endings import begin_ending, complete
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.home_state import (
@@ -189,10 +189,10 @@
 # Giving away
 
 
-def drop_partition(state: HomeState, notice: Lost) -> list[Effect]:
+def drop_partition(state: HomeState, notice: Lost, now: datetime) -> list[Effect]:
     """Forget a partition that another home owns; its callers are sent on there."""
     partition = notice.partition
-    effects = _release(state, partition)
+    effects = _release(state, partition, now)
     answer = answer_of(ErrorKind.NOT_OWNER)
     for parked in state.parked.pop(partition, []):
         waiter = Waiter(parked.sender, parked.message.request)
@@ -206,13 +206,14 @@
     return key if key is not None else message.submission.key
 
 
-def _release(state: HomeState, partition: int) -> list[Effect]:
+def _release(state: HomeState, partition: int, now: datetime) -> list[Effect]:
     """Let go of all jobs and decided refusals of a partition, claiming nothing."""
     effects: list[Effect] = []
     answer = answer_of(ErrorKind.NOT_OWNER)
     for job in list(state.jobs.get(partition, {}).values()):
         state.remove_job(job)
         job.dropped = True
+        release(state, job, now)
         key = job.submission.key
         effects += [reply(waiter, key, answer) for waiter in job.waiters]
     waiting = [state.unsent.pop(partition, None)]
@@ -232,7 +233,7 @@
         return []
     handed = _snapshot(state, ownership)
     row = begin_handoff(state.takeover, notice.partition, handed, now)
-    effects = _release(state, notice.partition)
+    effects = _release(state, notice.partition, now)
     chunks = _handoff_chunks(handed, row, ownership)
     effects.append(Count(Counter.HANDOFF_SENT))
     return effects + [Send(notice.target, chunk) for chunk in chunks]
--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -36,7 +36,6 @@
 )
 
 ASK_AFTER = timedelta(seconds=4)
-FORGET_AFTER = timedelta(seconds=60)
 SCAN_INTERVAL = timedelta(milliseconds=500)
 RETRY_RESERVE = 10.0
 DEFAULT_WEIGHT = 1.0
@@ -276,8 +275,6 @@
     """Ask about all tries at an executor whose connection was replaced."""
     effects: list[Effect] = []
     for attempt, placed in state.in_flight.get(executor, {}).items():
-        if placed.job.dropped:
-            continue
         placed.job.slots[placed.task].asked = now
         placed.job.messages += 1
         effects.append(Count(RetryReason.CONNECTION_LOST))
@@ -341,19 +338,24 @@
         if now - slot.asked < ASK_AFTER:
             continue
         slot.asked = now
-        if job.dropped:
-            # Not asked: the answer would come here instead of to the next home.
-            if now - slot.placed >= FORGET_AFTER:
-                _forget(state, executor, attempt, now)
-            continue
         job.messages += 1
         effects.append(Send(executor, AskAttempt(attempt, job.partition)))
     return effects
 
 
-def _forget(state: HomeState, executor: str, attempt: AttemptId, now: datetime) -> None:
-    """Stop counting a try whose outcome was lost and that nobody waits for."""
-    del state.in_flight[executor][attempt]
+def release(state: HomeState, job: Job, now: datetime) -> None:
+    """Stop counting the tries of a job that another home follows from now on.
+
+    Their outcomes go there. Counted here for ever they would fill the executors' slots
+    in this home's eyes; what really runs comes back with the executors' load.
+    """
+    for slot in job.slots:
+        tries = state.in_flight.get(slot.executor, {})
+        if tries.pop(slot.attempt, None) is not None:
+            _count_as_gone(state, slot.executor, now)
+
+
+def _count_as_gone(state: HomeState, executor: str, now: datetime) -> None:
     reason = RetryReason.CONNECTION_LOST.value
     note_outcome(state.placement, executor, Outcome.NOT_RUN, reason, None, None, now)
 
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -523,7 +523,7 @@
 
 @_act.register
 def _(notice: Lost, state: HomeState, now: datetime) -> list[Effect]:
-    return adoption.drop_partition(state, notice)
+    return adoption.drop_partition(state, notice, now)
 
 
 @_act.register
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -115,3 +115,23 @@
     kinds = [answer.kind for answer in system.answers(last.key)]
     assert kinds[-1] is None
     assert ErrorKind.ALREADY_REFUSED in kinds
+
+
+def test_a_home_that_lost_a_partition_counts_its_tries_no_longer():
+    """A home wakes after a takeover; what it had placed reports to the next home.
+
+    Counted on for ever, those tries would fill the executors in the first home's eyes,
+    and jobs of its other partitions would wait for nothing.
+    """
+    system = settled_system(workers=4, partitions=1)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=4)
+    system.submit(submission)
+    system.run(0.5)
+    former = system.owner(submission.key)
+    system.pause(former)
+    system.run(3)
+    system.wake(former)
+    system.run(1)
+    in_flight = system.nodes[former].state.home.in_flight
+    assert not any(in_flight.values())
