--- a/gypsumspoke/parser/manifest.py
+++ b/gypsumspoke/parser/manifest.py
@@ -13,6 +13,7 @@
 
 from gypsumspoke.core.data import (
     DEFAULT_POLICY,
+    MAX_RETENTION,
     Manifest,
     Policy,
     ServicePolicy,
@@ -54,7 +55,7 @@
 
 
 class _PolicyShape(TypedDict, total=False):
-    retention_seconds: Annotated[float, Meta(ge=1, le=86_400)]
+    retention_seconds: Annotated[float, Meta(ge=1, le=MAX_RETENTION.total_seconds())]
     clock_skew_seconds: Annotated[float, Meta(ge=0.01, le=60)]
     retry_budget_share: _Share
     task_attempts: Annotated[int, Meta(ge=1, le=100)]
