--- a/tests/failures/system.py
+++ b/tests/failures/system.py
@@ -153,13 +153,14 @@
         return Address(HOST, self.ports(name)["admin_port"])
 
     def settled(self) -> bool:
-        """Return whether live workers own all partitions and all are ready."""
+        """Return whether live workers own all partitions and all entries know it."""
         live = [name for name in WORKERS if self.roles[name].alive]
-        owners = set(self.owners().values())
         entries = [name for name in ENTRIES if self.roles[name].alive]
+        owners = self.owners()
         return (
-            len(self.owners()) == PARTITIONS
-            and owners <= set(live)
+            len(owners) == PARTITIONS
+            and set(owners.values()) <= set(live)
+            and all(self.known_owners(entry) == owners for entry in entries)
             and all(self.ready(name) for name in entries + live)
         )
 
@@ -192,6 +193,18 @@
         """Return the partitions that a worker owns."""
         return [number for number, owner in self.owners().items() if owner == worker]
 
+    def known_owners(self, entry: str) -> dict[int, str]:
+        """Return the same as an entry knows it, without asking the table."""
+        status = call_json(self.admin(entry).port, "GET", "/v1/status")[1]
+        live = {
+            m["incarnation"]: m["worker"]
+            for m in status["members"]
+            if m["ended"] is None and m["reachable"]
+        }
+        return {
+            row["partition"]: live.get(row["owner"], "") for row in status["partitions"]
+        }
+
     def key_in(self, partitions: list[int]) -> str:
         """Return a new key of one of these partitions."""
         while True:
