--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -31,6 +31,7 @@
 from gypsumspoke.core.dispatch import adopt_running, enqueue, release
 from gypsumspoke.core.endings import begin_ending, complete
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.handoffs import begin_handoff
 from gypsumspoke.core.home_state import (
     HomeState,
     Parked,
@@ -39,8 +40,7 @@
     reply,
 )
 from gypsumspoke.core.jobs import Job, SlotState, Waiter
-from gypsumspoke.core.start_records import expiry_bound, remember_messages
-from gypsumspoke.core.takeover import (
+from gypsumspoke.core.ownership import (
     AdoptedJob,
     HandedLedger,
     HandoffWanted,
@@ -48,9 +48,9 @@
     Ownership,
     Phase,
     Serving,
-    begin_handoff,
     is_running,
 )
+from gypsumspoke.core.start_records import expiry_bound, remember_messages
 
 # ---------------------------------------------------------------------------
 # Taking over
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -49,7 +49,7 @@
     needs_new_generation,
     next_attempt,
 )
-from gypsumspoke.core.takeover import Ownership
+from gypsumspoke.core.ownership import Ownership
 
 # A whole answer goes to the entry in one frame, bounded by ``wire`` at 4 MiB. The rest
 # is for the lengths of up to 130 results and the fields around them.
--- /dev/null
+++ b/gypsumspoke/core/fences.py
@@ -0,0 +1,321 @@
+"""Fences: what makes a new home the only one, and tells it what was started.
+
+An acknowledged fence is a promise to refuse lower epochs and brings the executor's
+records, so when all have answered, the new home knows every start. The former owner's
+executor is left out, since a home never places its own jobs' tasks there; what it held
+from earlier owners was told to another executor, which then says that it covers it.
+Where a record may be lost the partition is *lossy*: unknown keys born before are
+answered "unknown" and never run.
+"""
+
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    NOTHING_FORGOTTEN,
+    AttemptId,
+    ClosedRecord,
+    Count,
+    Counter,
+    Effect,
+    Fence,
+    FenceAck,
+    FenceRefused,
+    JobKey,
+    Member,
+    Observe,
+    ReadRows,
+    RememberAck,
+    Role,
+    Send,
+    StartRecord,
+)
+from gypsumspoke.core.ledger import Floor, floor_birth
+from gypsumspoke.core.ownership import AdoptedJob, Ownership, Phase, Serving
+from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.core.rows import MEMBERS_PREFIX
+from gypsumspoke.core.start_records import expiry_bound, knows_more, remember_messages
+from gypsumspoke.core.takeover_view import (
+    REQUEST_PREFIX,
+    TakeoverState,
+    is_silent,
+    log_of,
+    lose,
+    request_of,
+)
+
+FENCE_RESEND = timedelta(milliseconds=500)
+MEMBERS = REQUEST_PREFIX + "members"
+
+
+def read_members(ownership: Ownership, now: datetime) -> list[Effect]:
+    """Read the registrations after the claim is written, never before."""
+    ownership.phase = Phase.READING
+    ownership.asked = now
+    return [ReadRows(request_of(MEMBERS, ownership), MEMBERS_PREFIX)]
+
+
+def fence_all(
+    state: TakeoverState,
+    ownership: Ownership,
+    members: list[Member],
+    now: datetime,
+) -> list[Effect]:
+    ownership.phase = Phase.FENCING
+    # Rows that this process has not seen yet count too; ended ones are needed to
+    # tell which records may be lost.
+    for member in members:
+        state.members[member.incarnation] = member
+    state.preferred.clear()
+    ownership.required = {
+        member.incarnation
+        for member in members
+        if member.role is Role.SIDECAR and member.ended is None
+    }
+    if ownership.former is not None and ownership.handed is None:
+        ownership.required.discard(ownership.former.owner)
+    # The own executor is fenced like any other, so that it refuses lower epochs.
+    ownership.required.add(state.incarnation)
+    return _send_fences(state, ownership, now)
+
+
+def _send_fences(
+    state: TakeoverState, ownership: Ownership, now: datetime
+) -> list[Effect]:
+    ownership.asked = now
+    effects: list[Effect] = []
+    fence = Fence(ownership.partition, ownership.epoch)
+    # An answer of which a part has come is on its way; a second one would mix with it.
+    for name in sorted(ownership.required - set(ownership.parts)):
+        effects += [Count(Counter.FENCE_SENT), Send(name, fence)]
+    return effects
+
+
+def pursue_fences(
+    state: TakeoverState, ownership: Ownership, now: datetime
+) -> list[Effect]:
+    former = ownership.former
+    if former is not None and is_silent(state, former.owner, now):
+        # A giver that died after its handoff is left out like any former owner.
+        ownership.required.discard(former.owner)
+        finished = finish_if_fenced(state, ownership, now)
+        if finished:
+            return finished
+    if now - ownership.asked >= FENCE_RESEND:
+        return _send_fences(state, ownership, now)
+    return []
+
+
+def fence_acknowledged(
+    state: TakeoverState, message: FenceAck, now: datetime
+) -> list[Effect]:
+    """Apply one chunk of an executor's records."""
+    ownership = state.owned.get(message.partition)
+    if ownership is None or ownership.epoch != message.epoch:
+        return []
+    if ownership.phase is not Phase.FENCING:
+        return []
+    parts = ownership.parts.setdefault(message.incarnation, {})
+    parts[message.chunk] = message
+    if len(parts) == message.chunks:
+        ownership.acknowledged.add(message.incarnation)
+    return finish_if_fenced(state, ownership, now)
+
+
+def peer_lost(state: TakeoverState, incarnation: str) -> None:
+    """Forget the parts of an answer whose rest was lost with the connection."""
+    for ownership in state.owned.values():
+        if incarnation not in ownership.acknowledged:
+            ownership.parts.pop(incarnation, None)
+
+
+def fence_refused(state: TakeoverState, message: FenceRefused) -> list[Effect]:
+    """Give up a partition that a higher epoch owns."""
+    ownership = state.owned.get(message.partition)
+    if ownership is None or message.highest <= ownership.epoch:
+        return []
+    lose(state, ownership)
+    return [log_of("partition lost to a higher epoch", ownership)]
+
+
+def epoch_refused(state: TakeoverState, attempt: AttemptId) -> None:
+    """Give up the partition of a start that was refused for its epoch."""
+    partition = partition_of(attempt.key, state.partition_count)
+    ownership = state.owned.get(partition)
+    if ownership is not None and ownership.epoch == attempt.epoch:
+        lose(state, ownership)
+
+
+def finish_if_fenced(
+    state: TakeoverState, ownership: Ownership, now: datetime
+) -> list[Effect]:
+    if ownership.required - ownership.acknowledged:
+        return []
+    parts = [
+        part
+        for name in ownership.acknowledged
+        for part in ownership.parts[name].values()
+    ]
+    ownership.unheard = frozenset(_uncovered(state, ownership, parts, now))
+    lossy = bool(ownership.unheard)
+    ownership.floor = _floor(state, ownership, lossy, now)
+    ownership.forgotten_before = _forgotten_before(ownership, parts)
+    adopted = _adopt(state, ownership, parts, complete=not lossy)
+    closed = tuple(record for part in parts for record in part.closed)
+    return serve(state, ownership, adopted, closed, now)
+
+
+def _forgotten_before(ownership: Ownership, parts: list[FenceAck]) -> datetime:
+    bounds = [part.forgotten_before for part in parts]
+    if ownership.handed is not None:
+        bounds.append(ownership.handed.forgotten_before)
+    return max(bounds, default=NOTHING_FORGOTTEN)
+
+
+def _floor(
+    state: TakeoverState, ownership: Ownership, lossy: bool, now: datetime
+) -> Floor:
+    handed = ownership.handed
+    if handed is not None:
+        # The former owner said nothing after it handed its ledger over, so unknown
+        # keys are new ones.
+        return Floor(ownership.epoch, 0, handed.born_before, handed.lossy_before)
+    born_before = floor_birth(now, state.policy.clock_skew)
+    lossy_before = born_before if lossy else None
+    return Floor(ownership.epoch, 0, born_before, lossy_before)
+
+
+def _uncovered(
+    state: TakeoverState,
+    ownership: Ownership,
+    parts: list[FenceAck],
+    now: datetime,
+) -> set[str]:
+    """Return incarnations whose records of the partition may be lost."""
+    policy = state.policy
+    bound = expiry_bound(now, policy.retention, policy.clock_skew)
+    suspects = {
+        member.incarnation
+        for member in state.members.values()
+        if member.role is Role.SIDECAR
+        and member.ended is not None
+        and member.ended > bound
+    }
+    former = ownership.former
+    if former is not None and former.epoch > 1 and former.since > bound:
+        # It may hold starts that an earlier owner placed there.
+        suspects.add(former.owner)
+    covered = {name for part in parts for name in part.covers}
+    if former is not None and cover_as_owner(former.owner, former.epoch) in covered:
+        suspects.discard(former.owner)
+    return suspects - covered - ownership.acknowledged
+
+
+def cover_as_owner(incarnation: str, epoch: int) -> str:
+    """Return the cover for an executor whose process owns the partition.
+
+    While it owns the partition it starts none of its tasks, so what it told on taking
+    over stays all that it holds, but only until another home owns it.
+    """
+    return f"{incarnation}@{epoch}"
+
+
+def _adopt(
+    state: TakeoverState,
+    ownership: Ownership,
+    parts: list[FenceAck],
+    complete: bool,
+) -> dict[JobKey, AdoptedJob]:
+    """Gather the started tasks of each job from all executors' records."""
+    adopted: dict[JobKey, AdoptedJob] = {}
+    handed = ownership.handed.running if ownership.handed is not None else ()
+    for mark in handed:
+        adopted[mark.key] = AdoptedJob(
+            mark.birth, mark.submission_attempt, mark.digest, {}, complete
+        )
+    for part in parts:
+        for record in part.started:
+            _adopt_record(adopted, record, part.incarnation, complete)
+    return adopted
+
+
+def _adopt_record(
+    adopted: dict[JobKey, AdoptedJob], record: StartRecord, holder: str, complete: bool
+) -> None:
+    key = record.attempt.key
+    job = adopted.get(key)
+    started = job.started if job is not None else {}
+    attempt = record.submission_attempt
+    if job is not None:
+        attempt = max(attempt, job.submission_attempt)
+    adopted[key] = AdoptedJob(record.birth, attempt, record.digest, started, complete)
+    known = started.get(record.attempt.task)
+    if known is None or knows_more(record, known[0]):
+        started[record.attempt.task] = (record, holder)
+
+
+def serve(
+    state: TakeoverState,
+    ownership: Ownership,
+    adopted: dict[JobKey, AdoptedJob],
+    closed: tuple[ClosedRecord, ...],
+    now: datetime,
+) -> list[Effect]:
+    ownership.phase = Phase.SERVING
+    state.notices.append(
+        Serving(ownership.partition, adopted, closed, ownership.handed)
+    )
+    ownership.handed = None
+    own = ownership.parts.get(state.incarnation, {})
+    ownership.parts = {state.incarnation: own}
+    seconds = (now - ownership.started).total_seconds()
+    effects: list[Effect] = [
+        Count(Counter.TAKEOVER_FINISHED),
+        Observe("takeover_seconds", seconds),
+        log_of("partition served", ownership),
+    ]
+    if not ownership.remembered:
+        effects += tell_own_records(state, ownership, now)
+    return effects
+
+
+def tell_own_records(
+    state: TakeoverState, ownership: Ownership, now: datetime
+) -> list[Effect]:
+    """Give the own executor's records of the partition to another executor.
+
+    They are starts that former owners placed here. If this process died now, home and
+    record would go together, and the next owner could not know of those starts.
+    """
+    if ownership.remember_to and now - ownership.asked < FENCE_RESEND:
+        return []
+    helpers = state.helpers()
+    if not helpers:
+        return []
+    ownership.asked = now
+    ownership.remember_to = helpers[ownership.partition % len(helpers)]
+    parts = ownership.parts.get(state.incarnation, {}).values()
+    started = [record for part in parts for record in part.started]
+    closed = [record for part in parts for record in part.closed]
+    covers = {name for part in parts for name in part.covers}
+    covers.discard(state.incarnation)
+    covers.add(cover_as_owner(state.incarnation, ownership.epoch))
+    messages = remember_messages(
+        ownership.partition,
+        cover_as_owner(state.incarnation, ownership.epoch),
+        started,
+        closed,
+        tuple(sorted(covers)),
+        ownership.forgotten_before,
+    )
+    return [Send(ownership.remember_to, message) for message in messages]
+
+
+def remember_acknowledged(state: TakeoverState, message: RememberAck) -> list[Effect]:
+    """Note that another executor holds the own executor's records."""
+    ownership = state.owned.get(message.partition)
+    if ownership is None:
+        return []
+    if message.source == cover_as_owner(state.incarnation, ownership.epoch):
+        ownership.remembered = True
+        ownership.parts.clear()
+    return []
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -12,7 +12,16 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from gypsumspoke.core import adoption, dispatch, endings, takeover
+from gypsumspoke.core import (
+    adoption,
+    claims,
+    dispatch,
+    endings,
+    fences,
+    handoffs,
+    takeover,
+    takeover_view,
+)
 from gypsumspoke.core.data import (
     Answer,
     CancelJob,
@@ -49,6 +58,7 @@
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.home_state import HomeState, Parked, answer_of, reply
 from gypsumspoke.core.jobs import Job, Waiter
+from gypsumspoke.core.ownership import HandoffWanted, Lost, Ownership, Serving
 from gypsumspoke.core.placement import (
     STRATEGIES,
     expected_run,
@@ -59,13 +69,7 @@
     set_members,
     set_policy,
 )
-from gypsumspoke.core.takeover import (
-    HandoffWanted,
-    Lost,
-    Ownership,
-    Serving,
-    take_notices,
-)
+from gypsumspoke.core.takeover_view import REQUEST_PREFIX, take_notices
 
 PARK_LIMIT = timedelta(seconds=2)
 PARKED_LIMIT = 1_000
@@ -420,7 +424,7 @@
 ) -> list[Effect]:
     effects = dispatch.task_outcome(state, message, sender, now)
     if message.reason == RetryReason.STALE_EPOCH.value:
-        takeover.epoch_refused(state.takeover, message.attempt)
+        fences.epoch_refused(state.takeover, message.attempt)
     return effects
 
 
@@ -438,14 +442,14 @@
 
 @_on_message.register
 def _(message: FenceAck, sender: str, state: HomeState, now: datetime) -> list[Effect]:
-    return takeover.fence_acknowledged(state.takeover, message, now)
+    return fences.fence_acknowledged(state.takeover, message, now)
 
 
 @_on_message.register
 def _(
     message: FenceRefused, sender: str, state: HomeState, now: datetime
 ) -> list[Effect]:
-    return takeover.fence_refused(state.takeover, message)
+    return fences.fence_refused(state.takeover, message)
 
 
 @_on_message.register
@@ -453,12 +457,12 @@
     message: RememberAck, sender: str, state: HomeState, now: datetime
 ) -> list[Effect]:
     adoption.retold(state, message)
-    return takeover.remember_acknowledged(state.takeover, message)
+    return fences.remember_acknowledged(state.takeover, message)
 
 
 @_on_message.register
 def _(message: Heartbeat, sender: str, state: HomeState, now: datetime) -> list[Effect]:
-    takeover.note_leaving(state.takeover, sender, message.leaving)
+    takeover_view.note_leaving(state.takeover, sender, message.leaving)
     if message.load is not None:
         note_load(state.placement, sender, message.load, now)
     return []
@@ -470,33 +474,33 @@
 
 @_on_message.register
 def _(message: Handoff, sender: str, state: HomeState, now: datetime) -> list[Effect]:
-    return takeover.handoff_received(state.takeover, message, sender, now)
+    return handoffs.handoff_received(state.takeover, message, sender, now)
 
 
 @_on_message.register
 def _(
     message: HandoffAck, sender: str, state: HomeState, now: datetime
 ) -> list[Effect]:
-    return takeover.handoff_acknowledged(state.takeover, message, now)
+    return handoffs.handoff_acknowledged(state.takeover, message, now)
 
 
 @_on.register
 def _(event: RowsRead, state: HomeState, now: datetime) -> list[Effect]:
-    if not event.request.startswith(takeover.REQUEST_PREFIX):
+    if not event.request.startswith(REQUEST_PREFIX):
         return []
     return takeover.rows_read(state.takeover, event, now)
 
 
 @_on.register
 def _(event: RowsWritten, state: HomeState, now: datetime) -> list[Effect]:
-    if not event.request.startswith(takeover.REQUEST_PREFIX):
+    if not event.request.startswith(REQUEST_PREFIX):
         return []
-    return takeover.rows_written(state.takeover, event, now)
+    return claims.rows_written(state.takeover, event, now)
 
 
 @_on.register
 def _(event: PartitionsChanged, state: HomeState, now: datetime) -> list[Effect]:
-    takeover.set_rows(state.takeover, event.rows, now)
+    takeover_view.set_rows(state.takeover, event.rows, now)
     return []
 
 
@@ -568,7 +572,7 @@
 @_on.register
 def _(event: ReachabilityChanged, state: HomeState, now: datetime) -> list[Effect]:
     state.reachable = event.reachable
-    takeover.set_reachable(state.takeover, event.reachable, now)
+    takeover_view.set_reachable(state.takeover, event.reachable, now)
     _update_placement(state)
     silent = set(state.in_flight) - event.reachable
     state.silent_since = {
@@ -581,7 +585,7 @@
 def _(event: PeerLost, state: HomeState, now: datetime) -> list[Effect]:
     state.lost_peers.add(event.incarnation)
     state.silent_since.setdefault(event.incarnation, now)
-    takeover.peer_lost(state.takeover, event.incarnation)
+    fences.peer_lost(state.takeover, event.incarnation)
     return []
 
 
@@ -600,7 +604,7 @@
     state.policy = manifest.policy
     state.ledger.set_kept_bytes(manifest.policy.kept_bytes)
     state.team_weights = {team.name: team.weight for team in manifest.teams}
-    takeover.set_policy(state.takeover, manifest.policy)
+    takeover_view.set_policy(state.takeover, manifest.policy)
     if manifest.policy.placement != state.placement_name:
         state.placement_name = manifest.policy.placement
         strategy = STRATEGIES.get(manifest.policy.placement)
@@ -614,7 +618,7 @@
 def _(event: Drain, state: HomeState, now: datetime) -> list[Effect]:
     if state.draining_since is None:
         state.draining_since = now
-        takeover.set_leaving(state.takeover)
+        takeover_view.set_leaving(state.takeover)
     return []
 
 
--- a/gypsumspoke/core/home_state.py
+++ b/gypsumspoke/core/home_state.py
@@ -27,8 +27,9 @@
 from gypsumspoke.core.fair_queue import FairQueue
 from gypsumspoke.core.jobs import Job, Waiter
 from gypsumspoke.core.ledger import Ledger
+from gypsumspoke.core.ownership import AdoptedJob, Ownership, Phase
 from gypsumspoke.core.placement import PlacementState, new_placement
-from gypsumspoke.core.takeover import AdoptedJob, Ownership, Phase, TakeoverState
+from gypsumspoke.core.takeover_view import TakeoverState
 
 Request = SubmitJob | QueryJob | CancelJob
 
--- /dev/null
+++ b/gypsumspoke/core/ownership.py
@@ -0,0 +1,135 @@
+"""The partitions that a home owns, and what it sees of the others.
+
+Claims, fences and handoffs change this state, each in a module of its own; ``takeover``
+is what the home calls. What the home must act on is left here as notices.
+"""
+
+from datetime import datetime
+from enum import Enum
+from typing import NamedTuple
+
+from gypsumspoke.core.data import (
+    NOTHING_FORGOTTEN,
+    ClosedRecord,
+    FenceAck,
+    FinishedRecord,
+    JobKey,
+    PartitionRow,
+    RefusedRecord,
+    StartRecord,
+)
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.ledger import Floor
+
+
+class Phase(Enum):
+    """How far an ownership is."""
+
+    CLAIMING = "claiming"
+    READING = "reading"
+    FENCING = "fencing"
+    SERVING = "serving"
+    HANDING = "handing"
+
+
+class HandedLedger(NamedTuple):
+    """The ledger of a partition as its former owner handed it over, in full."""
+
+    born_before: datetime
+    lossy_before: datetime | None
+    forgotten_before: datetime
+    refused: tuple[RefusedRecord, ...]
+    finished: tuple[FinishedRecord, ...]
+
+    @property
+    def running(self) -> list[FinishedRecord]:
+        """Jobs that had no final answer yet."""
+        return [record for record in self.finished if is_running(record)]
+
+
+def is_running(record: FinishedRecord) -> bool:
+    """Return whether a handed record stands for a job without a final answer."""
+    return record.answer.kind is ErrorKind.JOB_RUNNING
+
+
+class AdoptedJob(NamedTuple):
+    """A job that a former owner accepted and that no copy has reached here yet.
+
+    Attributes:
+      birth, submission_attempt, digest: as in the records.
+      started: (record, incarnation of the executor that holds it) by task.
+      complete: False when records may be missing, so that nothing more may start.
+    """
+
+    birth: datetime
+    submission_attempt: int
+    digest: bytes
+    started: dict[int, tuple[StartRecord, str]]
+    complete: bool
+
+
+class Ownership:
+    """One partition that this home owns or is about to own.
+
+    Args:
+      partition: its number.
+      epoch: the epoch of the claim.
+      former: the row that the claim replaces; None for a first claim.
+      handed: the former owner's ledger, if it handed it over.
+      giver: incarnation that waits for a HandoffAck; empty if none.
+      now: the current time.
+
+    ``unheard`` names incarnations whose records were lost before they were heard.
+    Keys born before ``forgotten_before`` may have run without leaving a record.
+    """
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        former: PartitionRow | None,
+        handed: HandedLedger | None,
+        giver: str,
+        now: datetime,
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.former = former
+        self.handed = handed
+        self.giver = giver
+        self.phase = Phase.CLAIMING
+        self.started = now
+        self.asked = now
+        self.floor = Floor(epoch, 0, now, None)
+        self.required: set[str] = set()
+        self.parts: dict[str, dict[int, FenceAck]] = {}
+        self.acknowledged: set[str] = set()
+        self.unheard: frozenset[str] = frozenset()
+        self.forgotten_before = NOTHING_FORGOTTEN
+        self.remember_to = ""
+        self.remembered = False
+
+
+class Serving(NamedTuple):
+    """Notice: a partition is served from now on."""
+
+    partition: int
+    adopted: dict[JobKey, AdoptedJob]
+    closed: tuple[ClosedRecord, ...]
+    handed: HandedLedger | None
+
+
+class Lost(NamedTuple):
+    """Notice: another home owns the partition, or the claim failed."""
+
+    partition: int
+
+
+class HandoffWanted(NamedTuple):
+    """Notice: hand the partition to this incarnation."""
+
+    partition: int
+    target: str
+
+
+Notice = Serving | Lost | HandoffWanted
--- /dev/null
+++ b/gypsumspoke/core/takeover_view.py
@@ -0,0 +1,182 @@
+"""What a home sees of members and rows while it owns and takes over partitions.
+
+Claims, fences and handoffs, each in a module of its own, read and change this state;
+``takeover`` is what the home calls. What the home must act on is left as notices.
+"""
+
+import logging
+from collections.abc import Iterable
+from datetime import datetime
+
+from gypsumspoke.core.data import (
+    DEFAULT_POLICY,
+    Handoff,
+    Log,
+    Member,
+    PartitionRow,
+    Policy,
+    Role,
+)
+from gypsumspoke.core.ownership import Lost, Notice, Ownership
+from gypsumspoke.core.partitions import preferred_owner
+
+REQUEST_PREFIX = "home:"
+
+
+class TakeoverState:
+    """All that a home knows about owning partitions.
+
+    Args:
+      member: this process.
+      partition_count: number of partitions.
+    """
+
+    def __init__(self, member: Member, partition_count: int) -> None:
+        self.incarnation = member.incarnation
+        self.partition_count = partition_count
+        self.policy: Policy = DEFAULT_POLICY
+        self.owned: dict[int, Ownership] = {}
+        self.rows: dict[int, PartitionRow] = {}
+        self.members: dict[str, Member] = {}
+        self.map_known = False
+        self.joined: datetime | None = None
+        self.reachable: frozenset[str] = frozenset()
+        self.unreachable_since: dict[str, datetime] = {}
+        self.leaving_peers: set[str] = set()
+        self.leaving = False
+        self.preferred: dict[int, Member | None] = {}
+        self.last_claim: datetime | None = None
+        self.incoming: dict[tuple[str, int, int], dict[int, Handoff]] = {}
+        self.notices: list[Notice] = []
+
+    @property
+    def sidecars(self) -> list[Member]:
+        """Registered sidecars that have not ended, this one included."""
+        return [
+            member
+            for member in self.members.values()
+            if member.role is Role.SIDECAR and member.ended is None
+        ]
+
+    def member(self, incarnation: str) -> Member | None:
+        """Return a known member, ended ones included, or None."""
+        return self.members.get(incarnation)
+
+    def is_gone(self, incarnation: str) -> bool:
+        """Return whether a process is provably gone with its memory."""
+        member = self.members.get(incarnation)
+        return member is not None and member.ended is not None
+
+    def helpers(self) -> list[str]:
+        """Return other sidecars that answer and don't leave, in order."""
+        return sorted(
+            member.incarnation
+            for member in self.sidecars
+            if member.incarnation in self.reachable
+            and member.incarnation != self.incarnation
+            and member.incarnation not in self.leaving_peers
+        )
+
+
+def take_notices(state: TakeoverState) -> list[Notice]:
+    """Return what the home has to act on, and forget it."""
+    notices, state.notices = state.notices, []
+    return notices
+
+
+def set_policy(state: TakeoverState, policy: Policy) -> None:
+    """Apply the manifest's policy."""
+    state.policy = policy
+
+
+def set_leaving(state: TakeoverState) -> None:
+    """Stop claiming, and hand over all that is owned."""
+    state.leaving = True
+    state.preferred.clear()
+
+
+def set_reachable(
+    state: TakeoverState, reachable: frozenset[str], now: datetime
+) -> None:
+    """Apply which incarnations answer now."""
+    state.reachable = reachable
+    state.preferred.clear()
+    note_unreachable(state, now)
+
+
+def note_unreachable(state: TakeoverState, now: datetime) -> None:
+    names = {member.incarnation for member in state.sidecars}
+    names |= {row.owner for row in state.rows.values()} - set(state.members)
+    silent = names - state.reachable - {state.incarnation}
+    state.unreachable_since = {
+        name: state.unreachable_since.get(name, now) for name in silent
+    }
+
+
+def note_leaving(state: TakeoverState, incarnation: str, leaving: bool) -> None:
+    """Apply what a heartbeat says: a leaving peer owns nothing new."""
+    if leaving and incarnation not in state.leaving_peers:
+        state.leaving_peers.add(incarnation)
+        state.preferred.clear()
+
+
+def set_rows(state: TakeoverState, rows: Iterable[PartitionRow], now: datetime) -> None:
+    """Apply rows of the partition map; a higher epoch elsewhere ends an ownership."""
+    if not state.map_known:
+        state.map_known = True
+        state.joined = now
+    for row in rows:
+        known = state.rows.get(row.partition)
+        if known is not None and known.epoch >= row.epoch:
+            continue
+        state.rows[row.partition] = row
+        ownership = state.owned.get(row.partition)
+        if ownership is not None and row.epoch > ownership.epoch:
+            lose(state, ownership)
+    note_unreachable(state, now)
+
+
+def lose(state: TakeoverState, ownership: Ownership) -> None:
+    state.owned.pop(ownership.partition, None)
+    state.notices.append(Lost(ownership.partition))
+
+
+def is_silent(state: TakeoverState, incarnation: str, now: datetime) -> bool:
+    silent = state.unreachable_since.get(incarnation)
+    return silent is not None and now - silent >= state.policy.takeover_after
+
+
+def preferred(state: TakeoverState, partition: int) -> Member | None:
+    if partition not in state.preferred:
+        candidates = [
+            member for member in state.sidecars if _is_candidate(state, member)
+        ]
+        state.preferred[partition] = preferred_owner(partition, candidates)
+    return state.preferred[partition]
+
+
+def _is_candidate(state: TakeoverState, member: Member) -> bool:
+    if member.incarnation == state.incarnation:
+        return not state.leaving
+    return (
+        member.incarnation in state.reachable
+        and member.incarnation not in state.leaving_peers
+    )
+
+
+def request_of(kind: str, ownership: Ownership) -> str:
+    return f"{kind}:{ownership.partition}:{ownership.epoch}"
+
+
+def of_request(state: TakeoverState, request: str) -> Ownership | None:
+    """Return the ownership that a table request was about, if it still stands."""
+    partition, epoch = request.rsplit(":", 2)[1:]
+    ownership = state.owned.get(int(partition))
+    if ownership is None or ownership.epoch != int(epoch):
+        return None
+    return ownership
+
+
+def log_of(event: str, ownership: Ownership) -> Log:
+    fields = (("partition", ownership.partition), ("epoch", ownership.epoch))
+    return Log(logging.INFO, event, fields=fields)
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -12,10 +12,10 @@
     dispatch,
     endings,
     executor,
+    fences,
     home,
     ledger,
     start_records,
-    takeover,
 )
 from gypsumspoke.core.data import RetryReason
 from tests.core import test_executor_starts as starts, test_takeover as histories
@@ -50,7 +50,7 @@
     return found - ({former.owner} if former is not None else set())
 
 
-_UNCOVERED = takeover._uncovered
+_UNCOVERED = fences._uncovered
 
 SWITCHED_OFF = [
     pytest.param(
@@ -89,35 +89,35 @@
         id="a paused executor asks whether it still counts",
     ),
     pytest.param(
-        takeover,
+        fences,
         "floor_birth",
         lambda now, skew: LONG_AGO,
         histories.test_a_key_refused_before_a_takeover_stays_refused_after_it,
         id="older unknown keys need a new attempt number",
     ),
     pytest.param(
-        takeover,
+        fences,
         "floor_birth",
         lambda now, skew: now,
         histories.test_a_key_born_ahead_of_the_next_homes_clock_stays_refused,
         id="the floor allows for clocks that differ",
     ),
     pytest.param(
-        takeover,
+        fences,
         "_uncovered",
         lambda state, ownership, parts, now: set(),
         histories.test_keys_whose_records_were_lost_are_unknown,
         id="lost records make old keys unknown",
     ),
     pytest.param(
-        takeover,
+        fences,
         "_uncovered",
         _uncovered_but_for_the_former_owner,
         histories.test_a_death_before_the_records_were_told_makes_old_keys_unknown,
         id="the former owner's executor must be covered",
     ),
     pytest.param(
-        takeover,
+        fences,
         "cover_as_owner",
         lambda incarnation, epoch: incarnation,
         histories.test_what_an_owner_told_does_not_cover_later_starts,
@@ -145,7 +145,7 @@
         id="what was forgotten stays expired",
     ),
     pytest.param(
-        takeover,
+        fences,
         "_adopt",
         lambda state, ownership, parts, complete: {},
         histories.test_a_job_is_resumed_by_the_next_home_without_a_second_start,
@@ -165,5 +165,5 @@
 
 def test_the_modules_under_test_are_the_ones_in_use():
     assert dispatch.complete is endings.complete
-    assert takeover.floor_birth is ledger.floor_birth
+    assert fences.floor_birth is ledger.floor_birth
     assert executor.fence_acks is start_records.fence_acks
