--- a/tests/failures/system.py
+++ b/tests/failures/system.py
@@ -343,6 +343,9 @@
             assert said.body["key"] == body["key"]
         if said.work == "not_run":
             assert not self.starts(body["key"]), (said, body["key"])
+        for number, outcome in enumerate(said.body.get("outcomes", ())):
+            if outcome == "not_run":
+                assert str(number) not in self.starts(body["key"]), said
 
     def _add_relay(self, name: str) -> int:
         relay = Relay(None)
