Upstreams announce themselves to the sidecar beside them

The sidecar's administration port takes PUT and DELETE /v1/upstream; without a service in its settings the sidecar registers with the first announcement. A leaving upstream gets nothing new: waiting tasks are given back, what runs is finished, and the home goes on.

--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -878,6 +878,20 @@
     reason: str
 
 
+class UpstreamAnnounced(NamedTuple):
+    """The upstream beside this executor said what it is, or that it leaves.
+
+    Attributes:
+      service: its service; never changes while the process lives.
+      slots: tasks it runs at once.
+      leaving: it gets nothing new from now on, until it is announced again.
+    """
+
+    service: str
+    slots: int
+    leaving: bool
+
+
 class RowsRead(NamedTuple):
     """The end of a ReadRows; ``rows`` is None when the table did not answer."""
 
--- a/gypsumspoke/core/entry.py
+++ b/gypsumspoke/core/entry.py
@@ -50,9 +50,10 @@
     TeamUsage,
     Tick,
 )
-from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.membership import ViewDoubted
 from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.core.refusals import refusal_of
 
 WAITING_LIMIT = 2_000
 WAITING_BYTES_LIMIT = 8_000_000
@@ -279,25 +280,6 @@
     return _pass_on(state, waiting, now)
 
 
-def refusal_of(
-    kind: ErrorKind, detail: str = "", retry_after: timedelta | None = None
-) -> Answer:
-    """Return the answer of an entry that turns a copy away unsent.
-
-    Args:
-      kind: the reason.
-      detail: one sentence for a person.
-      retry_after: when to come back; by default as the table of answers says.
-    """
-    rule = ANSWER_RULES[kind]
-    return Answer(
-        kind=kind,
-        work=rule.work or Work.UNKNOWN,
-        retry_after=rule.retry_after if retry_after is None else retry_after,
-        detail=detail,
-    )
-
-
 def _refusal(state: EntryState, submission: Submission, now: datetime) -> Answer | None:
     """Return why a submission is turned away, the cheapest checks first."""
     refusal = _entry_refusal(state) or _request_refusal(state, submission, now)
--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -52,6 +52,7 @@
     TaskRunning,
     TaskState,
     Tick,
+    UpstreamAnnounced,
     UpstreamAnswered,
 )
 from gypsumspoke.core.rows import member_from_row, member_key
@@ -126,6 +127,7 @@
         self._running: dict[AttemptId, Running] = {}
         self._mean_run: timedelta | None = None
         self._leaving = False
+        self._upstream_leaving = False
         self._reachable: frozenset[str] = frozenset()
         self._sidecars: frozenset[str] = frozenset()
         self._parts: dict[tuple[int, str], dict[int, Remember]] = {}
@@ -147,6 +149,11 @@
         """Whether nothing runs or waits."""
         return not self._running and not self._waiting
 
+    @property
+    def upstream_leaving(self) -> bool:
+        """Whether the upstream said that it leaves."""
+        return self._upstream_leaving
+
     @property
     def departed(self) -> bool:
         """Whether it is leaving, idle, and another executor has its records."""
@@ -168,8 +175,8 @@
 
 
 def load(state: ExecutorState) -> Load:
-    """Return the executor's load as it reports it; no slots while it leaves."""
-    slots = 0 if state._leaving else state._slots
+    """Return the executor's load as it reports it; no slots while it takes none."""
+    slots = 0 if state._leaving or state._upstream_leaving else state._slots
     return Load(len(state._running), len(state._waiting), slots, state._mean_run)
 
 
@@ -273,7 +280,7 @@
         return RetryReason.REFUSED_FOR_GOOD
     if state._unsure:
         return RetryReason.EXECUTOR_PAUSED
-    if state._leaving:
+    if state._leaving or state._upstream_leaving:
         return RetryReason.EXECUTOR_LEAVING
     if message.service != state._service:
         return RetryReason.WRONG_SERVICE
@@ -721,7 +728,24 @@
 
 @_on.register
 def _(event: Drain, state: ExecutorState, now: datetime) -> list[Effect]:
-    """Give waiting tasks back so that their homes place them elsewhere at once."""
     state._leaving = True
+    return _give_waiting_back(state)
+
+
+@_on.register
+def _(event: UpstreamAnnounced, state: ExecutorState, now: datetime) -> list[Effect]:
+    """Take the upstream's size; give nothing more to one that leaves.
+
+    Only the upstream goes: records are still kept and fences still answered here.
+    """
+    state._slots = event.slots
+    state._upstream_leaving = event.leaving
+    if event.leaving:
+        return _give_waiting_back(state)
+    return _start_waiting(state, now)
+
+
+def _give_waiting_back(state: ExecutorState) -> list[Effect]:
+    """Refuse waiting tasks so that their homes place them elsewhere at once."""
     waiting = list(state._waiting)
     return _drop_waiting(state, waiting, RetryReason.EXECUTOR_LEAVING)
--- a/gypsumspoke/core/sidecar.py
+++ b/gypsumspoke/core/sidecar.py
@@ -5,6 +5,9 @@
 hands its partitions over, the executor finishes and gives its records to another, and
 only then does membership end the registration, since from there on others count this
 process as gone with its memory.
+
+Without a service in its settings it waits until the upstream announces itself. It
+registers only then: others read from its registration what it offers.
 """
 
 from collections import deque
@@ -24,6 +27,7 @@
     Received,
     Send,
     Tick,
+    UpstreamAnnounced,
 )
 
 DEPART_LIMIT = timedelta(seconds=20)
@@ -47,13 +51,10 @@
         parse_manifest: Callable[[str], Result[Manifest, tuple[str, ...]]],
     ) -> None:
         self._incarnation = member.incarnation
-        self.membership = membership.new_membership(
-            member, partition_count, seed, parse_manifest
-        )
-        self.home = home.new_home(member, partition_count, seed)
-        self.executor = executor.new_executor(
-            member.incarnation, member.service, member.slots
-        )
+        self._partition_count = partition_count
+        self._seed = seed
+        self._parse_manifest = parse_manifest
+        self._compose(member)
         self._draining_since: datetime | None = None
         self._leaving = False
         self._exited = False
@@ -63,6 +64,26 @@
         """Whether it is on its way out."""
         return self._draining_since is not None
 
+    @property
+    def member(self) -> Member:
+        """This process as it registers; service and slots as first announced."""
+        return self._member
+
+    @property
+    def knows_upstream(self) -> bool:
+        """Whether settings or an announcement told the upstream's service."""
+        return bool(self._member.service)
+
+    def _compose(self, member: Member) -> None:
+        self._member = member
+        self.membership = membership.new_membership(
+            member, self._partition_count, self._seed, self._parse_manifest
+        )
+        self.home = home.new_home(member, self._partition_count, self._seed)
+        self.executor = executor.new_executor(
+            member.incarnation, member.service, member.slots
+        )
+
 
 def new_sidecar(
     member: Member,
@@ -97,6 +118,8 @@
     Returns:
       What the shell must do, in order.
     """
+    if not state.knows_upstream:
+        return _await_upstream(state, event)
     effects: list[Effect] = []
     events = deque([event])
     while events:
@@ -115,6 +138,16 @@
     return effects
 
 
+def _await_upstream(state: SidecarState, event: object) -> list[Effect]:
+    """Begin with the first announcement; until then there is nothing to finish."""
+    if isinstance(event, Drain):
+        return [Exit()]
+    if isinstance(event, UpstreamAnnounced) and not event.leaving:
+        member = state.member._replace(service=event.service, slots=event.slots)
+        state._compose(member)
+    return []
+
+
 def _reduce_one(state: SidecarState, event: object, now: datetime) -> list[Effect]:
     membership.set_load(state.membership, executor.load(state.executor))
     home.set_clock_is_off(state.home, membership.clock_is_off(state.membership))
--- /dev/null
+++ b/gypsumspoke/parser/announcement.py
@@ -0,0 +1,67 @@
+"""What an upstream says of itself to the sidecar beside it."""
+
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
+
+from msgspec import Meta
+from returns.result import Failure, Result, Success
+
+from gypsumspoke.parser.documents import (
+    DocumentError,
+    Fields,
+    Name,
+    check_fields,
+    read_document,
+)
+
+MAX_SLOTS = 1024
+
+
+class Announcement(NamedTuple):
+    """A checked announcement.
+
+    Attributes:
+      service: name of the service it offers.
+      slots: tasks it runs at once.
+      port: TCP port it listens on; 0 for the one in the settings.
+      leaving: it wants no new tasks.
+    """
+
+    service: str
+    slots: int
+    port: int
+    leaving: bool
+
+
+class _AnnouncementShape(TypedDict):
+    service: Name
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+    port: NotRequired[Annotated[int, Meta(ge=1, le=65535)]]
+    leaving: NotRequired[bool]
+
+
+def parse_announcement(text: str) -> Result[Announcement, tuple[DocumentError, ...]]:
+    """Check an announcement.
+
+    Args:
+      text: a JSON object.
+
+    Returns:
+      The announcement, or every error found.
+    """
+    return read_document(text).alt(lambda error: (error,)).bind(_check)
+
+
+def _check(raw: object) -> Result[Announcement, tuple[DocumentError, ...]]:
+    fields, errors = check_fields(_AnnouncementShape, raw)
+    if errors:
+        return Failure(tuple(errors))
+    return Success(_announcement(fields))
+
+
+def _announcement(fields: Fields) -> Announcement:
+    return Announcement(
+        service=fields["service"],
+        slots=fields["slots"],
+        port=fields.get("port", 0),
+        leaving=fields.get("leaving", False),
+    )
--- a/gypsumspoke/parser/settings.py
+++ b/gypsumspoke/parser/settings.py
@@ -47,9 +47,11 @@
       http_port: TCP port for callers; 0 for a sidecar.
       admin_port: TCP port for metrics, health and administration.
       failure_domain, rack, region: where the worker stands.
-      service: upstream service beside it; empty for an entry.
-      slots: tasks that the upstream runs at once; 0 for an entry.
-      upstream_host, upstream_port: the upstream; empty and 0 for an entry.
+      service: upstream service beside it; empty for an entry, and for a sidecar whose
+        upstream announces itself.
+      slots: tasks that the upstream runs at once; 0 where ``service`` is empty.
+      upstream_host, upstream_port: the upstream; empty and 0 for an entry. The port
+        may be 0 where the upstream announces itself.
       table_host, table_port: the platform's table service.
       partition_count: the same in every process.
       drain_timeout: bound on a graceful stop.
@@ -99,6 +101,7 @@
 
 _ONLY_ENTRY = ("http_port",)
 _ONLY_SIDECAR = ("service", "slots", "upstream_host", "upstream_port")
+_NEEDED_OF_ANNOUNCED = ("upstream_host",)
 _HOSTS = ("host", "table_host", "upstream_host")
 _ANY_ADDRESS = "0.0.0.0"
 
@@ -160,10 +163,20 @@
         return []
     if fields["role"] == Role.ENTRY.value:
         return _missing(_ONLY_ENTRY, raw) + _foreign(_ONLY_SIDECAR, fields)
-    needed = _missing(_ONLY_SIDECAR, raw) + _empty(_ONLY_SIDECAR, fields)
+    needed = _missing(_ONLY_SIDECAR, raw) + _empty(_needed_values(fields), fields)
     return needed + _foreign(_ONLY_ENTRY, fields)
 
 
+def _needed_values(fields: Fields) -> tuple[str, ...]:
+    """Return the keys of a sidecar that can't be left to the upstream's announcement.
+
+    Service and slots are both fixed or both announced: slots without a service most
+    likely mean a forgotten name, and the sidecar would wait for nothing.
+    """
+    is_announced = not fields.get("service") and not fields.get("slots")
+    return _NEEDED_OF_ANNOUNCED if is_announced else _ONLY_SIDECAR
+
+
 def _missing(keys: tuple[str, ...], raw: object) -> list[SettingsError]:
     return [
         SettingsError(key, "missing for this role") for key in keys if key not in raw
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -26,9 +26,9 @@
     CallerLeft,
     CancelArrived,
     QueryArrived,
-    refusal_of,
 )
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.parser.job_request import BODY_LIMIT, RequestError, parse_job_request
 from gypsumspoke.shell.http_answers import (
     Environ,
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -30,8 +30,8 @@
     WriteOutcome,
     WriteRows,
 )
-from gypsumspoke.core.entry import refusal_of
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.core.rows import (
     MANIFEST_KEY,
     MEMBERS_PREFIX,
--- a/gypsumspoke/shell/sidecar.py
+++ b/gypsumspoke/shell/sidecar.py
@@ -20,6 +20,7 @@
 from gypsumspoke.shell.runtime import Runtime
 from gypsumspoke.shell.table_client import TableClient
 from gypsumspoke.shell.upstream_client import UpstreamClient
+from gypsumspoke.shell.upstream_http import UPSTREAM_PATH, UpstreamHttp
 
 
 def run(settings: Settings, clock: Clock) -> int:
@@ -47,12 +48,19 @@
     own_metrics = metrics.Metrics(settings.role.value, settings.worker)
     show_links(own_metrics, links)
     # The admin port must be bound before the member, and so the state, is known.
-    # Nothing is served until the loop runs, and by then the state is there.
+    # Nothing is served until the loop runs, and by then all parts are there.
+    announcements = UpstreamHttp(
+        lambda: state,
+        lambda event: runtime.post(event),
+        lambda port: upstream.set_port(port),
+        settings.upstream_port,
+    )
     admin = AdminServer(
         settings.host,
         settings.admin_port,
         own_metrics,
         ready=lambda: sidecar.is_ready(state),
+        extra_routes={UPSTREAM_PATH: announcements},
     )
     stack.enter_context(admin)
     member = own_member(settings, identity, peer_port, admin.port, clock.now())
@@ -72,7 +80,7 @@
         is_draining=lambda: state.is_draining,
     )
     metrics.install(runtime, own_metrics)
-    _install_upstream(settings, state, runtime)
+    upstream = _install_upstream(settings, state, runtime)
     log_listening(peer_port=peer_port, admin_port=admin.port)
     return runtime
 
@@ -83,7 +91,7 @@
 
 def _install_upstream(
     settings: Settings, state: sidecar.SidecarState, runtime: Runtime
-) -> None:
+) -> UpstreamClient:
     """Let tasks run at the upstream, within the bounds of the manifest in force."""
     upstream = UpstreamClient(
         (settings.upstream_host, settings.upstream_port), runtime.post
@@ -92,8 +100,9 @@
     def apply_manifest(effect: ApplyManifest) -> None:
         in_force = membership.manifest(state.membership)
         for policy in in_force.services:
-            if policy.name == settings.service:
+            if policy.name == state.member.service:
                 upstream.set_policy(policy)
 
     runtime.handle(StartUpstream, upstream.start)
     runtime.handle(ApplyManifest, apply_manifest)
+    return upstream
--- a/gypsumspoke/shell/upstream_client.py
+++ b/gypsumspoke/shell/upstream_client.py
@@ -74,6 +74,11 @@
         """Number of tasks at the upstream."""
         return self._running
 
+    def set_port(self, port: int) -> None:
+        """Take the upstream's port for tasks that start from now on."""
+        host, _ = self._address
+        self._address = (host, port)
+
     def set_policy(self, policy: ServicePolicy) -> None:
         """Take the bounds for tasks that start from now on."""
         self._policy = policy
--- /dev/null
+++ b/tests/core/test_executor.py
@@ -0,0 +1,105 @@
+"""The executor alone: what an announcement of its upstream changes."""
+
+from datetime import datetime, timedelta, timezone
+
+from gypsumspoke.core import executor
+from gypsumspoke.core.data import (
+    AttemptId,
+    CloseJob,
+    JobKey,
+    Outcome,
+    PartitionsChanged,
+    Received,
+    RetryReason,
+    Send,
+    StartTask,
+    StartUpstream,
+    TaskOutcome,
+    UpstreamAnnounced,
+    UpstreamAnswered,
+)
+
+NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
+HOME = "home-1"
+SERVICE = "estimate"
+LEAVES = UpstreamAnnounced(SERVICE, 1, leaving=True)
+
+
+def new_executor(slots=1):
+    state = executor.new_executor("worker-1.a", SERVICE, slots)
+    executor.reduce(state, PartitionsChanged(()), NOW)
+    return state
+
+
+def start(name):
+    deadline = NOW + timedelta(seconds=5)
+    attempt = AttemptId(JobKey("team", name), 0, 1, 1)
+    return StartTask(attempt, 3, 0, NOW, b"", 1, SERVICE, deadline, False, b"1")
+
+
+def give(state, message):
+    return executor.reduce(state, Received(HOME, message), NOW)
+
+
+def started(effects):
+    return [
+        effect.attempt.key.key
+        for effect in effects
+        if isinstance(effect, StartUpstream)
+    ]
+
+
+def outcomes(effects):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, TaskOutcome)
+    ]
+
+
+def test_an_upstream_that_leaves_finishes_what_runs_and_gets_nothing_new():
+    """Nobody sees an error: waiting tasks run elsewhere, the running one ends here.
+
+    One task runs and one waits when the upstream says that it leaves. The waiting one
+    is given back as not run, a later one is refused, and the running one ends as
+    usual without a waiting one taking its slot.
+    """
+    state = new_executor()
+    assert started(give(state, start("runs"))) == ["runs"]
+    give(state, start("waits"))
+    (given_back,) = outcomes(executor.reduce(state, LEAVES, NOW))
+    assert given_back.attempt.key.key == "waits"
+    assert given_back.outcome is Outcome.NOT_RUN
+    assert given_back.load.slots == 0
+    (refused,) = outcomes(give(state, start("later")))
+    assert refused.reason == RetryReason.EXECUTOR_LEAVING.value
+    ended = UpstreamAnswered(start("runs").attempt, Outcome.DONE, b"2", "")
+    effects = executor.reduce(state, ended, NOW)
+    assert [outcome.result for outcome in outcomes(effects)] == [b"2"]
+    assert not started(effects)
+
+
+def test_a_try_given_back_never_starts_though_the_upstream_comes_again():
+    state = new_executor()
+    give(state, start("runs"))
+    give(state, start("waits"))
+    executor.reduce(state, LEAVES, NOW)
+    executor.reduce(state, LEAVES._replace(slots=4, leaving=False), NOW)
+    (refused,) = outcomes(give(state, start("waits")))
+    assert refused.reason == RetryReason.REFUSED_FOR_GOOD.value
+    assert started(give(state, start("new"))) == ["new"]
+
+
+def test_more_slots_start_what_waits():
+    state = new_executor()
+    give(state, start("runs"))
+    give(state, start("waits"))
+    announced = UpstreamAnnounced(SERVICE, 2, leaving=False)
+    assert started(executor.reduce(state, announced, NOW)) == ["waits"]
+    assert executor.load(state).slots == 2
+
+
+def test_without_its_upstream_it_still_keeps_records_for_homes():
+    state = new_executor()
+    executor.reduce(state, LEAVES, NOW)
+    assert len(give(state, CloseJob(3, 1, 7, ()))) == 1
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -1,6 +1,62 @@
-"""The sidecar as a whole: leaving, and being told to leave."""
+"""The sidecar as a whole: waiting for its upstream, going on without it, leaving."""
 
-from tests.core.system import System
+from gypsumspoke.core import sidecar
+from gypsumspoke.core.data import Drain, Exit, RetryReason, Tick, UpstreamAnnounced
+from tests.core.system import SERVICE, START, System, parse_manifest
+from tests.core.test_home import settled_system
+
+COMES = UpstreamAnnounced(SERVICE, 2, leaving=False)
+LEAVES = COMES._replace(leaving=True)
+
+
+def waiting_sidecar():
+    member = next(iter(System(workers=1).nodes.values())).member
+    unnamed = member._replace(service="", slots=0)
+    return sidecar.new_sidecar(unnamed, 4, 0, parse_manifest)
+
+
+def test_it_reads_no_table_before_its_upstream_is_known():
+    state = waiting_sidecar()
+    assert sidecar.reduce(state, Tick(), START) == []
+    assert sidecar.reduce(state, LEAVES, START) == []
+    assert not state.knows_upstream
+    sidecar.reduce(state, COMES, START)
+    assert (state.member.service, state.member.slots) == (SERVICE, 2)
+    assert sidecar.reduce(state, Tick(), START)
+
+
+def test_a_stop_before_any_announcement_ends_at_once():
+    assert sidecar.reduce(waiting_sidecar(), Drain(), START) == [Exit()]
+
+
+def test_an_upstream_that_leaves_under_load_gets_nothing_more():
+    """Every caller gets its whole answer, and the leaving upstream no further task.
+
+    Jobs are submitted all the time. One upstream says that it leaves; its sidecar
+    refuses at once and tells its load on the next heartbeats, so that after a second
+    homes don't even ask it. It goes on as a home: partitions keep their owners.
+    """
+    system = settled_system()
+    leaver = system.current("w0")
+    owned = {f"k{number}": system.submission(f"k{number}") for number in range(40)}
+    owners = {name: system.owner(job.key) for name, job in owned.items()}
+    for number, submission in enumerate(owned.values()):
+        if number == 20:
+            system.run(0.1)
+            system.post(leaver, LEAVES)
+            begun = len([start for start in system.started if start.worker == "w0"])
+            system.run(1)
+            asked = system.counts[RetryReason.EXECUTOR_LEAVING]
+        system.submit(submission)
+        system.run(0.1)
+    system.run(3)
+    assert begun
+    assert len([start for start in system.started if start.worker == "w0"]) == begun
+    assert system.counts[RetryReason.EXECUTOR_LEAVING] == asked
+    for name, submission in owned.items():
+        assert [answer.kind for answer in system.answers(submission.key)] == [None]
+        assert set(system.starts(submission.key).values()) == {1}
+        assert system.owner(submission.key) == owners[name]
 
 
 def test_a_sidecar_whose_row_was_ended_by_another_leaves():
--- a/tests/parser/test_settings.py
+++ b/tests/parser/test_settings.py
@@ -10,6 +10,15 @@
 from gypsumspoke.parser.settings import SettingsError, parse_settings, read_settings
 
 SIDECAR = read_settings("examples/sidecar.json").unwrap()
+# A sidecar that leaves to its upstream what can be left to it.
+OPEN_SIDECAR = {
+    "role": "sidecar",
+    "http_port": None,
+    "service": "",
+    "slots": 0,
+    "upstream_host": "127.0.0.1",
+    "upstream_port": 0,
+}
 
 
 def example(**changes):
@@ -45,6 +54,11 @@
     assert read_settings("examples/entry.json").unwrap().http_port == 8101
 
 
+def test_a_sidecar_may_leave_its_size_to_the_upstream():
+    settings = example(**OPEN_SIDECAR).unwrap()
+    assert (settings.service, settings.slots, settings.upstream_port) == ("", 0, 0)
+
+
 def test_all_errors_are_told_at_once():
     errors = example(peer_port=70000, worker=None, colour="red").failure()
     assert errors == (
@@ -64,6 +78,10 @@
         ({"http_port": None}, "http_port"),
         ({"slots": 8}, "slots"),
         ({"role": "sidecar", "http_port": None, "slots": 8}, "service"),
+        ({**OPEN_SIDECAR, "service": "estimate"}, "slots"),
+        ({**OPEN_SIDECAR, "slots": 8}, "service"),
+        ({**OPEN_SIDECAR, "service": "estimate", "slots": 8}, "upstream_port"),
+        ({**OPEN_SIDECAR, "upstream_host": ""}, "upstream_host"),
         ({"peer_port": True}, "peer_port"),
         ({"drain_timeout_seconds": "30"}, "drain_timeout_seconds"),
     ],
--- a/tests/test_api_pages.py
+++ b/tests/test_api_pages.py
@@ -7,8 +7,9 @@
 
 from gypsumspoke.core.data import MAX_TASKS, Outcome
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.parser.announcement import _AnnouncementShape
 from gypsumspoke.parser.job_request import _JOB_FIELDS, _JOB_REQUIRED
-from gypsumspoke.shell import entry_http, operator_http
+from gypsumspoke.shell import entry_http, operator_http, upstream_http
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 OPENAPI = json.loads((DOCS / "openapi.json").read_text())
@@ -29,6 +30,12 @@
     assert job["properties"]["tasks"]["maxItems"] == MAX_TASKS
 
 
+def test_the_announcement_has_the_fields_that_are_parsed():
+    announcement = SCHEMAS["Announcement"]
+    assert set(announcement["properties"]) == set(_AnnouncementShape.__annotations__)
+    assert set(announcement["required"]) == _AnnouncementShape.__required_keys__
+
+
 def test_every_path_is_described():
     paths = set(OPENAPI["paths"])
     assert {
@@ -38,6 +45,7 @@
         operator_http.STATUS_PATH,
         operator_http.WORKERS_PATH + "{worker}/drain",
         operator_http.WORKERS_PATH + "{worker}/gone",
+        upstream_http.UPSTREAM_PATH,
     } <= paths
 
 
