Answers and handoffs never exceed a frame

Results of one job over 3 MiB could make an answer over the 4 MiB frame bound, which the home's link drops: the caller waited for nothing. It now gets result_lost with the claim that the work ran.

--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -9,6 +9,7 @@
 
 from datetime import datetime
 
+from gypsumspoke.core.chunks import cut
 from gypsumspoke.core.data import (
     Answer,
     ClosedRecord,
@@ -51,10 +52,6 @@
     is_running,
 )
 
-HANDOFF_RECORDS = 500
-HANDOFF_BYTES = 1_000_000
-
-
 # ---------------------------------------------------------------------------
 # Taking over
 
@@ -280,10 +277,7 @@
     handed: HandedLedger, row: PartitionRow, ownership: Ownership
 ) -> list[Handoff]:
     parts = _finished_parts(handed.finished)
-    refused = [
-        handed.refused[start : start + HANDOFF_RECORDS]
-        for start in range(0, len(handed.refused), HANDOFF_RECORDS)
-    ]
+    refused = cut(handed.refused, _no_bytes)
     count = len(parts) + len(refused)
     pairs: list[tuple[tuple[RefusedRecord, ...], tuple[FinishedRecord, ...]]] = [
         ((), part) for part in parts
@@ -311,18 +305,17 @@
     records: tuple[FinishedRecord, ...],
 ) -> list[tuple[FinishedRecord, ...]]:
     """Split records into parts that fit a frame; at least one part."""
-    parts: list[tuple[FinishedRecord, ...]] = []
-    part: list[FinishedRecord] = []
-    size = 0
-    for record in records:
-        part.append(record)
-        size += sum(len(result) for result in record.answer.results)
-        if len(part) >= HANDOFF_RECORDS or size >= HANDOFF_BYTES:
-            parts.append(tuple(part))
-            part, size = [], 0
-    if part or not parts:
-        parts.append(tuple(part))
-    return parts
+    return cut(records, _answer_bytes) or [()]
+
+
+def _no_bytes(record: RefusedRecord) -> int:
+    return 0
+
+
+def _answer_bytes(record: FinishedRecord) -> int:
+    answer = record.answer
+    outcomes = sum(len(outcome.value) for outcome in answer.outcomes)
+    return sum(map(len, answer.results)) + outcomes + len(answer.detail)
 
 
 # ---------------------------------------------------------------------------
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -41,6 +41,7 @@
     Waiter,
     complete_answer,
     failed_answer,
+    outcomes,
 )
 from gypsumspoke.core.ledger import (
     REFUSED_LIMIT,
@@ -50,6 +51,9 @@
 )
 from gypsumspoke.core.takeover import Ownership
 
+# A whole answer goes to the entry in one frame, bounded by ``wire`` at 4 MiB. The rest
+# is for the lengths of up to 130 results and the fields around them.
+ANSWER_BYTES = 3 * 1024 * 1024
 CONFIRM_LIMIT = timedelta(milliseconds=500)
 CONFIRM_TRIES = 2
 ENDING_LIMIT = timedelta(milliseconds=300)
@@ -291,7 +295,14 @@
 
 
 def complete(state: HomeState, job: Job, now: datetime) -> list[Effect]:
-    """Give the answer of a job whose tasks are all done."""
+    """Give the answer of a job whose tasks are all done.
+
+    Results that fit no frame would leave the caller without any answer until its
+    deadline, and then with "unknown". It is told that the work ran instead.
+    """
+    size = sum(len(slot.result) for slot in job.slots)
+    if size > ANSWER_BYTES:
+        return _complete_too_large(state, job, size, now)
     answer = complete_answer(job)
     state.remove_job(job)
     job.dropped = True
@@ -305,6 +316,28 @@
     return effects + _tell_waiters(job, answer)
 
 
+def _complete_too_large(
+    state: HomeState, job: Job, size: int, now: datetime
+) -> list[Effect]:
+    """Answer that the job ran and its results can't be handed over."""
+    detail = f"the results total {size} bytes, over {ANSWER_BYTES}"
+    answer = Answer(
+        ErrorKind.RESULT_LOST, Work.RAN, outcomes=outcomes(job), detail=detail
+    )
+    state.remove_job(job)
+    job.dropped = True
+    _keep(state, job, answer)
+    log = Log(
+        logging.WARNING,
+        "results too large",
+        job.submission.key,
+        attempt=job.submission.attempt,
+        fields=(("bytes", size),),
+    )
+    effects = [Count(ErrorKind.RESULT_LOST), log, *_end_metrics(job, now)]
+    return effects + _tell_waiters(job, answer)
+
+
 def _keep(state: HomeState, job: Job, answer: Answer) -> None:
     submission = job.submission
     record = FinishedRecord(
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -17,6 +17,7 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
+from gypsumspoke.core.chunks import cut
 from gypsumspoke.core.data import (
     NOTHING_FORGOTTEN,
     AttemptId,
@@ -28,8 +29,6 @@
     TaskState,
 )
 
-CHUNK_RECORDS = 500
-CHUNK_BYTES = 1_000_000
 _COVER_MARK = "@"
 
 _STATE_RANK = {
@@ -223,20 +222,17 @@
     Returns:
       At least one chunk, so that an empty partition is acknowledged too.
     """
-    chunks: list[Chunk] = []
-    part: list[StartRecord] = []
-    size = 0
-    for record in started:
-        part.append(record)
-        size += len(record.result or b"")
-        if len(part) >= CHUNK_RECORDS or size >= CHUNK_BYTES:
-            chunks.append(Chunk(tuple(part), ()))
-            part, size = [], 0
-    for start in range(0, len(closed), CHUNK_RECORDS):
-        chunks.append(Chunk((), tuple(closed[start : start + CHUNK_RECORDS])))
-    if part or not chunks:
-        chunks.append(Chunk(tuple(part), ()))
-    return chunks
+    chunks = [Chunk(part, ()) for part in cut(started, _result_bytes)]
+    chunks += [Chunk((), part) for part in cut(closed, _no_bytes)]
+    return chunks or [Chunk((), ())]
+
+
+def _result_bytes(record: StartRecord) -> int:
+    return len(record.result or b"")
+
+
+def _no_bytes(record: ClosedRecord) -> int:
+    return 0
 
 
 def fence_acks(
--- /dev/null
+++ b/tests/core/test_endings.py
@@ -0,0 +1,38 @@
+"""Ends of jobs."""
+
+from gypsumspoke.core import endings
+from gypsumspoke.core.data import Outcome
+from gypsumspoke.core.errors import ErrorKind, Work
+from tests.core.test_home import settled_system
+
+
+def test_results_too_large_for_a_frame_are_told_as_run(monkeypatch):
+    """The caller learns at once that its work ran, though not with what results.
+
+    All tasks run and their results together are over the bound of one answer. A whole
+    answer would never leave the home and the caller would wait until its deadline. A
+    resubmission gets the same answer and starts nothing.
+    """
+    monkeypatch.setattr(endings, "ANSWER_BYTES", 9)
+    system = settled_system()
+    submission = system.submission("k", tasks=2)
+    for _ in range(2):
+        system.submit(submission)
+        system.run(1)
+    first, second = system.answers(submission.key)
+    assert (first.kind, first.work) == (ErrorKind.RESULT_LOST, Work.RAN)
+    assert first.results == ()
+    assert first.outcomes == (Outcome.DONE, Outcome.DONE)
+    assert "10 bytes" in first.detail
+    assert second == first
+    assert set(system.starts(submission.key).values()) == {1}
+    assert system.counts[ErrorKind.RESULT_LOST] == 1
+
+
+def test_results_at_the_bound_are_a_whole_answer(monkeypatch):
+    monkeypatch.setattr(endings, "ANSWER_BYTES", 10)
+    system = settled_system()
+    submission = system.submission("k", tasks=2)
+    system.submit(submission)
+    system.run(1)
+    assert [answer.kind for answer in system.answers(submission.key)] == [None]
