--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -5,7 +5,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from gypsumspoke.core import membership
+from gypsumspoke.core import heartbeats, membership, registration
 from gypsumspoke.core.data import (
     DEFAULT_POLICY,
     TICK,
@@ -197,7 +197,7 @@
     process = Process(sidecar("w1"))
     process.tick()
     process.asked.clear()
-    process.tick(membership.TABLE_ANSWER_WITHIN + SECOND)
+    process.tick(registration.TABLE_ANSWER_WITHIN + SECOND)
     process.tick(10 * SECOND)
     process.settle()
     assert membership.is_registered(process.state)
@@ -311,7 +311,7 @@
     process.effects.clear()
     process.tick(SECOND)
     targets = {e.to for e in process.effects if isinstance(e, Send)}
-    assert len(targets) == membership.RING_PEERS + membership.RANDOM_PEERS
+    assert len(targets) == heartbeats.RING_PEERS + heartbeats.RANDOM_PEERS
     assert {"w002-1", "w003-1", "w004-1", "w005-1"} <= targets
 
 
@@ -381,7 +381,7 @@
     process = Process(sidecar("w1")).joined()
     process.event(membership.Leave())
     process.answer(down=True)
-    process.tick(membership.LEAVE_WITHIN + SECOND)
+    process.tick(registration.LEAVE_WITHIN + SECOND)
     assert membership.has_left(process.state)
 
 
--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -105,8 +105,8 @@
     """The next home takes the partition though its answers are as large as they may be.
 
     A part is cut ahead of a record that does not fit it, and failed jobs count by their
-    outcomes. Otherwise a part with many failed jobs takes in the largest answer too, the
-    handoff is dropped, and the leaving home waits for its acknowledgement.
+    outcomes. Otherwise a part with many failed jobs takes in the largest answer too,
+    the handoff is dropped, and the leaving home waits for its acknowledgement.
     """
     parts = _finished_parts(records)
     assert [record for part in parts for record in part] == list(records)
