--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -11,6 +11,7 @@
 from gypsumspoke.core.adoption import _finished_parts
 from gypsumspoke.core.data import (
     MAX_TASKS,
+    NOTHING_FORGOTTEN,
     Answer,
     AttemptId,
     ClosedRecord,
@@ -73,7 +74,9 @@
 def test_records_of_starts(sizes):
     records = [started(number, size) for number, size in enumerate(sizes)]
     closed = [ClosedRecord(KEY, NOW, 0, DIGEST, ErrorKind.TASK_FAILED)] * 501
-    messages = remember_messages(3, COVERS[0], records, closed, COVERS)
+    messages = remember_messages(
+        3, COVERS[0], records, closed, COVERS, NOTHING_FORGOTTEN
+    )
     assert all(fits(message) for message in messages)
     assert [record for part in messages for record in part.started] == records
     assert [record for part in messages for record in part.closed] == closed
@@ -111,5 +114,5 @@
     parts = _finished_parts(records)
     assert [record for part in parts for record in part] == list(records)
     for number, part in enumerate(parts):
-        handoff = Handoff(3, 1, 1, number, len(parts), NOW, 0, None, (), part)
+        handoff = Handoff(3, 1, 1, number, len(parts), NOW, 0, None, NOW, (), part)
         assert fits(handoff)
