--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -7,7 +7,6 @@
 start it; the mark is needed only until the try's deadline, after which nothing starts.
 """
 
-import heapq
 import logging
 from collections import deque
 from datetime import datetime, timedelta
@@ -27,7 +26,6 @@
     Effect,
     Fence,
     FenceRefused,
-    JobKey,
     Load,
     Log,
     ManifestChanged,
@@ -37,7 +35,6 @@
     PartitionsChanged,
     Policy,
     ReachabilityChanged,
-    ReadRows,
     Received,
     Remember,
     RememberAck,
@@ -55,7 +52,8 @@
     UpstreamAnnounced,
     UpstreamAnswered,
 )
-from gypsumspoke.core.rows import member_from_row, member_key
+from gypsumspoke.core.refused_marks import RefusedMarks
+from gypsumspoke.core.self_check import SelfCheck
 from gypsumspoke.core.start_records import (
     StartRecords,
     expiry_bound,
@@ -65,9 +63,6 @@
 
 DEFAULT_QUEUE_LIMIT = 8
 RECORD_LIMIT = 200_000
-OWN_PAUSE = timedelta(seconds=2)
-SELF_READ_RETRY = timedelta(seconds=1)
-_SELF_READ = "executor:self"
 REMEMBER_RESEND = timedelta(seconds=1)
 _MEAN_WEIGHT = 0.1
 
@@ -95,14 +90,6 @@
     since: datetime
 
 
-class RefusedMark(NamedTuple):
-    """The highest refused try of a task, and until when its mark is needed."""
-
-    epoch: int
-    number: int
-    until: datetime
-
-
 class ExecutorState:
     """All that one executor knows.
 
@@ -121,8 +108,7 @@
         self._records = StartRecords(incarnation, DEFAULT_POLICY.kept_bytes)
         self._epochs: dict[int, int] = {}
         self._map_known = False
-        self._refused: dict[tuple[JobKey, int], RefusedMark] = {}
-        self._refused_expiry: list[tuple[datetime, JobKey, int]] = []
+        self._refused = RefusedMarks()
         self._waiting: deque[Waiting] = deque()
         self._running: dict[AttemptId, Running] = {}
         self._mean_run: timedelta | None = None
@@ -134,10 +120,7 @@
         self._unremembered: set[int] | None = None
         self._remember_sent: datetime | None = None
         self._remember_round = 0
-        self._last_event: datetime | None = None
-        self._unsure = False
-        self._self_read: datetime | None = None
-        self._self_read_number = 0
+        self._self_check = SelfCheck(incarnation)
 
     @property
     def records(self) -> StartRecords:
@@ -191,35 +174,10 @@
     Returns:
       What the shell must do, in order.
     """
-    effects = _notice_own_pause(state, now)
+    effects = state._self_check.note_event(now)
     return effects + _on(event, state, now)
 
 
-def _notice_own_pause(state: ExecutorState, now: datetime) -> list[Effect]:
-    """Start nothing after a pause until the table says that this process still counts.
-
-    While it was paused the platform may have replaced it. The replacement's
-    registration tells new homes that nothing starts here any more; if a former home
-    woke up with it, the two would start tasks that others started long ago. Reading
-    the own row after the pause is enough: a process is not replaced while it runs, and
-    a shorter pause than this is too short for a replacement to start and register.
-    """
-    last = state._last_event
-    state._last_event = now
-    if last is None or now - last < OWN_PAUSE:
-        return []
-    state._unsure = True
-    return _read_own_row(state, now)
-
-
-def _read_own_row(state: ExecutorState, now: datetime) -> list[Effect]:
-    # The number tells the answer apart from one that was asked for before the pause.
-    state._self_read_number += 1
-    state._self_read = now
-    request = f"{_SELF_READ}:{state._self_read_number}"
-    return [ReadRows(request, member_key(state._incarnation))]
-
-
 @singledispatch
 def _on(event: object, state: ExecutorState, now: datetime) -> list[Effect]:
     """Ignore events that concern other reducers."""
@@ -276,9 +234,9 @@
         return RetryReason.STALE_EPOCH
     if state._records.is_closed(message.partition, attempt.key):
         return RetryReason.JOB_CLOSED
-    if _is_refused(state, attempt):
+    if state._refused.covers(attempt):
         return RetryReason.REFUSED_FOR_GOOD
-    if state._unsure:
+    if state._self_check.is_unsure:
         return RetryReason.EXECUTOR_PAUSED
     if state._leaving or state._upstream_leaving:
         return RetryReason.EXECUTOR_LEAVING
@@ -333,7 +291,7 @@
 def _start_waiting(state: ExecutorState, now: datetime) -> list[Effect]:
     """Fill free slots from the queue; refuse what waited past its deadline."""
     effects: list[Effect] = []
-    if state._unsure:
+    if state._self_check.is_unsure:
         return effects
     while state._waiting and len(state._running) < state._slots:
         waiting = state._waiting.popleft()
@@ -357,7 +315,7 @@
         # No byte reached the upstream: the task may start elsewhere, never here under
         # this try.
         state._records.forget(running.partition, attempt)
-        _mark_refused(state, attempt, now + state._policy.retention)
+        state._refused.add(attempt, now + state._policy.retention)
     else:
         result = event.result if event.outcome is Outcome.DONE else None
         ended = _STATE_OF_OUTCOME[event.outcome]
@@ -385,7 +343,7 @@
     state: ExecutorState, message: StartTask, home: str, reason: RetryReason
 ) -> list[Effect]:
     """Answer "not run" and see that it stays true."""
-    _mark_refused(state, message.attempt, message.deadline)
+    state._refused.add(message.attempt, message.deadline)
     effects: list[Effect] = [
         Count(reason),
         Send(home, _not_run(state, message.attempt, reason)),
@@ -421,23 +379,6 @@
     return Log(logging.INFO, event, attempt.key, attempt.task, attempt.number)
 
 
-def _is_refused(state: ExecutorState, attempt: AttemptId) -> bool:
-    mark = state._refused.get((attempt.key, attempt.task))
-    return mark is not None and (attempt.epoch, attempt.number) <= mark[:2]
-
-
-def _mark_refused(state: ExecutorState, attempt: AttemptId, until: datetime) -> None:
-    """Remember that this try, and lower ones of its task, never start here."""
-    place = (attempt.key, attempt.task)
-    known = state._refused.get(place)
-    epoch, number = attempt.epoch, attempt.number
-    if known is not None:
-        epoch, number = max(known[:2], (epoch, number))
-        until = max(known.until, until)
-    state._refused[place] = RefusedMark(epoch, number, until)
-    heapq.heappush(state._refused_expiry, (until, *place))
-
-
 def _is_waiting(state: ExecutorState, attempt: AttemptId) -> bool:
     return any(waiting.start.attempt == attempt for waiting in state._waiting)
 
@@ -466,12 +407,7 @@
 
 @_on.register
 def _(event: RowsRead, state: ExecutorState, now: datetime) -> list[Effect]:
-    if event.request != f"{_SELF_READ}:{state._self_read_number}":
-        return []
-    for row in event.rows or ():
-        is_own = row.key == member_key(state._incarnation)
-        if is_own and member_from_row(row).ended is None:
-            state._unsure = False
+    state._self_check.note_rows(event)
     return _start_waiting(state, now)
 
 
@@ -490,7 +426,7 @@
             state._waiting[place] = waiting._replace(home=sender)
             return [Send(sender, TaskRunning(attempt, load(state)))]
     # The start message may still be under way: it must find the mark.
-    _mark_refused(state, attempt, now + state._policy.retention)
+    state._refused.add(attempt, now + state._policy.retention)
     return [Send(sender, _not_run(state, attempt, RetryReason.NEVER_SEEN))]
 
 
@@ -505,7 +441,7 @@
     state._waiting = deque(
         waiting for waiting in state._waiting if waiting.start.attempt != attempt
     )
-    _mark_refused(state, attempt, now + state._policy.retention)
+    state._refused.add(attempt, now + state._policy.retention)
     return [Send(sender, _not_run(state, attempt, RetryReason.TASK_CANCELLED))]
 
 
@@ -682,23 +618,13 @@
 def _(event: Tick, state: ExecutorState, now: datetime) -> list[Effect]:
     policy = state._policy
     state._records.expire(expiry_bound(now, policy.retention, policy.clock_skew))
-    _expire_refused(state, now)
+    state._refused.expire(now - 2 * policy.clock_skew)
     overdue = [waiting for waiting in state._waiting if now >= waiting.start.deadline]
     effects = _drop_waiting(state, overdue, RetryReason.DEADLINE_PASSED)
-    if state._unsure and now - state._self_read >= SELF_READ_RETRY:
-        effects += _read_own_row(state, now)
+    effects += state._self_check.tick(now)
     return effects + _start_waiting(state, now) + _tell_records(state, now)
 
 
-def _expire_refused(state: ExecutorState, now: datetime) -> None:
-    bound = now - 2 * state._policy.clock_skew
-    while state._refused_expiry and state._refused_expiry[0][0] < bound:
-        _, key, task = heapq.heappop(state._refused_expiry)
-        mark = state._refused.get((key, task))
-        if mark is not None and mark.until < bound:
-            del state._refused[key, task]
-
-
 @_on.register
 def _(event: ManifestChanged, state: ExecutorState, now: datetime) -> list[Effect]:
     state._policy = event.manifest.policy
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -15,6 +15,8 @@
     fences,
     home,
     ledger,
+    refused_marks,
+    self_check,
     start_records,
 )
 from gypsumspoke.core.data import RetryReason
@@ -75,16 +77,16 @@
         id="a fence drops waiting tasks",
     ),
     pytest.param(
-        executor,
-        "_mark_refused",
-        lambda state, attempt, until: None,
+        refused_marks.RefusedMarks,
+        "add",
+        lambda self, attempt, until: None,
         starts.test_a_try_said_never_seen_does_not_start_when_its_message_comes_late,
         id="refused tries are marked",
     ),
     pytest.param(
-        executor,
-        "_notice_own_pause",
-        lambda state, now: [],
+        self_check.SelfCheck,
+        "note_event",
+        lambda self, now: [],
         histories.test_a_replaced_pair_that_wakes_starts_nothing,
         id="a paused executor asks whether it still counts",
     ),
