Entry in small modules; every refusal of an entry and a sidecar is counted

Refusals towards operators and upstreams, and an entry's internal error, had no count. Copies sent again during a takeover were counted as home_moved; they have a reason of their own. The home's histograms of response time and messages name the team.

--- /dev/null
+++ b/gypsumspoke/core/admission.py
@@ -0,0 +1,67 @@
+"""Which submissions an entry turns away itself, unsent.
+
+It can say nothing about other copies of the same key, so each refusal claims no more
+than that this copy was not passed on.
+"""
+
+from datetime import datetime
+
+from gypsumspoke.core import quota
+from gypsumspoke.core.data import Answer, Submission
+from gypsumspoke.core.entry_state import EntryState
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.refusals import refusal_of
+
+WAITING_LIMIT = 2_000
+WAITING_BYTES_LIMIT = 8_000_000
+
+
+def submission_refusal(
+    state: EntryState, submission: Submission, now: datetime
+) -> Answer | None:
+    """Return why a submission is turned away, the cheapest checks first."""
+    refusal = entry_refusal(state) or _request_refusal(state, submission, now)
+    if refusal is not None:
+        return refusal
+    team = submission.key.team
+    wait = quota.admit(state.quota, team, len(submission.tasks), now)
+    if wait is not None:
+        return refusal_of(ErrorKind.QUOTA_EXCEEDED, retry_after=wait)
+    return None
+
+
+def entry_refusal(state: EntryState) -> Answer | None:
+    """Return why this entry takes nothing at all now."""
+    if state.draining:
+        return refusal_of(ErrorKind.ENTRY_DRAINING)
+    if state.manifest is None:
+        return refusal_of(ErrorKind.ENTRY_NOT_READY)
+    is_full = len(state.waiting) >= WAITING_LIMIT
+    if is_full or state.waiting_bytes >= WAITING_BYTES_LIMIT:
+        return refusal_of(ErrorKind.ENTRY_OVERLOADED)
+    return None
+
+
+def _request_refusal(
+    state: EntryState, submission: Submission, now: datetime
+) -> Answer | None:
+    """Return what is wrong with a submission as seen from here.
+
+    The births are checked here and again at the home: a birth from the future would
+    outlive the retention, and after the retention nobody remembers whether the key
+    ran, so an expired key must not run.
+    """
+    policy = state.policy
+    if state.clock_off:
+        return refusal_of(ErrorKind.CLOCK_OFF)
+    if submission.key.team not in state.teams:
+        return refusal_of(ErrorKind.UNKNOWN_TEAM, submission.key.team)
+    if submission.service not in state.services:
+        return refusal_of(ErrorKind.UNKNOWN_SERVICE, submission.service)
+    if submission.deadline <= now:
+        return refusal_of(ErrorKind.DEADLINE_IN_PAST)
+    if submission.birth > now + policy.clock_skew:
+        return refusal_of(ErrorKind.BIRTH_IN_FUTURE)
+    if submission.birth < now - policy.retention:
+        return refusal_of(ErrorKind.KEY_EXPIRED)
+    return None
--- /dev/null
+++ b/gypsumspoke/core/copies.py
@@ -0,0 +1,168 @@
+"""The way of one copy to the home of its key, and of the answer back.
+
+A copy goes again, unchanged, to whoever owns the partition next, until there is an
+answer or patience ends. What is said then claims only whether the copy was ever sent.
+"""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    Answer,
+    Count,
+    Deliver,
+    Effect,
+    Local,
+    Log,
+    Observe,
+    RetryReason,
+    Send,
+    SubmitJob,
+)
+from gypsumspoke.core.entry_state import EntryState, Waiting
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.membership import ViewDoubted
+from gypsumspoke.core.refusals import refusal_of
+
+SEND_AGAIN_AFTER = timedelta(milliseconds=200)
+TURNED_AWAY_PATIENCE = timedelta(seconds=2)
+# Silence is noticed, the partition taken over and all executors fenced within this
+# time beyond ``takeover_after``; waiting longer for a home helps nobody.
+TAKEOVER_TAKES = timedelta(seconds=4)
+# The home answers at the deadline too, and knows what became of each task.
+DEADLINE_GRACE = timedelta(milliseconds=300)
+
+# What a home answers while it does not own the partition, or not yet.
+_NOT_SERVED = {
+    ErrorKind.NOT_OWNER: RetryReason.HOME_MOVED,
+    ErrorKind.TAKEOVER_IN_PROGRESS: RetryReason.TAKEOVER_IN_PROGRESS,
+}
+
+
+def _owner(state: EntryState, partition: int) -> str:
+    """Return the owner that can be reached now, or an empty string."""
+    row = state.partitions.get(partition)
+    if row is None or row.owner not in state.reachable:
+        return ""
+    return row.owner
+
+
+def pass_on(state: EntryState, waiting: Waiting, now: datetime) -> list[Effect]:
+    """Send the copy to the current owner, or hold it until there is one.
+
+    A copy is sent only over a connection that is known to be up. So a copy that was
+    never sent certainly reached nobody, and may be answered "not passed on".
+    """
+    waiting.home = _owner(state, waiting.message.partition)
+    if not waiting.home:
+        waiting.without_home_since = waiting.without_home_since or now
+        waiting.send_again_at = None
+        return []
+    effects: list[Effect] = []
+    if waiting.ever_sent and waiting.reason is not None:
+        effects.append(Count(waiting.reason))
+    waiting.reason = None
+    waiting.ever_sent = True
+    waiting.without_home_since = None
+    waiting.send_again_at = None
+    effects.append(Send(waiting.home, waiting.message))
+    return effects
+
+
+def lose_home(
+    state: EntryState, waiting: Waiting, reason: RetryReason, now: datetime
+) -> list[Effect]:
+    """The home can't answer any more; go on with whoever owns the partition now."""
+    waiting.reason = reason
+    waiting.turned_away_since = None
+    return pass_on(state, waiting, now)
+
+
+def pass_on_held(state: EntryState, now: datetime) -> list[Effect]:
+    """Send the copies that wait for a home that can be reached."""
+    effects: list[Effect] = []
+    for waiting in list(state.waiting.values()):
+        if not waiting.home:
+            effects += pass_on(state, waiting, now)
+    return effects
+
+
+def take_answer(
+    state: EntryState, waiting: Waiting, answer: Answer, now: datetime
+) -> list[Effect]:
+    """Hand an answer of the home to the caller, or try again if it claims nothing."""
+    if answer.kind in _NOT_SERVED:
+        return _turned_away(state, waiting, answer, now)
+    return _deliver(state, waiting.message.request, answer, now)
+
+
+def _turned_away(
+    state: EntryState, waiting: Waiting, answer: Answer, now: datetime
+) -> list[Effect]:
+    """Try again soon: the home is not the owner, or not yet."""
+    waiting.last_refusal = answer
+    waiting.turned_away_since = waiting.turned_away_since or now
+    if now - waiting.turned_away_since >= TURNED_AWAY_PATIENCE:
+        return give_up(state, waiting.message.request, now, "the partition moves")
+    waiting.reason = _NOT_SERVED[answer.kind]
+    spread = 0.5 + state.random.random()
+    waiting.send_again_at = now + SEND_AGAIN_AFTER * spread
+    if answer.kind is ErrorKind.NOT_OWNER:
+        return [Local(ViewDoubted())]
+    return []
+
+
+def _deliver(
+    state: EntryState, request: str, answer: Answer, now: datetime
+) -> list[Effect]:
+    waiting = state.waiting.pop(request)
+    state.waiting_bytes -= waiting.size
+    effects: list[Effect] = []
+    if answer.kind is not None:
+        effects.append(Count(answer.kind))
+    if isinstance(waiting.message, SubmitJob) and waiting.message.wait:
+        seconds = (now - waiting.arrived).total_seconds()
+        effects.append(Observe("response_seconds", seconds, waiting.key.team))
+    if not waiting.caller_left:
+        effects.append(Deliver(request, answer))
+    return effects
+
+
+def give_up(
+    state: EntryState, request: str, now: datetime, detail: str
+) -> list[Effect]:
+    """Answer for a home that doesn't; claim no more than whether the copy was sent."""
+    waiting = state.waiting[request]
+    answer = _given_up_answer(waiting, detail)
+    log = Log(
+        logging.WARNING,
+        "request given up",
+        key=waiting.key,
+        fields=(("request", request), ("kind", answer.kind.value), ("why", detail)),
+    )
+    return [log, *_deliver(state, request, answer, now)]
+
+
+def _given_up_answer(waiting: Waiting, detail: str) -> Answer:
+    if not waiting.ever_sent:
+        return refusal_of(ErrorKind.HOME_UNREACHABLE, detail)
+    last = waiting.last_refusal
+    if last is not None and last.kind is ErrorKind.TAKEOVER_IN_PROGRESS:
+        return last._replace(work=Work.UNKNOWN)
+    return refusal_of(ErrorKind.HOME_SILENT, detail)
+
+
+def look_after(
+    state: EntryState, request: str, waiting: Waiting, now: datetime
+) -> list[Effect]:
+    """Send a copy again when that is due; end its wait when patience or time ends."""
+    grace = DEADLINE_GRACE if waiting.home else timedelta(0)
+    if now >= waiting.deadline + grace:
+        return give_up(state, request, now, "the deadline passed")
+    without_home = waiting.without_home_since
+    patience = state.policy.takeover_after + TAKEOVER_TAKES
+    if without_home is not None and now - without_home >= patience:
+        return give_up(state, request, now, "no home could be reached")
+    if waiting.send_again_at is not None and now >= waiting.send_again_at:
+        return pass_on(state, waiting, now)
+    return []
--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -687,6 +687,7 @@
     SILENT_EXECUTOR = "silent_executor"
     SILENT_HOME = "silent_home"
     HOME_MOVED = "home_moved"
+    TAKEOVER_IN_PROGRESS = "takeover_in_progress"
     TABLE_ANSWER_LOST = "table_answer_lost"
     TABLE_CONFLICT = "table_conflict"
     OTHER = "other"
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -309,10 +309,11 @@
     _keep(state, job, answer)
     effects = [Count(Counter.JOB_COMPLETE), *_end_metrics(job, now)]
     response = now - job.accepted
-    effects.append(Observe("response_seconds", response.total_seconds()))
+    team = job.submission.key.team
+    effects.append(Observe("response_seconds", response.total_seconds(), team))
     if job.longest_run:
         ratio = response / job.longest_run
-        effects.append(Observe("response_over_ideal", ratio, job.submission.key.team))
+        effects.append(Observe("response_over_ideal", ratio, team))
     return effects + _tell_waiters(job, answer)
 
 
@@ -353,7 +354,7 @@
 def _end_metrics(job: Job, now: datetime) -> list[Effect]:
     per_task = job.messages / len(job.slots)
     return [
-        Observe("messages_per_task", per_task),
+        Observe("messages_per_task", per_task, job.submission.key.team),
         Observe("wasted_messages", float(job.wasted)),
     ]
 
--- /dev/null
+++ b/gypsumspoke/core/entry_state.py
@@ -0,0 +1,93 @@
+"""What one entry knows: requests without an answer, and its view of the system."""
+
+import random
+from datetime import datetime
+
+from gypsumspoke.core import quota
+from gypsumspoke.core.data import (
+    DEFAULT_POLICY,
+    Answer,
+    CancelJob,
+    JobKey,
+    Manifest,
+    Member,
+    PartitionRow,
+    Policy,
+    QueryJob,
+    RetryReason,
+    SubmitJob,
+)
+
+
+class Waiting:
+    """One copy on its way.
+
+    Args:
+      message: what goes to the home, the same on every sending.
+      key: identity of the submission.
+      arrived: when the caller came.
+      deadline: when the caller stops waiting.
+
+    Attributes:
+      home: where the copy is now; empty while no home can be reached.
+      without_home_since: since when that is so.
+      turned_away_since: since when homes answer that they don't serve the key.
+      send_again_at: when the same copy is to be sent next, if planned.
+      reason: why the next sending is a retry.
+      size: bytes of the tasks' bodies.
+    """
+
+    def __init__(
+        self,
+        message: SubmitJob | QueryJob | CancelJob,
+        key: JobKey,
+        arrived: datetime,
+        deadline: datetime,
+    ) -> None:
+        self.message = message
+        self.key = key
+        self.arrived = arrived
+        self.deadline = deadline
+        self.home = ""
+        self.ever_sent = False
+        self.without_home_since: datetime | None = arrived
+        self.turned_away_since: datetime | None = None
+        self.send_again_at: datetime | None = None
+        self.reason: RetryReason | None = None
+        self.last_refusal: Answer | None = None
+        self.caller_left = False
+        self.size = 0
+        if isinstance(message, SubmitJob):
+            self.size = sum(len(task.body) for task in message.submission.tasks)
+
+
+class EntryState:
+    """One entry's requests and view; made by ``new_entry``.
+
+    Attributes:
+      waiting: requests without an answer, by identity; their bodies are bounded in
+        ``waiting_bytes``.
+      entries: incarnations of all entries, this one included.
+      teams, services: names in the manifest in force.
+    """
+
+    def __init__(self, member: Member, partition_count: int, seed: int) -> None:
+        self.member = member
+        self.partition_count = partition_count
+        self.random = random.Random(seed)
+        self.waiting: dict[str, Waiting] = {}
+        self.waiting_bytes = 0
+        self.partitions: dict[int, PartitionRow] = {}
+        self.entries: frozenset[str] = frozenset()
+        self.reachable: frozenset[str] = frozenset()
+        self.manifest: Manifest | None = None
+        self.teams: frozenset[str] = frozenset()
+        self.services: frozenset[str] = frozenset()
+        self.quota = quota.new_quota(member.incarnation)
+        self.draining = False
+        self.clock_off = False
+
+    @property
+    def policy(self) -> Policy:
+        """The policy in force, or the default before the first manifest."""
+        return self.manifest.policy if self.manifest else DEFAULT_POLICY
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -6,7 +6,7 @@
 
 from gypsumspoke.core import entry_role, membership
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Deliver
+from gypsumspoke.core.data import Count, Deliver
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
@@ -61,6 +61,7 @@
         clock,
         lambda: state.members,
         lambda event: runtime.post(event),
+        own_metrics.count,
         stack,
     )
     admin = AdminServer(
@@ -109,11 +110,12 @@
     clock: Clock,
     view: Callable[[], membership.MembershipState],
     post: Callable[[object], None],
+    count: Callable[[Count], None],
     stack: ExitStack,
 ) -> OperatorHttp:
     """Return the operators' interface, with a table client of its own."""
     table = stack.enter_context(closing(OperatorTable(_table_client(settings))))
-    return OperatorHttp(table, view, post, clock)
+    return OperatorHttp(table, view, post, count, clock)
 
 
 def _open_callers(
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -18,9 +18,9 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.copies import DEADLINE_GRACE
 from gypsumspoke.core.data import Answer, Count, Deliver, JobKey
 from gypsumspoke.core.entry import (
-    DEADLINE_GRACE,
     QUERY_PATIENCE,
     CallerArrived,
     CallerLeft,
@@ -137,6 +137,7 @@
             details = {"request": event.request}
             _log.error({"message": "no answer from the reducer", "details": details})
             self._post(CallerLeft(event.request))
+            self._count(Count(ErrorKind.INTERNAL))
             return refusal_of(ErrorKind.INTERNAL)
         finally:
             del self._waiting[event.request]
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -20,6 +20,7 @@
 from gypsumspoke.core import membership
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.data import (
+    Count,
     ManifestUpdate,
     Member,
     ReadRows,
@@ -134,6 +135,7 @@
 
     def __init__(self, kind: ErrorKind, detail: str, **more: Any) -> None:
         super().__init__(detail)
+        self.kind = kind
         self.answer = problem(refusal_of(kind, detail), **more)
 
 
@@ -176,6 +178,7 @@
       table: the platform's table.
       view: gives this process's membership view, to be read only.
       post: queues an event for the reducer.
+      count: counts a refusal.
       clock: source of time.
     """
 
@@ -184,11 +187,13 @@
         table: OperatorTable,
         view: Callable[[], membership.MembershipState],
         post: Callable[[Any], None],
+        count: Callable[[Count], None],
         clock: Clock,
     ) -> None:
         self._table = table
         self._view = view
         self._post = post
+        self._count = count
         self._clock = clock
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
@@ -196,6 +201,7 @@
         try:
             answer = self._answer(environ)
         except _Refused as refused:
+            self._count(Count(refused.kind))
             answer = refused.answer
         return respond(answer, start)
 
@@ -223,7 +229,7 @@
     def _show_manifest(self, environ: Environ) -> HttpAnswer:
         stored = self._stored_manifest()
         if stored.version == 0:
-            return problem(refusal_of(ErrorKind.NO_MANIFEST))
+            raise _Refused(ErrorKind.NO_MANIFEST, "")
         headers = [("ETag", f'"{stored.version}"')]
         for change in stored.changes:
             if change.version == stored.version:
--- a/gypsumspoke/shell/sidecar.py
+++ b/gypsumspoke/shell/sidecar.py
@@ -52,6 +52,7 @@
     announcements = UpstreamHttp(
         lambda: state,
         lambda event: runtime.post(event),
+        own_metrics.count,
         lambda port: upstream.set_port(port),
         settings.upstream_port,
     )
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -10,7 +10,7 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core import executor
-from gypsumspoke.core.data import UpstreamAnnounced
+from gypsumspoke.core.data import Count, UpstreamAnnounced
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.core.sidecar import SidecarState
@@ -36,6 +36,7 @@
     Args:
       view: gives the sidecar's state, to be read only.
       post: queues an event for the reducer.
+      count: counts a refusal.
       set_port: takes the upstream's port for tasks that start from now on.
       port: the upstream's port as the settings have it; 0 if they leave it open.
     """
@@ -44,11 +45,13 @@
         self,
         view: Callable[[], SidecarState],
         post: Callable[[UpstreamAnnounced], None],
+        count: Callable[[Count], None],
         set_port: Callable[[int], None],
         port: int,
     ) -> None:
         self._view = view
         self._post = post
+        self._count = count
         self._set_port = set_port
         self._port = port
         self._announced: UpstreamAnnounced | None = None
@@ -61,23 +64,24 @@
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         routes = {"GET": self._show, "PUT": self._announce, "DELETE": self._leave}
         if path != UPSTREAM_PATH or method not in routes:
-            return _refused(f"no such request: {method} {path}")
+            return self._refuse(f"no such request: {method} {path}")
         return routes[method](environ)
 
     def _announce(self, environ: Environ) -> HttpAnswer:
         try:
             text = read_body(environ, BODY_LIMIT).decode()
         except TooLarge:
-            return problem(refusal_of(ErrorKind.BODY_TOO_LARGE))
+            detail = f"at most {BODY_LIMIT} bytes are taken"
+            return self._refuse(detail, ErrorKind.BODY_TOO_LARGE)
         except ValueError:
-            return _refused("the body is not UTF-8, or its length is no number")
+            return self._refuse("the body is not UTF-8, or its length is no number")
         parsed = parse_announcement(text)
         if not is_successful(parsed):
-            return _refused("; ".join(str(error) for error in parsed.failure()))
+            return self._refuse("; ".join(str(error) for error in parsed.failure()))
         announcement = parsed.unwrap()
         reason = self._objection(announcement)
         if reason:
-            return _refused(reason)
+            return self._refuse(reason)
         self._take(announcement)
         return json_answer(self._status())
 
@@ -127,6 +131,12 @@
             return self._announced.slots
         return self._view().member.slots
 
+    def _refuse(
+        self, detail: str, kind: ErrorKind = ErrorKind.INVALID_REQUEST
+    ) -> HttpAnswer:
+        self._count(Count(kind))
+        return problem(refusal_of(kind, detail))
+
     def _show(self, environ: Environ) -> HttpAnswer:
         return json_answer(self._status())
 
@@ -141,7 +151,3 @@
             "running": load.running,
             "queued": load.queued,
         }
-
-
-def _refused(detail: str) -> HttpAnswer:
-    return problem(refusal_of(ErrorKind.INVALID_REQUEST, detail))
--- a/tests/core/test_endings.py
+++ b/tests/core/test_endings.py
@@ -1,8 +1,9 @@
 """Ends of jobs."""
 
 from gypsumspoke.core import endings
-from gypsumspoke.core.data import Outcome
+from gypsumspoke.core.data import Observe, Outcome
 from gypsumspoke.core.errors import ErrorKind, Work
+from tests.core.system import System
 from tests.core.test_home import settled_system
 
 
@@ -36,3 +37,28 @@
     system.submit(submission)
     system.run(1)
     assert [answer.kind for answer in system.answers(submission.key)] == [None]
+
+
+class ObservedSystem(System):
+    """Keeps what homes observe."""
+
+    def __init__(self, **options):
+        self.observed = []
+        super().__init__(**options)
+
+    def _perform(self, node, effect):
+        if isinstance(effect, Observe):
+            self.observed.append(effect)
+        super()._perform(node, effect)
+
+
+def test_a_whole_job_is_measured_by_team():
+    system = ObservedSystem()
+    system.run(3)
+    system.hold_upstreams = True
+    system.submit(system.submission("k", tasks=2))
+    system.run(1)
+    system.hold_upstreams = False
+    system.run(1)
+    by_team = {effect.name for effect in system.observed if effect.label == "team"}
+    assert by_team == {"response_seconds", "response_over_ideal", "messages_per_task"}
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumspoke.core import entry
+from gypsumspoke.core import admission, copies, entry
 from gypsumspoke.core.data import (
     DEFAULT_POLICY,
     Answer,
@@ -164,7 +164,7 @@
 
 
 def test_waiting_requests_are_bounded_in_number(monkeypatch):
-    monkeypatch.setattr(entry, "WAITING_LIMIT", 2)
+    monkeypatch.setattr(admission, "WAITING_LIMIT", 2)
     process = Entry()
     for number in range(3):
         process.submit(f"r{number}")
@@ -175,7 +175,7 @@
 
 
 def test_waiting_requests_are_bounded_in_bytes(monkeypatch):
-    monkeypatch.setattr(entry, "WAITING_BYTES_LIMIT", 10)
+    monkeypatch.setattr(admission, "WAITING_BYTES_LIMIT", 10)
     process = Entry()
     process.submit("r0", tasks=(Task(b"0123456789"),))
     process.submit("r1")
@@ -231,6 +231,15 @@
     assert RetryReason.HOME_MOVED in process.counted()
 
 
+def test_a_copy_sent_again_during_a_takeover_is_counted_as_that():
+    process = Entry()
+    process.submit()
+    process.answer(refused(ErrorKind.TAKEOVER_IN_PROGRESS))
+    process.event(Tick(), after=SECOND)
+    assert [to for to, _ in process.sent()] == ["h1"]
+    assert process.counted() == [RetryReason.TAKEOVER_IN_PROGRESS]
+
+
 def test_a_takeover_that_takes_too_long_gives_unknown():
     process = Entry()
     process.submit()
@@ -241,7 +250,7 @@
         process.event(Tick(), after=100 * MILLISECOND)
     kind = process.delivered_kind()
     assert kind == (ErrorKind.TAKEOVER_IN_PROGRESS, Work.UNKNOWN)
-    assert process.now - START <= entry.TURNED_AWAY_PATIENCE + SECOND
+    assert process.now - START <= copies.TURNED_AWAY_PATIENCE + SECOND
 
 
 def test_a_copy_that_was_never_sent_is_not_passed_on():
@@ -270,7 +279,7 @@
     process.submit(deadline=START + SECOND)
     process.event(Tick(), after=SECOND)
     assert not process.delivered()
-    process.event(Tick(), after=entry.DEADLINE_GRACE)
+    process.event(Tick(), after=copies.DEADLINE_GRACE)
     assert process.delivered_kind() == (ErrorKind.HOME_SILENT, Work.UNKNOWN)
 
 
--- a/tests/shell/test_operator_http.py
+++ b/tests/shell/test_operator_http.py
@@ -198,3 +198,12 @@
     entry = Entry(processes, table).wait_ready()
     assert own_row(table, entry.incarnation)["ended"] is None
     home.links.close()
+
+
+def test_each_refusal_is_counted(operator):
+    """Whoever watches the entries sees that operators race or bring bad manifests."""
+    operator.apply(base=operator.version(), text="{")
+    operator.apply(base=operator.version() + 1)
+    metrics = bytes(request(operator.port, "GET", "/metrics")[2]).decode()
+    for kind in ("invalid_manifest", "conflict"):
+        assert f'gypsumspoke_refusals_total{{kind="{kind}"}} 1.0' in metrics
