--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -292,7 +292,6 @@
             number,
             count,
             handed.born_before,
-            ownership.floor.generation,
             handed.lossy_before,
             handed.forgotten_before,
             refused_part,
--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -559,7 +559,7 @@
     Attributes:
       partition, epoch, version: the row that the next home must replace.
       chunk, chunks: position of this chunk, from 0, and how many there are.
-      floor, generation: see ``Ownership`` in core/ledger.py.
+      floor: ``born_before`` of the partition's floor, see core/ledger.py.
       lossy_before: unknown keys born before this are RECORDS_LOST; None if none.
       forgotten_before: keys born before this may have been dropped from the ledger.
       refused, finished: the ledger. A job that still runs stands in ``finished`` with
@@ -572,7 +572,6 @@
     chunk: int
     chunks: int
     floor: datetime
-    generation: int
     lossy_before: datetime | None
     forgotten_before: datetime
     refused: tuple[RefusedRecord, ...]
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -266,11 +266,10 @@
   4: i64 chunk
   5: i64 chunks
   6: TimeMicros floor
-  7: i64 generation
-  8: optional TimeMicros lossy_before
-  9: TimeMicros forgotten_before
-  10: list<RefusedRecord> refused
-  11: list<FinishedRecord> finished
+  7: optional TimeMicros lossy_before
+  8: TimeMicros forgotten_before
+  9: list<RefusedRecord> refused
+  10: list<FinishedRecord> finished
 }
 
 /** Next home to leaving home: it owns the partition now, or never will. */
--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -114,5 +114,5 @@
     parts = _finished_parts(records)
     assert [record for part in parts for record in part] == list(records)
     for number, part in enumerate(parts):
-        handoff = Handoff(3, 1, 1, number, len(parts), NOW, 0, None, NOW, (), part)
+        handoff = Handoff(3, 1, 1, number, len(parts), NOW, None, NOW, (), part)
         assert fits(handoff)
