--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -135,3 +135,22 @@
     system.run(1)
     in_flight = system.nodes[former].state.home.in_flight
     assert not any(in_flight.values())
+
+
+def test_slow_tasks_do_not_make_a_home_refuse_all_jobs_for_ever():
+    """The upstreams hung for a while; afterwards jobs are tried again.
+
+    By the run times learned meanwhile no job could finish in time. Refusing them all
+    would keep the home from ever learning better.
+    """
+    system = settled_system()
+    system.hold_upstreams = True
+    system.submit(system.submission("slow", tasks=4))
+    system.run(15)
+    system.hold_upstreams = False
+    system.run(1)
+    hasty = system.submission("k")
+    hasty = hasty._replace(deadline=system.now + timedelta(seconds=5))
+    system.submit(hasty)
+    system.run(2)
+    assert system.answers(hasty.key)[0].kind is None
