What a home decides about copies stands in a module of its own

A leaving home that can't hand over takes no new keys after five seconds, so that its jobs end; the constant stood there unused. A caller that does not wait gets one message rather than two: before, its answer was sent later as well and dropped at the entry.

--- /dev/null
+++ b/gypsumspoke/core/intake.py
@@ -0,0 +1,325 @@
+"""What a home decides about each copy, question and cancellation that comes in.
+
+A copy meets what is known of its key: a kept answer, a running job, a job that a former
+home had accepted, a refusal. Only a key of which nothing is known can start a job, and
+only if its birth and attempt number rule out that it ran or was refused before.
+"""
+
+import heapq
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.core import adoption, dispatch, endings
+from gypsumspoke.core.data import (
+    Answer,
+    CancelJob,
+    Count,
+    Counter,
+    Effect,
+    JobKey,
+    QueryJob,
+    Submission,
+    SubmitJob,
+)
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.home_state import HomeState, Parked, answer_of, reply
+from gypsumspoke.core.jobs import Job, Waiter
+from gypsumspoke.core.ownership import Ownership
+from gypsumspoke.core.placement import expected_run, expected_wait, serves
+
+PARK_LIMIT = timedelta(seconds=2)
+PARKED_LIMIT = 1_000
+REFUSE_NEW_AFTER = timedelta(seconds=5)
+
+
+def submit(
+    state: HomeState, message: SubmitJob, sender: str, now: datetime
+) -> list[Effect]:
+    """Decide about one copy of a submission.
+
+    Args:
+      state: changed in place.
+      message: the copy.
+      sender: the entry that sent it.
+      now: the current time.
+    """
+    ownership = state.serving(message.partition)
+    if ownership is None:
+        return _park(state, sender, message, now)
+    submission = message.submission
+    waiter = Waiter(sender, message.request)
+    kind = _unfit(state, ownership, submission, now)
+    if kind is not None:
+        return [Count(kind), reply(waiter, submission.key, answer_of(kind))]
+    effects = _attach(state, ownership, submission, waiter, now)
+    if effects is None:
+        effects = _first_sight(state, ownership, submission, waiter, now)
+    job = state.job(message.partition, submission.key)
+    if message.wait or job is None:
+        return effects
+    if waiter in job.waiters:
+        job.waiters.remove(waiter)
+    running = answer_of(ErrorKind.JOB_RUNNING)
+    return effects + [reply(waiter, submission.key, running)]
+
+
+def _unfit(
+    state: HomeState, ownership: Ownership, submission: Submission, now: datetime
+) -> ErrorKind | None:
+    """Return why a copy can't be judged here, or None."""
+    policy = state.policy
+    if state.clock_is_off:
+        return ErrorKind.CLOCK_OFF
+    if submission.birth > now + policy.clock_skew:
+        return ErrorKind.BIRTH_IN_FUTURE
+    forgotten_before = adoption.forgotten_before(state, ownership)
+    if submission.birth < max(now - policy.retention, forgotten_before):
+        # Its record may be gone, so a start now could be the second one.
+        return ErrorKind.KEY_EXPIRED
+    if submission.attempt >= ownership.floor.ceiling:
+        return ErrorKind.ATTEMPT_NOT_ISSUED
+    return None
+
+
+def _attach(
+    state: HomeState,
+    ownership: Ownership,
+    submission: Submission,
+    waiter: Waiter,
+    now: datetime,
+) -> list[Effect] | None:
+    """Answer a copy of a known submission; None if the key may run."""
+    partition, key = ownership.partition, submission.key
+    finished = state.ledger.finished(partition, key)
+    job = state.job(partition, key)
+    adopted = state.adopted.get(partition, {}).get(key)
+    known = finished or adopted or (job.submission if job is not None else None)
+    if known is not None:
+        if (known.birth, known.digest) != (submission.birth, submission.digest):
+            kind = ErrorKind.KEY_REUSED
+            return [Count(kind), reply(waiter, key, answer_of(kind))]
+    if finished is not None:
+        return [
+            Count(Counter.ANSWERED_FROM_KEPT),
+            reply(waiter, key, finished.answer),
+        ]
+    if job is not None:
+        return _attach_to_running(state, job, submission, waiter)
+    if adopted is not None:
+        return adoption.resume(state, ownership, adopted, submission, waiter, now)
+    return _attach_to_refused(state, ownership, submission, waiter, now)
+
+
+def _attach_to_running(
+    state: HomeState, job: Job, submission: Submission, waiter: Waiter
+) -> list[Effect]:
+    """Let a copy wait for the running job; its later deadline counts."""
+    if waiter not in job.waiters:
+        job.waiters.append(waiter)
+    attempt = max(job.submission.attempt, submission.attempt)
+    deadline = max(job.submission.deadline, submission.deadline)
+    if deadline > job.submission.deadline:
+        heapq.heappush(state.deadlines, (deadline, job.partition, submission.key))
+    job.submission = job.submission._replace(attempt=attempt, deadline=deadline)
+    return [Count(Counter.ATTACHED_TO_RUNNING)]
+
+
+def _attach_to_refused(
+    state: HomeState,
+    ownership: Ownership,
+    submission: Submission,
+    waiter: Waiter,
+    now: datetime,
+) -> list[Effect] | None:
+    known = state.ledger.refused(ownership.partition, submission.key)
+    if known is None:
+        return None
+    if known.birth != submission.birth:
+        kind = ErrorKind.KEY_REUSED
+        return [Count(kind), reply(waiter, submission.key, answer_of(kind))]
+    if submission.attempt > known.submission_attempt:
+        return None
+    return endings.refuse(
+        state, ownership, waiter, submission, ErrorKind.ALREADY_REFUSED, now
+    )
+
+
+def _first_sight(
+    state: HomeState,
+    ownership: Ownership,
+    submission: Submission,
+    waiter: Waiter,
+    now: datetime,
+) -> list[Effect]:
+    """Decide about a key of which this home has no start and no answer."""
+    if _is_stuck_leaving(state, now):
+        kind = ErrorKind.NOT_OWNER
+        return [Count(kind), reply(waiter, submission.key, answer_of(kind))]
+    floor = ownership.floor
+    lossy_before = floor.lossy_before
+    if lossy_before is not None and submission.birth < lossy_before:
+        kind = ErrorKind.RECORDS_LOST
+        return [
+            Count(kind),
+            Count(Counter.UNKNOWN_BY_DOUBT),
+            reply(waiter, submission.key, answer_of(kind)),
+        ]
+    if submission.birth < floor.born_before and submission.attempt < floor.attempt:
+        return endings.refuse_below_floor(state, ownership, waiter, submission)
+    shortage = _shortage(state, submission, now)
+    if shortage is not None:
+        return endings.refuse(
+            state,
+            ownership,
+            waiter,
+            submission,
+            shortage.kind,
+            now,
+            shortage.retry_after,
+        )
+    state.ledger.forget_refused(ownership.partition, submission.key)
+    job = Job(submission, ownership.partition, now)
+    job.waiters.append(waiter)
+    state.add_job(job)
+    dispatch.enqueue(state, job)
+    return []
+
+
+def _is_stuck_leaving(state: HomeState, now: datetime) -> bool:
+    """Return whether a leaving home can't hand over, as while the table is down.
+
+    It would never finish its jobs if it went on taking new ones.
+    """
+    since = state.draining_since
+    return since is not None and now - since >= REFUSE_NEW_AFTER
+
+
+class Shortage(NamedTuple):
+    """Why a new job is not accepted now, and when to come back."""
+
+    kind: ErrorKind
+    retry_after: timedelta | None
+
+
+def _shortage(
+    state: HomeState, submission: Submission, now: datetime
+) -> Shortage | None:
+    if not serves(state.placement, submission.service):
+        return Shortage(ErrorKind.NO_WORKER_FITS, None)
+    known = state.ledger.finished_count + state.job_count
+    if known >= state.policy.ledger_limit:
+        return Shortage(ErrorKind.LEDGER_FULL, None)
+    ahead = _tasks_ahead(state, submission)
+    wait = expected_wait(state.placement, submission.service, ahead)
+    if ahead > state.policy.home_queue_limit:
+        return Shortage(ErrorKind.QUEUE_FULL, wait)
+    run = expected_run(state.placement, submission.service)
+    # With nothing queued the job is tried whatever the estimate says: an estimate from
+    # a time of slow upstreams would else refuse all jobs and never be corrected.
+    if state.queued and now + wait + run > submission.deadline:
+        return Shortage(ErrorKind.DEADLINE_UNREACHABLE, wait)
+    return None
+
+
+def _tasks_ahead(state: HomeState, submission: Submission) -> int:
+    """Return how many tasks fair queueing serves before the job's last one.
+
+    While a team's own queue drains, each other team gets its share and no more, so a
+    team within its share does not wait behind one that floods the queue.
+    """
+    team = submission.key.team
+    weight = state.team_weights.get(team, dispatch.DEFAULT_WEIGHT)
+    own = state.team_queued.get(team, 0) + len(submission.tasks)
+    ahead = own
+    for other, queued in state.team_queued.items():
+        if other != team:
+            share = state.team_weights.get(other, dispatch.DEFAULT_WEIGHT) / weight
+            ahead += min(queued, int(own * share) + 1)
+    return ahead
+
+
+def _park(state: HomeState, sender: str, message, now: datetime) -> list[Effect]:
+    """Let a request wait for a takeover that is under way, not for long."""
+    partition = message.partition
+    if partition not in state.takeover.owned:
+        return _turn_away(message, sender, ErrorKind.NOT_OWNER)
+    parked = state.parked.setdefault(partition, [])
+    if len(parked) >= PARKED_LIMIT:
+        return _turn_away(message, sender, ErrorKind.TAKEOVER_IN_PROGRESS)
+    parked.append(Parked(sender, message, now))
+    return []
+
+
+def _turn_away(message, sender: str, kind: ErrorKind) -> list[Effect]:
+    key = message.submission.key if isinstance(message, SubmitJob) else message.key
+    waiter = Waiter(sender, message.request)
+    effects: list[Effect] = [Count(kind), reply(waiter, key, answer_of(kind))]
+    if kind is ErrorKind.TAKEOVER_IN_PROGRESS:
+        effects.append(Count(Counter.UNKNOWN_BY_DOUBT))
+    return effects
+
+
+def expire_parked(state: HomeState, now: datetime) -> list[Effect]:
+    """Give up on requests whose partition is not served soon, at once and for now."""
+    effects: list[Effect] = []
+    for partition, parked in list(state.parked.items()):
+        late = [one for one in parked if now - one.since >= PARK_LIMIT]
+        for one in late:
+            parked.remove(one)
+            kind = ErrorKind.TAKEOVER_IN_PROGRESS
+            effects += _turn_away(one.message, one.sender, kind)
+        if not parked:
+            del state.parked[partition]
+    return effects
+
+
+def query(
+    state: HomeState, message: QueryJob, sender: str, now: datetime
+) -> list[Effect]:
+    """Say what became of a key."""
+    return _known_or_parked(state, message, sender, now)
+
+
+def cancel(
+    state: HomeState, message: CancelJob, sender: str, now: datetime
+) -> list[Effect]:
+    """Start nothing more of a job, and end it."""
+    job = state.job(message.partition, message.key)
+    if job is None or state.serving(message.partition) is None:
+        return _known_or_parked(state, message, sender, now)
+    job.waiters.append(Waiter(sender, message.request))
+    return endings.begin_ending(state, job, ErrorKind.CANCELLED, now)
+
+
+def _known_or_parked(
+    state: HomeState, message: QueryJob | CancelJob, sender: str, now: datetime
+) -> list[Effect]:
+    ownership = state.serving(message.partition)
+    if ownership is None:
+        return _park(state, sender, message, now)
+    answer = _known_answer(state, ownership, message.key)
+    return [reply(Waiter(sender, message.request), message.key, answer)]
+
+
+def _known_answer(state: HomeState, ownership: Ownership, key: JobKey) -> Answer:
+    """Return what is known of a key, without any claim that needs confirming."""
+    partition = ownership.partition
+    finished = state.ledger.finished(partition, key)
+    if finished is not None:
+        return finished.answer
+    if state.job(partition, key) is not None:
+        return answer_of(ErrorKind.JOB_RUNNING)
+    if key in state.adopted.get(partition, {}):
+        detail = "Accepted by a former home; resubmit it to get its answer."
+        return answer_of(ErrorKind.JOB_RUNNING, detail=detail)
+    refused = state.ledger.refused(partition, key)
+    if refused is not None:
+        number = max(refused.submission_attempt + 1, ownership.floor.attempt)
+        detail = "Refused before; resubmit it with the next attempt number."
+        return Answer(
+            ErrorKind.ALREADY_REFUSED,
+            Work.UNKNOWN,
+            next_attempt=number,
+            detail=detail,
+        )
+    return answer_of(ErrorKind.JOB_NOT_FOUND)
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -400,12 +400,12 @@
         row = self.table.rows.get(f"partitions/{partition:05d}")
         return json.loads(row.value)["owner"] if row else None
 
-    def submit(self, submission, to=None):
+    def submit(self, submission, to=None, wait=True):
         """Send a copy as an entry would; to the owner unless told otherwise."""
         partition = partition_of(submission.key, self.partitions)
         request = f"r{len(self.requests)}"
         self.requests[request] = (submission.key, submission.attempt)
-        message = SubmitJob(request, partition, submission)
+        message = SubmitJob(request, partition, submission, wait)
         target = to or self.owner(submission.key)
         if target is not None:
             self.flights.append(Flight("entry", target, message))
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -154,3 +154,15 @@
     system.submit(hasty)
     system.run(2)
     assert system.answers(hasty.key)[0].kind is None
+
+
+def test_a_caller_that_does_not_wait_gets_one_message():
+    """It hears at once that the job runs; its answer is there when it asks."""
+    system = settled_system()
+    submission = system.submission("k")
+    system.submit(submission, wait=False)
+    system.run(1)
+    assert [a.kind for a in system.answers(submission.key)] == [ErrorKind.JOB_RUNNING]
+    system.submit(submission)
+    system.run(0.5)
+    assert system.answers(submission.key)[-1].kind is None
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -2,6 +2,7 @@
 
 from gypsumspoke.core import sidecar
 from gypsumspoke.core.data import Drain, Exit, RetryReason, Tick, UpstreamAnnounced
+from gypsumspoke.core.errors import ErrorKind
 from tests.core.system import SERVICE, START, System, parse_manifest
 from tests.core.test_home import settled_system
 
@@ -85,3 +86,28 @@
     system.drain(last)
     system.run(40)
     assert system.nodes[last].exited
+
+
+def test_a_sidecar_leaves_while_the_table_is_down_and_cuts_no_job():
+    """The table is down when a sidecar is stopped, so nobody can take over from it.
+
+    It finishes what runs, sends new keys away without any claim, and then exits.
+    """
+    system = System(workers=4, partitions=1)
+    system.run(3)
+    system.hold_upstreams = True
+    running = system.submission("k", tasks=3)
+    leaving = system.owner(running.key)
+    system.submit(running)
+    system.run(0.5)
+    system.table.is_down = True
+    system.drain(leaving)
+    system.run(6)
+    fresh = system.submission("fresh")
+    system.submit(fresh)
+    system.run(0.5)
+    assert system.answers(fresh.key)[0].kind is ErrorKind.NOT_OWNER
+    system.hold_upstreams = False
+    system.run(40)
+    assert system.answers(running.key)[0].kind is None
+    assert system.nodes[leaving].exited
