A job's results are dropped once they exceed one answer

One running job could hold 130 results of 1 MiB each at its home, none of which could be handed over. A dropped result is told on as lost, never as empty.

--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -150,9 +150,7 @@
         slot.state = SlotState.PLACED
         return [adopt_running(state, job, number, now)]
     if record.state is TaskState.DONE:
-        slot.state = SlotState.DONE
-        slot.result = record.result or b""
-        job.undone -= 1
+        job.set_done(slot, record.result or b"")
     else:
         failed = record.state is TaskState.FAILED
         slot.state = SlotState.FAILED if failed else SlotState.UNKNOWN
--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -187,9 +187,7 @@
 def _task_done(
     state: HomeState, job: Job, slot: TaskSlot, message: TaskOutcome, now: datetime
 ) -> list[Effect]:
-    slot.state = SlotState.DONE
-    slot.result = message.result
-    job.undone -= 1
+    job.set_done(slot, message.result)
     if message.run_time is not None:
         job.longest_run = max(job.longest_run, message.run_time)
     if job.is_done:
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -36,6 +36,7 @@
     reply,
 )
 from gypsumspoke.core.jobs import (
+    ANSWER_BYTES,
     Job,
     SlotState,
     Waiter,
@@ -51,9 +52,6 @@
 )
 from gypsumspoke.core.ownership import Ownership
 
-# A whole answer goes to the entry in one frame, bounded by ``wire`` at 4 MiB. The rest
-# is for the lengths of up to 130 results and the fields around them.
-ANSWER_BYTES = 3 * 1024 * 1024
 CONFIRM_LIMIT = timedelta(milliseconds=500)
 CONFIRM_TRIES = 2
 ENDING_LIMIT = timedelta(milliseconds=300)
@@ -300,9 +298,8 @@
     Results that fit no frame would leave the caller without any answer until its
     deadline, and then with "unknown". It is told that the work ran instead.
     """
-    size = sum(len(slot.result) for slot in job.slots)
-    if size > ANSWER_BYTES:
-        return _complete_too_large(state, job, size, now)
+    if job.is_too_large:
+        return _complete_too_large(state, job, now)
     answer = complete_answer(job)
     state.remove_job(job)
     job.dropped = True
@@ -317,11 +314,9 @@
     return effects + _tell_waiters(job, answer)
 
 
-def _complete_too_large(
-    state: HomeState, job: Job, size: int, now: datetime
-) -> list[Effect]:
+def _complete_too_large(state: HomeState, job: Job, now: datetime) -> list[Effect]:
     """Answer that the job ran and its results can't be handed over."""
-    detail = f"the results total {size} bytes, over {ANSWER_BYTES}"
+    detail = f"the results total {job.result_bytes} bytes, over {ANSWER_BYTES}"
     answer = Answer(
         ErrorKind.RESULT_LOST, Work.RAN, outcomes=outcomes(job), detail=detail
     )
@@ -333,7 +328,7 @@
         "results too large",
         job.submission.key,
         attempt=job.submission.attempt,
-        fields=(("bytes", size),),
+        fields=(("bytes", job.result_bytes),),
     )
     effects = [Count(ErrorKind.RESULT_LOST), log, *_end_metrics(job, now)]
     return effects + _tell_waiters(job, answer)
--- a/gypsumspoke/core/jobs.py
+++ b/gypsumspoke/core/jobs.py
@@ -12,6 +12,10 @@
 from gypsumspoke.core.data import Answer, AttemptId, Outcome, Submission
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
 
+# A whole answer goes to the entry in one frame, bounded by ``wire`` at 4 MiB. The rest
+# is for the lengths of up to 130 results and the fields around them.
+ANSWER_BYTES = 3 * 1024 * 1024
+
 
 class Waiter(NamedTuple):
     """One copy of a submission that waits for the answer."""
@@ -42,7 +46,7 @@
         self.placements = 0
         self.avoid: frozenset[str] = frozenset()
         self.is_running = False
-        self.result = b""
+        self.result: bytes | None = None
 
 
 class Job:
@@ -62,6 +66,7 @@
         self.accepted = accepted
         self.slots = [TaskSlot() for _ in submission.tasks]
         self.undone = len(submission.tasks)
+        self.result_bytes = 0
         self.waiters: list[Waiter] = []
         self.ending: ErrorKind | None = None
         self.detail = ""
@@ -83,6 +88,23 @@
         """Whether every task is done."""
         return self.undone == 0
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether its results don't fit one answer."""
+        return self.result_bytes > ANSWER_BYTES
+
+    def set_done(self, slot: TaskSlot, result: bytes) -> None:
+        """Note that a task is done; its result is kept while all fit one answer.
+
+        Without the bound one job could hold 130 results of the largest size, of which
+        no caller gets any. A result that is not kept is None, never empty: an empty
+        one is an answer too.
+        """
+        slot.state = SlotState.DONE
+        self.undone -= 1
+        self.result_bytes += len(result)
+        slot.result = None if self.is_too_large else result
+
     @property
     def holders(self) -> list[str]:
         """Executors that were sent a task, in order of first use."""
--- a/tests/core/test_endings.py
+++ b/tests/core/test_endings.py
@@ -1,6 +1,6 @@
 """Ends of jobs."""
 
-from gypsumspoke.core import endings
+from gypsumspoke.core import jobs
 from gypsumspoke.core.data import Observe, Outcome
 from gypsumspoke.core.errors import ErrorKind, Work
 from tests.core.system import System
@@ -14,7 +14,7 @@
     answer would never leave the home and the caller would wait until its deadline. A
     resubmission gets the same answer and starts nothing.
     """
-    monkeypatch.setattr(endings, "ANSWER_BYTES", 9)
+    monkeypatch.setattr(jobs, "ANSWER_BYTES", 9)
     system = settled_system()
     submission = system.submission("k", tasks=2)
     for _ in range(2):
@@ -31,7 +31,7 @@
 
 
 def test_results_at_the_bound_are_a_whole_answer(monkeypatch):
-    monkeypatch.setattr(endings, "ANSWER_BYTES", 10)
+    monkeypatch.setattr(jobs, "ANSWER_BYTES", 10)
     system = settled_system()
     submission = system.submission("k", tasks=2)
     system.submit(submission)
--- /dev/null
+++ b/tests/core/test_jobs.py
@@ -0,0 +1,41 @@
+"""What a home keeps of a running job."""
+
+from datetime import datetime, timedelta, timezone
+
+from gypsumspoke.core import jobs
+from gypsumspoke.core.data import JobKey, Submission, Task
+from gypsumspoke.core.jobs import Job
+
+NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
+
+
+def new_job(tasks):
+    return Job(
+        Submission(
+            JobKey("team", "k"),
+            NOW,
+            0,
+            "estimate",
+            NOW + timedelta(seconds=5),
+            False,
+            (Task(b"1"),) * tasks,
+            b"",
+        ),
+        3,
+        NOW,
+    )
+
+
+def test_results_of_one_job_are_bounded_in_memory(monkeypatch):
+    """Many large results of one job don't fill the home's memory.
+
+    They are dropped once they are over the bound of one answer, as none of them can be
+    handed over. A dropped one is None: an empty one would be handed on as the result.
+    """
+    monkeypatch.setattr(jobs, "ANSWER_BYTES", 10)
+    job = new_job(tasks=4)
+    for slot, size in zip(job.slots, (6, 4, 1, 0), strict=True):
+        job.set_done(slot, bytes(size))
+    assert [slot.result for slot in job.slots] == [bytes(6), bytes(4), None, None]
+    assert job.is_done
+    assert job.is_too_large
--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -23,8 +23,8 @@
     StartRecord,
     TaskState,
 )
-from gypsumspoke.core.endings import ANSWER_BYTES
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.jobs import ANSWER_BYTES
 from gypsumspoke.core.start_records import StartRecords, fence_acks, remember_messages
 from gypsumspoke.parser.job_request import MAX_KEY_LENGTH, MAX_NAME_LENGTH
 from gypsumspoke.shell.upstream_client import MAX_RESULT_BYTES
