--- /dev/null
+++ b/tests/core/test_copies.py
@@ -0,0 +1,105 @@
+"""A copy on its way: homes that are lost, move, are silent, or are not ready."""
+
+from gypsumspoke.core import copies
+from gypsumspoke.core.data import Local, PeerLost, RetryReason, Tick
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.membership import ViewDoubted
+from tests.core.entry_reducer import DONE, MILLISECOND, SECOND, START, Entry, refused
+
+
+def test_a_lost_home_gets_the_same_copy_again_when_it_is_back():
+    """The connection to the home breaks while the caller waits.
+
+    The answer that was under way is lost. When the home can be reached again it gets
+    the unchanged copy and attaches it to the job, so the caller sees one answer.
+    """
+    process = Entry()
+    process.submit()
+    [(_, first)] = process.sent()
+    process.event(PeerLost("h1"))
+    assert not process.sent()
+    process.reach("h1", "h2")
+    assert process.sent() == [("h1", first)]
+    assert process.counted() == [RetryReason.CONNECTION_LOST]
+    process.answer()
+    assert process.delivered() == [("r1", DONE)]
+
+
+def test_a_partition_that_moves_takes_its_waiting_copies_along():
+    process = Entry()
+    process.submit(attempt=4)
+    [(_, first)] = process.sent()
+    process.own("h2")
+    assert process.sent() == [("h2", first)]
+    assert process.counted() == [RetryReason.HOME_MOVED]
+
+
+def test_a_home_that_stops_answering_heartbeats_counts_as_silent():
+    process = Entry()
+    process.submit()
+    process.reach("h2")
+    process.own("h2")
+    assert [to for to, _ in process.sent()] == ["h2"]
+
+
+def test_a_home_that_is_not_the_owner_makes_it_read_the_map_and_try_again():
+    process = Entry()
+    process.submit()
+    process.answer(refused(ErrorKind.NOT_OWNER))
+    assert Local(ViewDoubted()) in process.last
+    assert not process.delivered()
+    process.event(Tick(), after=SECOND)
+    assert [to for to, _ in process.sent()] == ["h1"]
+    assert RetryReason.HOME_MOVED in process.counted()
+
+
+def test_a_copy_sent_again_during_a_takeover_is_counted_as_that():
+    process = Entry()
+    process.submit()
+    process.answer(refused(ErrorKind.TAKEOVER_IN_PROGRESS))
+    process.event(Tick(), after=SECOND)
+    assert [to for to, _ in process.sent()] == ["h1"]
+    assert process.counted() == [RetryReason.TAKEOVER_IN_PROGRESS]
+
+
+def test_a_takeover_that_takes_too_long_gives_unknown():
+    process = Entry()
+    process.submit()
+    for _ in range(30):
+        process.answer(refused(ErrorKind.TAKEOVER_IN_PROGRESS))
+        if process.delivered():
+            break
+        process.event(Tick(), after=100 * MILLISECOND)
+    kind = process.delivered_kind()
+    assert kind == (ErrorKind.TAKEOVER_IN_PROGRESS, Work.UNKNOWN)
+    assert process.now - START <= copies.TURNED_AWAY_PATIENCE + SECOND
+
+
+def test_a_copy_that_was_never_sent_is_not_passed_on():
+    process = Entry(owner="h9")
+    process.submit()
+    assert not process.sent()
+    process.event(Tick(), after=10 * SECOND)
+    assert process.delivered_kind() == (
+        ErrorKind.HOME_UNREACHABLE,
+        Work.NOT_PASSED_ON,
+    )
+
+
+def test_a_copy_that_was_sent_once_is_unknown():
+    process = Entry()
+    process.submit()
+    process.event(PeerLost("h1"))
+    process.event(Tick(), after=10 * SECOND)
+    assert process.delivered_kind() == (ErrorKind.HOME_SILENT, Work.UNKNOWN)
+    [(_, answer)] = process.delivered()
+    assert answer.retry_after is not None
+
+
+def test_a_silent_home_is_given_up_at_the_deadline():
+    process = Entry()
+    process.submit(deadline=START + SECOND)
+    process.event(Tick(), after=SECOND)
+    assert not process.delivered()
+    process.event(Tick(), after=copies.DEADLINE_GRACE)
+    assert process.delivered_kind() == (ErrorKind.HOME_SILENT, Work.UNKNOWN)
--- a/tests/core/test_entry_role.py
+++ b/tests/core/test_entry_role.py
@@ -24,7 +24,7 @@
 )
 from gypsumspoke.core.entry import CallerArrived
 from gypsumspoke.core.rows import partition_key, partition_value
-from tests.core.test_entry import (
+from tests.core.entry_reducer import (
     DONE,
     ENTRY,
     KEY,
