--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -6,15 +6,11 @@
 commits, or conflicts with itself, and then the row read back tells whose change it was.
 """
 
-import hashlib
-import itertools
 import json
 import logging
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
-import gevent
-from gevent.event import AsyncResult
 from returns.pipeline import is_successful
 
 from gypsumspoke.core import membership
@@ -23,13 +19,9 @@
     Count,
     ManifestUpdate,
     Member,
-    ReadRows,
     Received,
     Row,
-    RowsRead,
-    RowsWritten,
     WriteOutcome,
-    WriteRows,
 )
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
@@ -50,7 +42,16 @@
     read_body,
     respond,
 )
-from gypsumspoke.shell.table_client import TableClient
+from gypsumspoke.shell.manifest_history import (
+    HISTORY_KEY,
+    HISTORY_LENGTH,
+    Change,
+    StoredManifest,
+    digest_of,
+    history_of,
+    history_value,
+)
+from gypsumspoke.shell.operator_table import OperatorTable
 
 MANIFEST_PATH = "/v1/manifest"
 MANIFEST_STATUS_PATH = "/v1/manifest/status"
@@ -59,77 +60,10 @@
 CHANGE_ID_HEADER = "Gypsumspoke-Change-Id"
 MANIFEST_LIMIT = 512 * 1024
 CHANGE_ID_LENGTH = 100
-HISTORY_KEY = "changes/manifest"
-HISTORY_LENGTH = 50
-WRITE_TRIES = 3
-TABLE_ANSWER_SECONDS = 8.0
 
 _log = logging.getLogger(__name__)
 
 
-class OperatorTable:
-    """Calls the platform's table and waits for its answer.
-
-    Args:
-      client: a client of its own, so that operators don't wait behind the role.
-    """
-
-    def __init__(self, client: TableClient) -> None:
-        self._client = client
-        self._numbers = itertools.count(1)
-        self._waiting: dict[str, AsyncResult] = {}
-        client.start(self._resolve)
-
-    def close(self) -> None:
-        """Stop; calls under way go unanswered."""
-        self._client.close()
-
-    def read(self, prefix: str) -> dict[str, Row] | None:
-        """Return the rows whose key starts with ``prefix``, or None without answer."""
-        request = self._next()
-        event = self._call(ReadRows(request, prefix), RowsRead(request, None))
-        if event.rows is None:
-            return None
-        return {row.key: row for row in event.rows}
-
-    def write(
-        self,
-        checks: tuple[tuple[str, int], ...],
-        writes: tuple[tuple[str, str | None], ...],
-    ) -> RowsWritten:
-        """Run one transaction; while its answer is lost, send the very same again.
-
-        Sent again it can't take effect twice, because the first would have changed a
-        checked row. A CONFLICT after a lost answer may be with itself.
-        """
-        for _ in range(WRITE_TRIES):
-            request = self._next()
-            lost = RowsWritten(request, WriteOutcome.LOST, 0)
-            event = self._call(WriteRows(request, checks, writes), lost)
-            if event.outcome is not WriteOutcome.LOST:
-                break
-        return event
-
-    def _call(self, effect: ReadRows | WriteRows, lost: Any) -> Any:
-        result = AsyncResult()
-        self._waiting[effect.request] = result
-        try:
-            self._client.call(effect)
-            return result.get(timeout=TABLE_ANSWER_SECONDS)
-        except gevent.Timeout:
-            return lost
-        finally:
-            del self._waiting[effect.request]
-
-    def _resolve(self, event: RowsRead | RowsWritten) -> None:
-        waiting = self._waiting.get(event.request)
-        if waiting is not None:
-            waiting.set(event)
-
-    def _next(self) -> str:
-        return f"operator:{next(self._numbers)}"
-
-
 class _Refused(Exception):
     """Carries a refusal out of the checks; never leaves this module."""
 
@@ -139,38 +73,6 @@
         self.answer = problem(refusal_of(kind, detail), **more)
 
 
-class _Change(NamedTuple):
-    """One accepted change of the manifest, as kept in the history row.
-
-    Attributes:
-      change_id: the operator's identity of the change.
-      version: version it got; 0 for the newest, whose version is its row's.
-      accepted: when, by the clock of the entry that wrote it.
-      digest: hash of the manifest's text; tells a change id used twice.
-    """
-
-    change_id: str
-    version: int
-    accepted: str
-    digest: str
-
-
-class _Stored(NamedTuple):
-    """The manifest and its history as they stand in the table."""
-
-    version: int
-    text: str
-    history_version: int
-    changes: tuple[_Change, ...]
-
-    def change(self, change_id: str) -> _Change | None:
-        """Return the accepted change with this id, or None if it is not known."""
-        for change in self.changes:
-            if change.change_id == change_id:
-                return change
-        return None
-
-
 class OperatorHttp:
     """The WSGI application towards operators.
 
@@ -248,7 +150,7 @@
         known = stored.change(change_id)
         if known is None:
             version = self._replace_manifest(stored, text, base, change_id)
-        elif known.digest == _digest(text):
+        elif known.digest == digest_of(text):
             version = known.version
         else:
             detail = "the change id was used with another manifest"
@@ -258,19 +160,19 @@
         return json_answer({"version": version, "change_id": change_id})
 
     def _replace_manifest(
-        self, stored: _Stored, text: str, base: int, change_id: str
+        self, stored: StoredManifest, text: str, base: int, change_id: str
     ) -> int:
         """Write the manifest in place of the version the operator read."""
         if stored.version != base:
             raise _conflict(base, stored.version)
         accepted = self._clock.now().isoformat()
-        change = _Change(change_id, 0, accepted, _digest(text))
+        change = Change(change_id, 0, accepted, digest_of(text))
         checks = (
             (MANIFEST_KEY, stored.version),
             (HISTORY_KEY, stored.history_version),
         )
         changes = (change, *stored.changes)[:HISTORY_LENGTH]
-        writes = ((MANIFEST_KEY, text), (HISTORY_KEY, _history_value(changes)))
+        writes = ((MANIFEST_KEY, text), (HISTORY_KEY, history_value(changes)))
         written = self._table.write(checks, writes)
         if written.outcome is WriteOutcome.COMMITTED:
             return written.revision
@@ -286,13 +188,13 @@
             )
         raise _conflict(base, read_back.version)
 
-    def _stored_manifest(self) -> _Stored:
+    def _stored_manifest(self) -> StoredManifest:
         # The history is read first: read last, it could name a change that is newer
         # than the text, and a pipeline would take an old text for its own.
         history = self._read(HISTORY_KEY).get(HISTORY_KEY, Row(HISTORY_KEY, 0, None))
         row = self._read(MANIFEST_KEY).get(MANIFEST_KEY, Row(MANIFEST_KEY, 0, None))
-        changes = _history_of(history)
-        return _Stored(row.version, row.value or "", history.version, changes)
+        changes = history_of(history)
+        return StoredManifest(row.version, row.value or "", history.version, changes)
 
     def _show_manifest_status(self, environ: Environ) -> HttpAnswer:
         view = self._view()
@@ -507,19 +409,3 @@
             ErrorKind.INVALID_REQUEST, f"{CHANGE_ID_HEADER} must name this change"
         )
     return change_id
-
-
-def _digest(text: str) -> str:
-    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
-
-
-def _history_value(changes: tuple[_Change, ...]) -> str:
-    return json.dumps([change._asdict() for change in changes])
-
-
-def _history_of(row: Row) -> tuple[_Change, ...]:
-    """Return the kept changes, the newest first, each with its version."""
-    changes = [_Change(**fields) for fields in json.loads(row.value or "[]")]
-    if changes:
-        changes[0] = changes[0]._replace(version=row.version)
-    return tuple(changes)
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -73,8 +73,8 @@
         except TooLarge:
             detail = f"at most {BODY_LIMIT} bytes are taken"
             return self._refuse(detail, ErrorKind.BODY_TOO_LARGE)
-        except ValueError:
-            return self._refuse("the body is not UTF-8, or its length is no number")
+        except (OSError, UnicodeDecodeError) as error:
+            return self._refuse(f"bad body: {error}")
         parsed = parse_announcement(text)
         if not is_successful(parsed):
             return self._refuse("; ".join(str(error) for error in parsed.failure()))
