--- /dev/null
+++ b/tests/fuzz/test_entry_http.py
@@ -0,0 +1,94 @@
+"""Any bytes at the callers' port: always a known kind, and never an exception."""
+
+import io
+import json
+
+import gevent
+from hypothesis import assume, given, strategies as st
+
+from gypsumspoke.core.clock import SystemClock
+from gypsumspoke.core.data import Answer, Deliver
+from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.parser.job_request import BODY_LIMIT
+from gypsumspoke.shell.entry_http import EntryHttp
+from gypsumspoke.shell.http_answers import PROBLEM_TYPE
+from tests.fuzz.test_job_request import JOB, bodies
+
+RUNNING = Answer(ErrorKind.JOB_RUNNING, Work.RUNNING)
+
+# WSGI hands header values and paths over as Latin-1.
+latin = st.text(st.characters(max_codepoint=255), max_size=20)
+names = st.sampled_from(["HTTP_PREFER", "CONTENT_TYPE", "HTTP_HOST", "HTTP_X_ANY"])
+headers = st.dictionaries(names, st.just("respond-async") | latin, max_size=3)
+
+
+def call(environ):
+    """Return status, headers and body of one request to the application.
+
+    Whatever reaches the reducer is answered "running" at once.
+    """
+    answered = []
+
+    def post(event):
+        entry.deliver(Deliver(event.request, RUNNING))
+
+    entry = EntryHttp(post, lambda count: None, SystemClock(), lambda: False)
+    with gevent.Timeout(30):
+        body = b"".join(entry(environ, lambda *start: answered.append(start)))
+    ((status, sent),) = answered
+    return int(status.split()[0]), dict(sent), body
+
+
+def request(method, path, more=(), body=b"", length=None):
+    """Return the kind of the answer to a request, after checking its form."""
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "wsgi.input": io.BytesIO(body),
+        **dict(more),
+    }
+    if length is not None:
+        environ["CONTENT_LENGTH"] = str(length)
+    status, sent, answer = call(environ)
+    fields = json.loads(answer)
+    kind = ErrorKind(fields["kind"])
+    Work(fields["work"])
+    assert status == ANSWER_RULES[kind].status
+    assert kind is RUNNING.kind or sent["Content-Type"] == PROBLEM_TYPE
+    return kind
+
+
+@given(headers, bodies | st.binary(max_size=80))
+def test_any_body_runs_or_is_a_bad_request(more, body):
+    assert request("POST", "/v1/jobs", more, body) in (
+        ErrorKind.JOB_RUNNING,
+        ErrorKind.INVALID_REQUEST,
+    )
+
+
+@given(st.integers(BODY_LIMIT + 1), st.binary(max_size=10))
+def test_a_declared_length_over_the_bound_is_refused_unread(length, body):
+    kind = request("POST", "/v1/jobs", body=body, length=length)
+    assert kind is ErrorKind.BODY_TOO_LARGE
+
+
+@given(st.sampled_from(["GET", "DELETE"]), latin, headers)
+def test_any_path_of_a_job_is_asked_about_or_a_bad_request(method, path, more):
+    assert request(method, f"/v1/jobs/pots/{path}", more) in (
+        ErrorKind.JOB_RUNNING,
+        ErrorKind.INVALID_REQUEST,
+    )
+
+
+@given(latin, latin | latin.map(lambda text: "/v1/jobs/" + text), headers)
+def test_any_other_method_is_a_bad_request(method, path, more):
+    assume(method not in ("GET", "DELETE"))
+    assert request(method, path, more) is ErrorKind.INVALID_REQUEST
+
+
+def test_what_is_right_gets_past_the_checks():
+    """The requests above would prove little if none of them reached the reducer."""
+    body = json.dumps(JOB).encode()
+    assert request("POST", "/v1/jobs", (), body) is ErrorKind.JOB_RUNNING
+    assert request("GET", "/v1/jobs/pots/k/\xc3\xa9") is ErrorKind.JOB_RUNNING
+    assert request("DELETE", "/v1/jobs/pots/k") is ErrorKind.JOB_RUNNING
