A process is one thread: the HTTP servers look up no name of their host

gevent's WSGI server asks the resolver for the name of the address it listens on, and the resolver starts a thread. The name is given now, so nothing is looked up. The new test counted 2 threads at each process before and 1 after.

--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -62,6 +62,7 @@
             handler_class=_Handler,
             log=None,
             error_log=logging.getLogger("gypsumspoke.admin"),
+            environ=server_environ(host),
         )
 
     @property
@@ -120,6 +121,18 @@
         return _respond(start, _NOT_READY, b"not ready\n")
 
 
+def server_environ(host: str) -> dict[str, str]:
+    """Return what a WSGI server must not find out by itself.
+
+    The server asks the resolver for its host's name, in a thread started for that; a
+    resolver that does not answer would hold up the start. Nobody reads the name.
+
+    Args:
+      host: the address listened on.
+    """
+    return {"SERVER_NAME": host}
+
+
 class _Handler(WSGIHandler):
     """Closes a connection that sends nothing or takes nothing for too long."""
 
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -30,6 +30,7 @@
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.parser.job_request import BODY_LIMIT, RequestError, parse_job_request
+from gypsumspoke.shell.admin_http import server_environ
 from gypsumspoke.shell.http_answers import (
     Environ,
     HttpAnswer,
@@ -174,6 +175,7 @@
             handler_class=_Handler,
             log=None,
             error_log=logging.getLogger("gypsumspoke.callers"),
+            environ=server_environ(host),
         )
         self._server.busy = _Busy()
 
--- a/tests/failures/test_operator_commands.py
+++ b/tests/failures/test_operator_commands.py
@@ -1,6 +1,7 @@
 """The commands of operators and callers, as processes against a whole system."""
 
 import json
+import os
 import re
 
 import gevent
@@ -253,3 +254,16 @@
     code, output = commands.operate(*arguments)
     assert (code, "HTTP 409" in output) == (ExitCode.REFUSED, True), output
     assert system.roles[worker].alive
+
+
+def test_each_process_is_one_thread(system, commands):
+    """Nothing of a process blocks in a thread beside the loop, after all kinds of use.
+
+    A library that looks a name up starts one; there are no names to look up here.
+    """
+    path = commands.file(json.dumps(job(tasks=3)))
+    done(commands.call("submit", path))
+    done(commands.operate("status"))
+    for name, process in system.roles.items():
+        assert system.metric(name, "process_resident_memory_bytes") > 0
+        assert len(os.listdir(f"/proc/{process.pid}/task")) == 1, name
