A lone surrogate in settings or a manifest is an error, not an exception

JSON allows the escape and no UTF-8 holds it: checking the field raised, and so did writing a document with comments as strict JSON.

--- a/gypsumspoke/parser/documents.py
+++ b/gypsumspoke/parser/documents.py
@@ -46,7 +46,9 @@
 
 
 def read_document(text: str) -> Result[object, DocumentError]:
-    """Read JSON with comments; duplicate keys, NaN and Infinity are refused.
+    """Read JSON with comments.
+
+    Duplicate keys, NaN, Infinity and halves of surrogate pairs are refused.
 
     Args:
       text: the document, at most ``MAX_DOCUMENT_CHARACTERS`` long.
@@ -58,7 +60,9 @@
         reason = f"longer than {MAX_DOCUMENT_CHARACTERS} characters"
         return Failure(DocumentError("", reason))
     try:
-        return Success(_loads(text))
+        value = _loads(text)
+        _refuse_lone_surrogates(value)
+        return Success(value)
     except (ValueError, RecursionError) as error:
         return Failure(DocumentError("", f"not JSON with comments: {error}"))
 
@@ -105,6 +109,15 @@
     return fields
 
 
+def _refuse_lone_surrogates(value: object) -> None:
+    r"""Refuse an escape such as ``\ud800`` without the other half of its pair.
+
+    JSON allows them, but no UTF-8 holds them: the first place that encodes the text, a
+    check of a field or the write to the table, would fail with an exception.
+    """
+    json.dumps(value, ensure_ascii=False).encode()
+
+
 def _refuse_constant(name: str) -> object:
     raise ValueError(f"{name} is not a number")
 
--- a/tests/parser/test_manifest.py
+++ b/tests/parser/test_manifest.py
@@ -59,3 +59,9 @@
 )
 def test_a_bad_value_is_refused_with_its_path(document, error):
     assert any(found.startswith(error) for found in parse(**document).failure())
+
+
+def test_half_of_a_surrogate_pair_is_refused():
+    """No UTF-8 holds it; found by tests/fuzz, where the parser raised."""
+    errors = parse(teams=[{**TEAM, "name": "\ud800"}]).failure()
+    assert "surrogates not allowed" in errors[0]
