Only a current home tells on what lost executors knew

Ruled out: the covers' epochs, this one was given in good faith. Change: what a home tells names its epoch, and an executor that knows a higher one refuses.

--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -355,6 +355,7 @@
     target = helpers[state.placement_number % len(helpers)]
     messages = remember_messages(
         partition,
+        ownership.epoch,
         source,
         started,
         closed,
--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -529,14 +529,16 @@
 
     Attributes:
       partition: the partition.
-      source: incarnation whose records these are.
+      epoch: ownership under which a home tells; 0 from the leaving executor itself.
+      source: name of what is told, for its acknowledgement.
       chunk, chunks: position of this chunk, from 0, and how many there are.
       started, closed: the records.
-      covers: ``source`` and all that it covers itself.
+      covers: whose records stand in these messages in full.
       forgotten_before: records of submissions born before may have been dropped.
     """
 
     partition: int
+    epoch: int
     source: str
     chunk: int
     chunks: int
--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -63,6 +63,7 @@
 
 DEFAULT_QUEUE_LIMIT = 8
 RECORD_LIMIT = 200_000
+OWN_RECORDS = 0
 REMEMBER_RESEND = timedelta(seconds=1)
 _MEAN_WEIGHT = 0.1
 
@@ -534,6 +535,12 @@
     if state._leaving:
         # What is told to an executor that leaves may be gone before it tells on.
         return []
+    known = state._epochs.get(message.partition, 0)
+    if message.epoch != OWN_RECORDS and message.epoch < known:
+        # A replaced home that woke up doesn't know what its successor placed on the
+        # executor that it tells on. Had the successor placed anything, it would have
+        # fenced this executor first.
+        return [Count(Counter.REFUSED_BY_EPOCH)]
     place = (message.partition, message.source)
     parts = state._parts.setdefault(place, {})
     parts[message.chunk] = message
@@ -601,6 +608,7 @@
     covers = state._records.covers(partition)
     messages = remember_messages(
         partition,
+        OWN_RECORDS,
         state._incarnation,
         started,
         closed,
--- a/gypsumspoke/core/fences.py
+++ b/gypsumspoke/core/fences.py
@@ -301,6 +301,7 @@
     covers.add(cover_as_owner(state.incarnation, ownership.epoch))
     messages = remember_messages(
         ownership.partition,
+        ownership.epoch,
         cover_as_owner(state.incarnation, ownership.epoch),
         started,
         closed,
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -259,6 +259,7 @@
 
 def remember_messages(
     partition: int,
+    epoch: int,
     source: str,
     started: list[StartRecord],
     closed: list[ClosedRecord],
@@ -270,6 +271,7 @@
     return [
         Remember(
             partition,
+            epoch,
             source,
             number,
             len(chunks),
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -226,13 +226,14 @@
 /** Keep another executor's records of a partition as if they were one's own. */
 struct Remember {
   1: i64 partition
-  2: string source
-  3: i64 chunk
-  4: i64 chunks
-  5: list<StartRecord> started
-  6: list<ClosedRecord> closed
-  7: list<string> covers
-  8: TimeMicros forgotten_before
+  2: i64 epoch
+  3: string source
+  4: i64 chunk
+  5: i64 chunks
+  6: list<StartRecord> started
+  7: list<ClosedRecord> closed
+  8: list<string> covers
+  9: TimeMicros forgotten_before
 }
 
 /** All chunks of a Remember are kept. */
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -52,6 +52,18 @@
     return found - ({former.owner} if former is not None else set())
 
 
+class AnyEpoch(int):
+    """An epoch that every epoch equals, so that none is compared."""
+
+    def __eq__(self, other):
+        return True
+
+    def __ne__(self, other):
+        return False
+
+    __hash__ = int.__hash__
+
+
 _UNCOVERED = fences._uncovered
 
 SWITCHED_OFF = [
@@ -139,6 +151,13 @@
         histories.test_a_home_tells_on_what_a_lost_executor_knew,
         id="homes tell on what lost executors knew",
     ),
+    pytest.param(
+        executor,
+        "OWN_RECORDS",
+        AnyEpoch(),
+        histories.test_a_replaced_home_does_not_tell_on_what_its_successor_placed,
+        id="only a current home tells on others",
+    ),
     pytest.param(
         home.adoption,
         "forgotten_before",
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -571,3 +571,32 @@
     system.submit(submission)
     system.run(1)
     assert system.answers(submission.key)[0].kind is None
+
+
+def test_a_replaced_home_does_not_tell_on_what_its_successor_placed():
+    """A home is paused; its successor runs a job on a third worker. Both die.
+
+    The first home wakes before it hears of its replacement, sees the third worker's row
+    end, and tells another executor all that it knows of that worker's starts. The job
+    is not among them. Taken for complete, the job would be told "not run".
+    """
+    system = settled_system(workers=3, partitions=1)
+    first = system.owner(system.submission("k").key)
+    system.pause(first)
+    system.run(TAKEN_OVER + 1)
+    second = system.owner(system.submission("k").key)
+    assert second != first
+    submission = system.submission("k", tasks=1)
+    system.submit(submission)
+    system.run(1)
+    worker = system.started[0].worker
+    system.kill(second)
+    system.kill(f"{worker}.1")
+    system.nodes[first].paused = False
+    system.nodes[first].backlog.clear()
+    system.join(second.split(".")[0])
+    system.join(worker)
+    system.run(TAKEN_OVER + 2)
+    system.submit(submission)
+    system.run(1)
+    assert system.answers(submission.key)[-1].work is Work.UNKNOWN
--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -75,7 +75,7 @@
     records = [started(number, size) for number, size in enumerate(sizes)]
     closed = [ClosedRecord(KEY, NOW, 0, DIGEST, ErrorKind.TASK_FAILED)] * 501
     messages = remember_messages(
-        3, COVERS[0], records, closed, COVERS, NOTHING_FORGOTTEN
+        3, 1, COVERS[0], records, closed, COVERS, NOTHING_FORGOTTEN
     )
     assert all(fits(message) for message in messages)
     assert [record for part in messages for record in part.started] == records
