--- a/tests/failures/system.py
+++ b/tests/failures/system.py
@@ -290,27 +290,32 @@
     # -----------------------------------------------------------------------
     # Availability
 
-    def serve_again(self, fault: str, partitions: list[int], since: float) -> None:
-        """Wait until a first-seen key of each partition is served; report how it went.
+    def serve_again(
+        self, fault: str, partitions: list[int], since: float
+    ) -> dict[str, Any]:
+        """Wait until a first-seen key of each partition is served.
 
         A key whose final answer is "unknown" is followed by another first-seen key.
+
+        Returns:
+          How it went, as noted.
         """
         probes = [gevent.spawn(self._probe, number, since) for number in partitions]
         gevent.joinall(probes, raise_error=True)
         finals = [final for probe in probes for final in probe.value[1]]
         answers = [said for probe in probes for said in probe.value[2]]
-        note(
-            {
-                "fault": fault,
-                "served_again_seconds": round(max(p.value[0] for p in probes), 2),
-                "keys": len(finals),
-                "unknown_keys": sum(said.work == "unknown" for said in finals),
-                "answers": len(answers),
-                "unknown_answers": sum(said.work == "unknown" for said in answers),
-                "kinds": Counter(said.kind for said in answers),
-                "table": self.table_use(),
-            }
-        )
+        report = {
+            "fault": fault,
+            "served_again_seconds": round(max(p.value[0] for p in probes), 2),
+            "keys": len(finals),
+            "unknown_keys": sum(said.work == "unknown" for said in finals),
+            "answers": len(answers),
+            "unknown_answers": sum(said.work == "unknown" for said in answers),
+            "kinds": Counter(said.kind for said in answers),
+            "table": self.table_use(),
+        }
+        note(report)
+        return report
 
     def _probe(self, partition: int, since: float) -> tuple[float, list, list]:
         finals, answers = [], []
--- a/tests/failures/test_home_lost.py
+++ b/tests/failures/test_home_lost.py
@@ -22,7 +22,8 @@
     system.roles[home].kill()
     killed = monotonic()
     again = gevent.spawn(system.until_final, body, "entry-2")
-    system.serve_again("home killed", partitions, killed)
+    report = system.serve_again("home killed", partitions, killed)
+    assert report["unknown_keys"] == 0
     assert again.get()[-1].status == 200
     assert waiting.get().work in ("ran", "unknown")
     assert system.most_starts() == 1
@@ -47,7 +48,8 @@
     copies = [system.submit_later("entry-1", each) for each in late]
     wait_until(lambda: not system.partitions_of(home), "takeover")
     system.roles[home].send_signal(signal.SIGCONT)
-    system.serve_again("home paused past takeover", partitions, stopped)
+    report = system.serve_again("home paused past takeover", partitions, stopped)
+    assert report["unknown_keys"] == 0
     for resubmitted in (body, *late):
         assert system.until_final(resubmitted, "entry-2")[-1].status == 200
     gevent.joinall(copies, raise_error=True)
--- a/tests/failures/test_process_lost.py
+++ b/tests/failures/test_process_lost.py
@@ -21,7 +21,8 @@
     killed = monotonic()
     said = waiting.get(timeout=60)
     assert (said.kind, said.work) == ("worker_lost", "unknown")
-    system.serve_again("executor killed", partitions, killed)
+    report = system.serve_again("executor killed", partitions, killed)
+    assert report["unknown_keys"] == 0
     assert system.until_final(body, "entry-2")[-1].work == "unknown"
     assert system.most_starts() == 1
 
@@ -41,7 +42,8 @@
     system.roles["entry-1"].kill()
     killed = monotonic()
     again = [gevent.spawn(system.until_final, body, "entry-2") for body in jobs]
-    system.serve_again("entry killed", list(system.owners()), killed)
+    report = system.serve_again("entry killed", list(system.owners()), killed)
+    assert report["unknown_keys"] == 0
     assert {said.get().kind for said in waiting} == {"no_answer"}
     assert {said.get()[-1].status for said in again} == {200}
     assert system.most_starts() == 1
@@ -90,8 +92,10 @@
     for relay in system.relays:
         relay.silence()
     silenced = monotonic()
-    system.serve_again("connections silent", list(system.owners()), silenced)
-    assert {said.get().work for said in waiting} <= {"ran", "unknown"}
+    report = system.serve_again("connections silent", list(system.owners()), silenced)
+    assert report["unknown_keys"] == 0
+    assert report["kinds"]["home_silent"] == 0
+    assert {said.get().status for said in waiting} == {200}
     for body in jobs:
         assert system.until_final(body, "entry-2")[-1].status == 200
     assert sum(relay.accepted for relay in system.relays) > accepted
