Default retry budget of one

With one waiting task per slot at the executors, a budget of 0.2 ends some jobs for lack of retries.

--- a/gypsumspoke/core/data.py
+++ b/gypsumspoke/core/data.py
@@ -332,7 +332,7 @@
 DEFAULT_POLICY = Policy(
     retention=timedelta(minutes=10),
     clock_skew=timedelta(seconds=1),
-    retry_budget=0.2,
+    retry_budget=1.0,
     task_attempts=4,
     message_weight=0.0,
     ledger_limit=50_000,
