--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -321,6 +321,8 @@
         result = event.result if event.outcome is Outcome.DONE else None
         ended = _STATE_OF_OUTCOME[event.outcome]
         state._records.finish(running.partition, attempt, ended, result)
+    if event.outcome is Outcome.DONE:
+        # A worker that fails every task fast must not look fast.
         _smooth_mean(state, run_time)
     effects = _start_waiting(state, now)
     outcome = TaskOutcome(
--- a/tests/core/test_executor_starts.py
+++ b/tests/core/test_executor_starts.py
@@ -142,3 +142,11 @@
         assert not sent(receive(state, start_of(task)), TaskOutcome)
     (outcome,) = sent(receive(state, start_of(9)), TaskOutcome)
     assert outcome.reason == RetryReason.EXECUTOR_QUEUE_FULL.value
+
+
+def test_failed_tasks_do_not_make_a_worker_look_fast():
+    state = new_executor()
+    receive(state, start_of(0))
+    failed = UpstreamAnswered(start_of(0).attempt, Outcome.FAILED, b"", "")
+    executor.reduce(state, failed, NOW + timedelta(milliseconds=1))
+    assert executor.load(state).mean_run is None
