--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -24,7 +24,14 @@
 )
 from gypsumspoke.core.endings import begin_ending, complete, note_ending_progress
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.core.fair_queue import new_fair_queue, peek, pop, push
+from gypsumspoke.core.fair_queue import (
+    FairQueue,
+    new_fair_queue,
+    peek,
+    pop,
+    push,
+    push_again,
+)
 from gypsumspoke.core.home_state import HomeState, Placed
 from gypsumspoke.core.jobs import Job, SlotState, TaskSlot
 from gypsumspoke.core.placement import (
@@ -54,12 +61,25 @@
 def _enqueue_task(state: HomeState, job: Job, number: int) -> None:
     submission = job.submission
     team = submission.key.team
-    queue = state.queues.get(submission.service)
-    if queue is None:
-        queue = state.queues[submission.service] = new_fair_queue()
     cost = expected_run(state.placement, submission.service).total_seconds()
     weight = state.team_weights.get(team, DEFAULT_WEIGHT)
-    push(queue, team, weight, cost, (job, number))
+    push(_queue(state, submission.service), team, weight, cost, (job, number))
+    _count_queued(state, team)
+
+
+def _enqueue_again(state: HomeState, job: Job, number: int) -> None:
+    team = job.submission.key.team
+    push_again(_queue(state, job.submission.service), team, (job, number))
+    _count_queued(state, team)
+
+
+def _queue(state: HomeState, service: str) -> FairQueue:
+    if service not in state.queues:
+        state.queues[service] = new_fair_queue()
+    return state.queues[service]
+
+
+def _count_queued(state: HomeState, team: str) -> None:
     state.team_queued[team] = state.team_queued.get(team, 0) + 1
     state.queued += 1
 
@@ -230,7 +250,7 @@
         return begin_ending(state, job, kind, now, detail)
     state.retry_tokens -= 1
     slot.avoid = slot.avoid | {slot.executor}
-    _enqueue_task(state, job, number)
+    _enqueue_again(state, job, number)
     return [Count(_known_reason(reason))]
 
 
--- a/gypsumspoke/core/fair_queue.py
+++ b/gypsumspoke/core/fair_queue.py
@@ -59,6 +59,16 @@
     queue._pushed += 1
 
 
+def push_again(queue: FairQueue, team: str, item: Any) -> None:
+    """Put an item back that was refused after its turn; O(log n).
+
+    It has paid and waited already, so it goes next and its team is not charged again.
+    """
+    start = queue._virtual_time
+    heapq.heappush(queue._heap, _Entry(start, -queue._pushed, team, item))
+    queue._pushed += 1
+
+
 def pop(queue: FairQueue) -> Any | None:
     """Remove and return the next item, or None when empty; O(log n)."""
     if not queue._heap:
--- a/tests/core/test_fair_queue.py
+++ b/tests/core/test_fair_queue.py
@@ -4,7 +4,14 @@
 
 from hypothesis import given, strategies as st
 
-from gypsumspoke.core.fair_queue import discard, new_fair_queue, peek, pop, push
+from gypsumspoke.core.fair_queue import (
+    discard,
+    new_fair_queue,
+    peek,
+    pop,
+    push,
+    push_again,
+)
 
 COST = 0.2
 
@@ -56,3 +63,13 @@
     for team in "abc":
         mine = [number for name, number in popped if name == team]
         assert mine == [n for n, (name, _) in enumerate(pushes) if name == team]
+
+
+def test_an_item_put_back_goes_next_and_costs_nothing():
+    queue = filled([("a", 1.0, 3), ("b", 1.0, 3)])
+    refused = pop(queue)
+    push_again(queue, refused[0], refused)
+    assert pop(queue) == refused
+    rest = [pop(queue) for _ in range(5)]
+    assert Counter(team for team, _ in rest) == {"a": 2, "b": 3}
+    assert rest[0][0] == "b"
