--- /dev/null
+++ b/gypsumspoke/core/ejection.py
@@ -0,0 +1,129 @@
+"""Taking out workers that fail what they start, and trying them again rarely.
+
+A worker that fails every task at once is always free, so it would draw the tasks of all
+homes. Each failed task costs a job, so a worker that fails far more than the others gets
+nothing but a probe from time to time, until probes succeed.
+"""
+
+import heapq
+
+from gypsumspoke.core.data import Outcome, RetryReason
+from gypsumspoke.core.placement_state import (
+    FIRST_PROBE,
+    SMOOTHING,
+    ExecutorView,
+    PlacementState,
+    ServicePool,
+    service_pool,
+    smooth,
+)
+
+_FAILURE_SMOOTHING = 0.3
+_EJECT_ABOVE = 0.6
+_REINSTATE_BELOW = 0.3
+_EJECT_RELATIVE = 2.0
+_MOST_EJECTED_SHARE = 1 / 3
+_LAST_PROBE = 60.0
+_PROBE_GROWTH = 3.0
+_BROKEN_UPSTREAM = frozenset(
+    {
+        RetryReason.UPSTREAM_REFUSED_CONNECTION.value,
+        RetryReason.UPSTREAM_BROKEN.value,
+    }
+)
+
+
+def tells_of_health(outcome: Outcome, reason: str) -> bool:
+    """Tell whether an outcome speaks of the worker rather than of load or callers."""
+    if outcome is Outcome.NOT_RUN:
+        return reason in _BROKEN_UPSTREAM
+    return True
+
+
+def learn_health(
+    state: PlacementState, executor: ExecutorView, failed: bool, now: float
+) -> None:
+    """Update failure rates; eject or reinstate."""
+    pool = service_pool(state, executor.member.service)
+    executor.failure_rate = smooth(
+        executor.failure_rate, float(failed), _FAILURE_SMOOTHING
+    )
+    pool.failure_rate = smooth(pool.failure_rate, float(failed), SMOOTHING)
+    if executor.ejected:
+        _judge_probe(state, executor, failed, now)
+    elif failed and _is_outlier(state, executor, pool):
+        executor.ejected = True
+        pool.ejected += 1
+        executor.probe_pause = FIRST_PROBE
+        schedule_probe(state, executor, now)
+
+
+def _is_outlier(
+    state: PlacementState, executor: ExecutorView, pool: ServicePool
+) -> bool:
+    """Tell whether a worker fails far more than the rest.
+
+    When all fail alike it is the jobs, and ejecting would only shrink the system; the
+    bound on the ejected share holds for the same reason.
+    """
+    if not state.strategy.ejects:
+        return False
+    if executor.failure_rate < _EJECT_ABOVE:
+        return False
+    if executor.failure_rate < _EJECT_RELATIVE * _others_rate(state, executor, pool):
+        return False
+    return pool.ejected + 1 <= max(1, len(pool.known) * _MOST_EJECTED_SHARE)
+
+
+def _others_rate(
+    state: PlacementState, executor: ExecutorView, pool: ServicePool
+) -> float:
+    """Return the mean failure rate of the service's other executors."""
+    others = [
+        state.executors[incarnation].failure_rate
+        for incarnation in pool.known
+        if incarnation != executor.member.incarnation
+    ]
+    return sum(others) / len(others) if others else 0.0
+
+
+def _judge_probe(
+    state: PlacementState, executor: ExecutorView, failed: bool, now: float
+) -> None:
+    """Space probes out while they fail; reinstate after a few good ones."""
+    pool = service_pool(state, executor.member.service)
+    if failed:
+        executor.probe_pause = min(_LAST_PROBE, _PROBE_GROWTH * executor.probe_pause)
+        schedule_probe(state, executor, now)
+    elif executor.failure_rate < _REINSTATE_BELOW:
+        executor.ejected = False
+        pool.ejected -= 1
+    else:
+        executor.probe_pause = FIRST_PROBE
+        schedule_probe(state, executor, now)
+
+
+def schedule_probe(state: PlacementState, executor: ExecutorView, now: float) -> None:
+    """Allow one task there after the pause; an earlier allowance lapses."""
+    executor.probe_at = now + executor.probe_pause
+    pool = service_pool(state, executor.member.service)
+    heapq.heappush(pool.probes, (executor.probe_at, executor.member.incarnation))
+
+
+def due_probe(
+    state: PlacementState, pool: ServicePool, exclude: frozenset[str], now: float
+) -> str | None:
+    """Return an ejected executor whose turn for one probing task has come."""
+    while pool.probes and pool.probes[0][0] <= now:
+        due, incarnation = pool.probes[0]
+        executor = state.executors.get(incarnation)
+        if executor is None or not executor.ejected or executor.probe_at != due:
+            heapq.heappop(pool.probes)
+            continue
+        if incarnation in exclude:
+            return None
+        if executor.in_flight or not executor.reachable:
+            schedule_probe(state, executor, now)
+            continue
+        return incarnation
+    return None
