--- a/gypsumspoke/core/ejection.py
+++ b/gypsumspoke/core/ejection.py
@@ -1,8 +1,8 @@
 """Taking out workers that fail what they start, and trying them again rarely.
 
-A worker that fails every task at once is always free, so it would draw the tasks of all
-homes. Each failed task costs a job, so a worker that fails far more than the others gets
-nothing but a probe from time to time, until probes succeed.
+A worker that fails every task at once is always free, so it would draw the tasks of
+all homes. Each failed task costs a job, so a worker that fails far more than the others
+gets nothing but a probe from time to time, until probes succeed.
 """
 
 import heapq
