measure load: placement strategies on real processes

The model says nothing of what the processes themselves cost. The command starts two entries, eleven sidecars with stand-in upstreams and a table on loopback, and drives the same jobs through each strategy in turn. It also makes gypsumspoke measure reachable. It needs a checkout, since the stand-ins are not in the built file. Tests: the pure parts, 33 passed with the neighbouring files; the whole suite not run.

--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -296,6 +296,20 @@
     click.echo(reply.body.decode(errors="replace"))
 
 
+# ---------------------------------------------------------------------------
+# Measuring
+
+
+@main.command(add_help_option=False, context_settings={"ignore_unknown_options": True})
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def measure(arguments: tuple[str, ...]) -> None:
+    """Measure the policy, the reducers and the processes."""
+    # Only here: the histograms come with the test extra.
+    from gypsumspoke.tools import measure as command
+
+    command.measure.main(list(arguments), prog_name="gypsumspoke measure")
+
+
 # ---------------------------------------------------------------------------
 # Results to exit codes
 
--- a/gypsumspoke/tools/measure.py
+++ b/gypsumspoke/tools/measure.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import os
 import statistics
 from pathlib import Path
 from typing import Any
@@ -32,6 +33,8 @@
 
 _FIRST_SEED = 100
 _JOB_SIZES = (1, 26, 130)
+_WARM_UP = 5.0
+_LOAD = click.FloatRange(0.01, 2)
 _DEFAULT_LOADS = (0.3, 0.7, 0.95, 1.3)
 
 
@@ -100,6 +103,54 @@
         json_path.write_text(json.dumps(runs, indent=1))
 
 
+@measure.command()
+@click.option(
+    "--strategy",
+    "strategies",
+    multiple=True,
+    type=click.Choice(list(STRATEGIES)),
+    default=("expected_wait", "two_choices"),
+)
+@click.option("--load", "loads", multiple=True, type=_LOAD, default=(0.7, 0.95))
+@click.option("--rounds", type=click.IntRange(1, 20), default=2, show_default=True)
+@click.option("--seconds", type=click.FloatRange(1, 300), default=20.0)
+@click.option("--straggler/--no-straggler", default=True, show_default=True)
+@click.option("--json", "json_path", type=click.Path(path_type=Path))
+def load(
+    strategies: tuple[str, ...],
+    loads: tuple[float, ...],
+    rounds: int,
+    seconds: float,
+    straggler: bool,
+    json_path: Path | None,
+) -> None:
+    """Compare placement strategies on real processes on this machine."""
+    from gypsumspoke.tools.measure_load import manifest_text, start_system
+
+    every: dict[str, list[Tally]] = {}
+    with start_system(straggler) as system:
+        # Otherwise the first setting alone would pay for what homes still learn.
+        warm_up = generate(Shape(loads[0], _WARM_UP, straggler=straggler), 0)
+        system.put_in_force(manifest_text(strategies[0], list(warm_up.quotas)))
+        system.drive(warm_up)
+        for offered in loads:
+            tallies: dict[str, list[Tally]] = {name: [] for name in strategies}
+            shape = Shape(offered, seconds, straggler=straggler)
+            for number in range(rounds):
+                workload = generate(shape, _FIRST_SEED + number)
+                first = number % len(strategies)
+                for name in strategies[first:] + strategies[:first]:
+                    system.put_in_force(manifest_text(name, list(workload.quotas)))
+                    tallies[name].append(system.drive(workload))
+                click.echo(f"machine load {os.getloadavg()[0]:.1f}")
+            click.echo(f"process figures, load {offered}")
+            click.echo(as_table(tallies))
+            click.echo(reasons_table(tallies))
+            every.update({f"{offered} {name}": tallies[name] for name in tallies})
+    if json_path:
+        json_path.write_text(as_json(every))
+
+
 def _slopes(workers: tuple[int, ...], partitions: int) -> dict[str, float]:
     """Return all slopes of one round under flat names."""
     slopes: dict[str, float] = {}
