--- /dev/null
+++ b/gypsumspoke/core/epochs.py
@@ -0,0 +1,74 @@
+"""Epochs: an executor refuses homes that were replaced.
+
+The highest epoch seen for a partition counts, wherever it came from: a fence, the
+partition map, a start, a closed job.
+"""
+
+from datetime import datetime
+
+from gypsumspoke.core.data import (
+    CloseAck,
+    CloseJob,
+    Count,
+    Counter,
+    Effect,
+    Fence,
+    FenceRefused,
+    PartitionsChanged,
+    RetryReason,
+    Send,
+)
+from gypsumspoke.core.executor_state import ExecutorState
+from gypsumspoke.core.start_records import fence_acks
+from gypsumspoke.core.task_starts import drop_waiting, raise_epoch
+
+
+def fence(
+    message: Fence, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Refuse lower epochs from now on and send the records."""
+    highest = state.epochs.get(message.partition, 0)
+    if message.epoch < highest:
+        refused = FenceRefused(message.partition, message.epoch, highest)
+        return [Count(Counter.REFUSED_BY_EPOCH), Send(sender, refused)]
+    effects = raise_epoch(state, message.partition, message.epoch)
+    acks = fence_acks(
+        state.records, message.partition, message.epoch, state.incarnation
+    )
+    return (
+        effects
+        + [Count(Counter.FENCE_ACKNOWLEDGED)]
+        + [Send(sender, ack) for ack in acks]
+    )
+
+
+def close_job(
+    message: CloseJob, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Confirm an epoch and keep the jobs that ended under it."""
+    if state.leaving:
+        # The records may have been told on already; this one would be missing there.
+        return []
+    highest = state.epochs.get(message.partition, 0)
+    if message.epoch < highest or not state.map_known:
+        refused = FenceRefused(message.partition, message.epoch, highest)
+        return [Count(Counter.REFUSED_BY_EPOCH), Send(sender, refused)]
+    effects = raise_epoch(state, message.partition, message.epoch)
+    keys = {record.key for record in message.closed}
+    for record in message.closed:
+        state.records.close(message.partition, record)
+    stale = [waiting for waiting in state.waiting if waiting.start.attempt.key in keys]
+    effects += drop_waiting(state, stale, RetryReason.JOB_CLOSED)
+    ack = CloseAck(message.partition, message.epoch, message.confirmation)
+    return effects + [Send(sender, ack)]
+
+
+def partitions_changed(
+    event: PartitionsChanged, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Take over the epochs of the partition map."""
+    state.map_known = True
+    effects: list[Effect] = []
+    for row in event.rows:
+        effects += raise_epoch(state, row.partition, row.epoch)
+    return effects
--- /dev/null
+++ b/gypsumspoke/core/executor_state.py
@@ -0,0 +1,88 @@
+"""The state of one executor, shared by the modules that decide for it.
+
+``executor`` takes events in, ``task_starts`` starts and refuses tasks, ``epochs`` keeps
+replaced homes out, ``told_records`` passes records on. They are one reducer.
+"""
+
+from collections import deque
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.core.data import (
+    DEFAULT_POLICY,
+    AttemptId,
+    Load,
+    Policy,
+    Remember,
+    StartTask,
+)
+from gypsumspoke.core.refused_marks import RefusedMarks
+from gypsumspoke.core.self_check import SelfCheck
+from gypsumspoke.core.start_records import StartRecords
+
+DEFAULT_QUEUE_LIMIT = 8
+
+
+class Waiting(NamedTuple):
+    """A task that waits for a slot."""
+
+    start: StartTask
+    home: str
+    since: datetime
+
+
+class Running(NamedTuple):
+    """A task at the upstream; its outcome goes to ``home``."""
+
+    partition: int
+    home: str
+    since: datetime
+
+
+class ExecutorState:
+    """All that one executor knows.
+
+    Args:
+      incarnation: own incarnation.
+      service: the upstream's service.
+      slots: tasks the upstream runs at once.
+    """
+
+    def __init__(self, incarnation: str, service: str, slots: int) -> None:
+        self.incarnation = incarnation
+        self.service = service
+        self.slots = slots
+        self.queue_limit = DEFAULT_QUEUE_LIMIT
+        self.policy: Policy = DEFAULT_POLICY
+        self.records = StartRecords(incarnation, DEFAULT_POLICY.kept_bytes)
+        self.epochs: dict[int, int] = {}
+        self.map_known = False
+        self.refused = RefusedMarks()
+        self.waiting: deque[Waiting] = deque()
+        self.running: dict[AttemptId, Running] = {}
+        self.mean_run: timedelta | None = None
+        self.leaving = False
+        self.upstream_leaving = False
+        self.reachable: frozenset[str] = frozenset()
+        self.sidecars: frozenset[str] = frozenset()
+        self.parts: dict[tuple[int, str], dict[int, Remember]] = {}
+        self.unremembered: set[int] | None = None
+        self.remember_sent: datetime | None = None
+        self.remember_round = 0
+        self.self_check = SelfCheck(incarnation)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return not self.running and not self.waiting
+
+    @property
+    def departed(self) -> bool:
+        """Whether it is leaving, idle, and another executor has its records."""
+        return self.leaving and self.idle and self.unremembered == set()
+
+
+def load(state: ExecutorState) -> Load:
+    """Return the executor's load as it reports it; no slots while it takes none."""
+    slots = 0 if state.leaving or state.upstream_leaving else state.slots
+    return Load(len(state.running), len(state.waiting), slots, state.mean_run)
--- a/gypsumspoke/core/sidecar.py
+++ b/gypsumspoke/core/sidecar.py
@@ -16,7 +16,7 @@
 
 from returns.result import Result
 
-from gypsumspoke.core import executor, home, membership
+from gypsumspoke.core import executor, executor_state, home, membership
 from gypsumspoke.core.data import (
     Drain,
     Effect,
@@ -149,7 +149,7 @@
 
 
 def _reduce_one(state: SidecarState, event: object, now: datetime) -> list[Effect]:
-    membership.set_load(state.membership, executor.load(state.executor))
+    membership.set_load(state.membership, executor_state.load(state.executor))
     home.set_clock_is_off(state.home, membership.clock_is_off(state.membership))
     effects = membership.reduce(state.membership, event, now)
     # The executor first: it must know of a higher epoch before the home acts on it.
--- /dev/null
+++ b/gypsumspoke/core/task_starts.py
@@ -0,0 +1,309 @@
+"""Starting tasks, refusing them, and saying what became of them.
+
+A started task is recorded before its body leaves. A try that was answered "not run" is
+marked, so that a copy of its message that arrives later can't start it.
+"""
+
+import logging
+from collections import deque
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    AskAttempt,
+    AttemptId,
+    CancelTask,
+    Count,
+    Counter,
+    Effect,
+    Log,
+    Observe,
+    Outcome,
+    RetryReason,
+    Send,
+    StartRecord,
+    StartTask,
+    StartUpstream,
+    TaskOutcome,
+    TaskRunning,
+    TaskState,
+    UpstreamAnswered,
+)
+from gypsumspoke.core.executor_state import ExecutorState, Running, Waiting, load
+
+RECORD_LIMIT = 200_000
+_MEAN_WEIGHT = 0.1
+
+_STATE_OF_OUTCOME = {
+    Outcome.DONE: TaskState.DONE,
+    Outcome.FAILED: TaskState.FAILED,
+    Outcome.UNKNOWN: TaskState.UNKNOWN,
+}
+_OUTCOME_OF_STATE = {state: outcome for outcome, state in _STATE_OF_OUTCOME.items()}
+
+
+def start_task(
+    message: StartTask, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Start a task, let it wait, or refuse it."""
+    attempt = message.attempt
+    effects = raise_epoch(state, message.partition, attempt.epoch)
+    known = state.records.find(message.partition, attempt.key, attempt.task)
+    if known is not None and known.attempt == attempt:
+        return effects + _report(state, message.partition, known, sender)
+    if known is not None:
+        return effects + _refuse_started(state, attempt, sender)
+    if _is_waiting(state, attempt):
+        return effects + [Send(sender, TaskRunning(attempt, load(state)))]
+    reason = _refusal(state, message, now)
+    if reason is not None:
+        return effects + refuse(state, message, sender, reason)
+    if len(state.running) < state.slots:
+        return effects + _start(state, Waiting(message, sender, now), now)
+    state.waiting.append(Waiting(message, sender, now))
+    return effects
+
+
+def _refusal(
+    state: ExecutorState, message: StartTask, now: datetime
+) -> RetryReason | None:
+    """Return why this try must not start, or None."""
+    attempt = message.attempt
+    if not state.map_known:
+        # Without the map a replaced home's epoch can't be told from a current one.
+        return RetryReason.EXECUTOR_JOINING
+    if attempt.epoch < state.epochs.get(message.partition, 0):
+        return RetryReason.STALE_EPOCH
+    if state.records.is_closed(message.partition, attempt.key):
+        return RetryReason.JOB_CLOSED
+    if state.refused.covers(attempt):
+        return RetryReason.REFUSED_FOR_GOOD
+    if state.self_check.is_unsure:
+        return RetryReason.EXECUTOR_PAUSED
+    if state.leaving or state.upstream_leaving:
+        return RetryReason.EXECUTOR_LEAVING
+    if message.service != state.service:
+        return RetryReason.WRONG_SERVICE
+    if now >= message.deadline or now > message.birth + state.policy.retention:
+        return RetryReason.DEADLINE_PASSED
+    if message.birth < state.records.forgotten_before:
+        return RetryReason.DEADLINE_PASSED
+    return _shortage(state)
+
+
+def _shortage(state: ExecutorState) -> RetryReason | None:
+    if state.records.count + len(state.waiting) >= RECORD_LIMIT:
+        return RetryReason.EXECUTOR_QUEUE_FULL
+    if len(state.running) < state.slots:
+        return None
+    if len(state.waiting) >= state.queue_limit:
+        return RetryReason.EXECUTOR_QUEUE_FULL
+    return None
+
+
+def _start(state: ExecutorState, waiting: Waiting, now: datetime) -> list[Effect]:
+    """Record a start and only then let the body leave."""
+    message = waiting.start
+    attempt = message.attempt
+    record = StartRecord(
+        attempt,
+        message.submission_attempt,
+        message.birth,
+        message.digest,
+        message.task_count,
+        TaskState.RUNNING,
+        None,
+    )
+    state.records.add(message.partition, record)
+    state.running[attempt] = Running(message.partition, waiting.home, now)
+    waited = (now - waiting.since).total_seconds()
+    return [
+        Count(Counter.TASK_STARTED),
+        Observe("queue_wait_seconds", waited),
+        StartUpstream(
+            attempt,
+            message.service,
+            message.not_repeatable,
+            message.deadline,
+            message.body,
+        ),
+    ]
+
+
+def start_waiting(state: ExecutorState, now: datetime) -> list[Effect]:
+    """Fill free slots from the queue; refuse what waited past its deadline."""
+    effects: list[Effect] = []
+    if state.self_check.is_unsure:
+        return effects
+    while state.waiting and len(state.running) < state.slots:
+        waiting = state.waiting.popleft()
+        if now >= waiting.start.deadline:
+            effects += refuse(
+                state, waiting.start, waiting.home, RetryReason.DEADLINE_PASSED
+            )
+        else:
+            effects += _start(state, waiting, now)
+    return effects
+
+
+def upstream_answered(
+    event: UpstreamAnswered, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Record the end of a task and tell its home."""
+    attempt = event.attempt
+    running = state.running.pop(attempt, None)
+    if running is None:
+        return [Count(Counter.LATE_ANSWER_DROPPED)]
+    run_time = now - running.since
+    if event.outcome is Outcome.NOT_RUN:
+        # No byte reached the upstream: the task may start elsewhere, never here under
+        # this try.
+        state.records.forget(running.partition, attempt)
+        state.refused.add(attempt, now + state.policy.retention)
+    else:
+        result = event.result if event.outcome is Outcome.DONE else None
+        ended = _STATE_OF_OUTCOME[event.outcome]
+        state.records.finish(running.partition, attempt, ended, result)
+    if event.outcome is Outcome.DONE:
+        # A worker that fails every task fast must not look fast.
+        _smooth_mean(state, run_time)
+    effects = start_waiting(state, now)
+    outcome = TaskOutcome(
+        attempt, event.outcome, event.result, event.reason, load(state), run_time
+    )
+    return [Send(running.home, outcome)] + effects
+
+
+def _smooth_mean(state: ExecutorState, run_time: timedelta) -> None:
+    if state.mean_run is None:
+        state.mean_run = run_time
+    else:
+        state.mean_run += (run_time - state.mean_run) * _MEAN_WEIGHT
+
+
+def refuse(
+    state: ExecutorState, message: StartTask, home: str, reason: RetryReason
+) -> list[Effect]:
+    """Answer "not run" and see that it stays true."""
+    state.refused.add(message.attempt, message.deadline)
+    effects: list[Effect] = [
+        Count(reason),
+        Send(home, _not_run(state, message.attempt, reason)),
+    ]
+    if reason is RetryReason.STALE_EPOCH:
+        effects.append(Count(Counter.REFUSED_BY_EPOCH))
+        effects.append(_refusal_log("start refused: stale epoch", message.attempt))
+    return effects
+
+
+def _not_run(
+    state: ExecutorState, attempt: AttemptId, reason: RetryReason
+) -> TaskOutcome:
+    return TaskOutcome(attempt, Outcome.NOT_RUN, b"", reason.value, load(state), None)
+
+
+def _refuse_started(
+    state: ExecutorState, attempt: AttemptId, home: str
+) -> list[Effect]:
+    """Refuse a task that another try has started; nothing is claimed about it."""
+    reason = RetryReason.ALREADY_STARTED
+    outcome = TaskOutcome(
+        attempt, Outcome.UNKNOWN, b"", reason.value, load(state), None
+    )
+    return [
+        Count(Counter.REFUSED_AS_DUPLICATE),
+        _refusal_log("start refused: already started", attempt),
+        Send(home, outcome),
+    ]
+
+
+def _refusal_log(event: str, attempt: AttemptId) -> Log:
+    return Log(logging.INFO, event, attempt.key, attempt.task, attempt.number)
+
+
+def _is_waiting(state: ExecutorState, attempt: AttemptId) -> bool:
+    return any(waiting.start.attempt == attempt for waiting in state.waiting)
+
+
+def _report(
+    state: ExecutorState, partition: int, record: StartRecord, home: str
+) -> list[Effect]:
+    """Tell a home how far a started task is; a running one reports to it later."""
+    attempt = record.attempt
+    if attempt in state.running:
+        state.running[attempt] = state.running[attempt]._replace(home=home)
+        return [Send(home, TaskRunning(attempt, load(state)))]
+    outcome = _OUTCOME_OF_STATE.get(record.state, Outcome.UNKNOWN)
+    if outcome is Outcome.DONE and record.result is None:
+        outcome = Outcome.UNKNOWN
+    result = record.result or b""
+    reason = "" if outcome is Outcome.DONE else RetryReason.ALREADY_STARTED.value
+    return [
+        Send(home, TaskOutcome(attempt, outcome, result, reason, load(state), None))
+    ]
+
+
+def ask_attempt(
+    message: AskAttempt, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Say what became of a try; one never seen never starts."""
+    attempt = message.attempt
+    known = state.records.find(message.partition, attempt.key, attempt.task)
+    if known is not None and known.attempt == attempt:
+        return _report(state, message.partition, known, sender)
+    if known is not None:
+        return _refuse_started(state, attempt, sender)
+    for place, waiting in enumerate(state.waiting):
+        if waiting.start.attempt == attempt:
+            state.waiting[place] = waiting._replace(home=sender)
+            return [Send(sender, TaskRunning(attempt, load(state)))]
+    # The start message may still be under way: it must find the mark.
+    state.refused.add(attempt, now + state.policy.retention)
+    return [Send(sender, _not_run(state, attempt, RetryReason.NEVER_SEEN))]
+
+
+def cancel_task(
+    message: CancelTask, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Take a try out of the queue; one that started runs on."""
+    attempt = message.attempt
+    known = state.records.find(message.partition, attempt.key, attempt.task)
+    if known is not None:
+        return _report(state, message.partition, known, sender)
+    state.waiting = deque(
+        waiting for waiting in state.waiting if waiting.start.attempt != attempt
+    )
+    state.refused.add(attempt, now + state.policy.retention)
+    return [Send(sender, _not_run(state, attempt, RetryReason.TASK_CANCELLED))]
+
+
+def drop_waiting(
+    state: ExecutorState, dropped: list[Waiting], reason: RetryReason
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for waiting in dropped:
+        state.waiting.remove(waiting)
+        effects += refuse(state, waiting.start, waiting.home, reason)
+    return effects
+
+
+def give_waiting_back(state: ExecutorState) -> list[Effect]:
+    """Refuse waiting tasks so that their homes place them elsewhere at once."""
+    waiting = list(state.waiting)
+    return drop_waiting(state, waiting, RetryReason.EXECUTOR_LEAVING)
+
+
+def raise_epoch(state: ExecutorState, partition: int, epoch: int) -> list[Effect]:
+    """Refuse lower epochs from now on, also for tasks that still wait.
+
+    Without dropping the waiting ones a task of the former home would start after the
+    fence was acknowledged without it, and the new home could start it again.
+    """
+    if epoch <= state.epochs.get(partition, 0):
+        return []
+    state.epochs[partition] = epoch
+    stale = [
+        waiting
+        for waiting in state.waiting
+        if waiting.start.partition == partition and waiting.start.attempt.epoch < epoch
+    ]
+    return drop_waiting(state, stale, RetryReason.STALE_EPOCH)
--- /dev/null
+++ b/gypsumspoke/core/told_records.py
@@ -0,0 +1,112 @@
+"""Records of starts that one executor keeps for another.
+
+Told when an executor leaves, and by homes about their own or a lost executor, so that
+the death of the one that held them makes no key unknown.
+"""
+
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import (
+    Count,
+    Counter,
+    Effect,
+    Remember,
+    RememberAck,
+    Send,
+    TaskState,
+)
+from gypsumspoke.core.executor_state import ExecutorState
+from gypsumspoke.core.start_records import remember_messages
+
+OWN_RECORDS = 0
+REMEMBER_RESEND = timedelta(seconds=1)
+
+
+def remember(
+    message: Remember, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Keep records that another process tells."""
+    if state.leaving:
+        # What is told to an executor that leaves may be gone before it tells on.
+        return []
+    known = state.epochs.get(message.partition, 0)
+    if message.epoch != OWN_RECORDS and message.epoch < known:
+        # A replaced home that woke up doesn't know what its successor placed on the
+        # executor that it tells on. Had the successor placed anything, it would have
+        # fenced this executor first.
+        return [Count(Counter.REFUSED_BY_EPOCH)]
+    place = (message.partition, message.source)
+    parts = state.parts.setdefault(place, {})
+    parts[message.chunk] = message
+    if len(parts) < message.chunks:
+        return []
+    del state.parts[place]
+    for part in parts.values():
+        _keep_part(state, part)
+    state.records.cover(message.partition, message.covers)
+    return [Send(sender, RememberAck(message.partition, message.source))]
+
+
+def _keep_part(state: ExecutorState, part: Remember) -> None:
+    state.records.note_forgotten(part.forgotten_before)
+    for record in part.started:
+        if record.state is TaskState.RUNNING:
+            # It runs elsewhere; its end is not known here.
+            record = record._replace(state=TaskState.UNKNOWN)
+        state.records.add(part.partition, record)
+    for closed in part.closed:
+        state.records.close(part.partition, closed)
+
+
+def remember_acknowledged(
+    message: RememberAck, sender: str, state: ExecutorState, now: datetime
+) -> list[Effect]:
+    """Note that another executor has the own records."""
+    if message.source == state.incarnation and state.unremembered is not None:
+        state.unremembered.discard(message.partition)
+    return []
+
+
+def tell_records(state: ExecutorState, now: datetime) -> list[Effect]:
+    """Give all records to another executor before leaving.
+
+    Otherwise a home's later death would leave keys of which nobody knows whether
+    they ran, and their callers would be answered "unknown".
+    """
+    if not state.leaving or not state.idle or state.unremembered == set():
+        return []
+    if state.unremembered is None:
+        state.unremembered = set(state.records.partitions())
+    sent = state.remember_sent
+    if sent is not None and now - sent < REMEMBER_RESEND:
+        return []
+    targets = sorted(state.reachable & state.sidecars - {state.incarnation})
+    if not targets:
+        return []
+    state.remember_sent = now
+    # The next round asks others: a target that leaves too does not answer.
+    state.remember_round += 1
+    effects: list[Effect] = []
+    for partition in sorted(state.unremembered):
+        target = targets[(partition + state.remember_round) % len(targets)]
+        effects += _remember_effects(state, partition, target)
+    return effects
+
+
+def _remember_effects(
+    state: ExecutorState, partition: int, target: str
+) -> list[Effect]:
+    chunks = state.records.chunks(partition)
+    started = [record for chunk in chunks for record in chunk.started]
+    closed = [record for chunk in chunks for record in chunk.closed]
+    covers = state.records.covers(partition)
+    messages = remember_messages(
+        partition,
+        OWN_RECORDS,
+        state.incarnation,
+        started,
+        closed,
+        covers,
+        state.records.forgotten_before,
+    )
+    return [Send(target, message) for message in messages]
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -9,7 +9,7 @@
 
 from returns.pipeline import is_successful
 
-from gypsumspoke.core import executor
+from gypsumspoke.core import executor_state
 from gypsumspoke.core.data import Count, UpstreamAnnounced
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
@@ -141,7 +141,7 @@
         return json_answer(self._status())
 
     def _status(self) -> dict[str, str | int | bool]:
-        load = executor.load(self._view().executor)
+        load = executor_state.load(self._view().executor)
         announced = self._announced
         return {
             "service": self._service,
--- a/tests/core/test_executor.py
+++ b/tests/core/test_executor.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime, timedelta, timezone
 
-from gypsumspoke.core import executor
+from gypsumspoke.core import executor, executor_state
 from gypsumspoke.core.data import (
     AttemptId,
     CloseJob,
@@ -96,7 +96,7 @@
     give(state, start("waits"))
     announced = UpstreamAnnounced(SERVICE, 2, leaving=False)
     assert started(executor.reduce(state, announced, NOW)) == ["waits"]
-    assert executor.load(state).slots == 2
+    assert executor_state.load(state).slots == 2
 
 
 def test_without_its_upstream_it_still_keeps_records_for_homes():
--- a/tests/core/test_executor_starts.py
+++ b/tests/core/test_executor_starts.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime, timedelta, timezone
 
-from gypsumspoke.core import executor
+from gypsumspoke.core import executor, executor_state
 from gypsumspoke.core.data import (
     AskAttempt,
     AttemptId,
@@ -138,7 +138,7 @@
 def test_a_full_queue_answers_at_once():
     state = new_executor()
     receive(state, start_of(0))
-    for task in range(1, 1 + executor.DEFAULT_QUEUE_LIMIT):
+    for task in range(1, 1 + executor_state.DEFAULT_QUEUE_LIMIT):
         assert not sent(receive(state, start_of(task)), TaskOutcome)
     (outcome,) = sent(receive(state, start_of(9)), TaskOutcome)
     assert outcome.reason == RetryReason.EXECUTOR_QUEUE_FULL.value
@@ -149,4 +149,4 @@
     receive(state, start_of(0))
     failed = UpstreamAnswered(start_of(0).attempt, Outcome.FAILED, b"", "")
     executor.reduce(state, failed, NOW + timedelta(milliseconds=1))
-    assert executor.load(state).mean_run is None
+    assert executor_state.load(state).mean_run is None
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -11,13 +11,15 @@
 from gypsumspoke.core import (
     dispatch,
     endings,
-    executor,
+    epochs,
     fences,
     home,
     ledger,
     refused_marks,
     self_check,
     start_records,
+    task_starts,
+    told_records,
 )
 from gypsumspoke.core.data import RetryReason
 from tests.core import test_executor_starts as starts, test_takeover as histories
@@ -26,7 +28,7 @@
 
 
 def _without_refusal(reason):
-    with_all = executor._refusal
+    with_all = task_starts._refusal
 
     def refusal(state, message, now):
         found = with_all(state, message, now)
@@ -36,8 +38,8 @@
 
 
 def _keep_waiting(state, partition, epoch):
-    known = state._epochs.get(partition, 0)
-    state._epochs[partition] = max(known, epoch)
+    known = state.epochs.get(partition, 0)
+    state.epochs[partition] = max(known, epoch)
     return []
 
 
@@ -68,22 +70,22 @@
 
 SWITCHED_OFF = [
     pytest.param(
-        executor,
+        task_starts,
         "_refusal",
         _without_refusal(RetryReason.STALE_EPOCH),
         histories.test_a_paused_home_that_wakes_starts_nothing,
         id="executors refuse lower epochs",
     ),
     pytest.param(
-        executor,
+        task_starts,
         "_refusal",
         _without_refusal(RetryReason.EXECUTOR_JOINING),
         starts.test_nothing_starts_before_the_map_was_read,
         id="executors wait for the map",
     ),
     pytest.param(
-        executor,
-        "_raise_epoch",
+        epochs,
+        "raise_epoch",
         _keep_waiting,
         starts.test_a_fence_drops_the_former_homes_waiting_tasks,
         id="a fence drops waiting tasks",
@@ -152,7 +154,7 @@
         id="homes tell on what lost executors knew",
     ),
     pytest.param(
-        executor,
+        told_records,
         "OWN_RECORDS",
         AnyEpoch(),
         histories.test_a_replaced_home_does_not_tell_on_what_its_successor_placed,
@@ -187,4 +189,4 @@
 def test_the_modules_under_test_are_the_ones_in_use():
     assert dispatch.complete is endings.complete
     assert fences.floor_birth is ledger.floor_birth
-    assert executor.fence_acks is start_records.fence_acks
+    assert epochs.fence_acks is start_records.fence_acks
