--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -42,6 +42,7 @@
     note_placed,
 )
 
+STILL_RUNNING = "still_running"
 ASK_AFTER = timedelta(seconds=4)
 SCAN_INTERVAL = timedelta(milliseconds=500)
 RETRY_RESERVE = 10.0
@@ -234,7 +235,7 @@
     state: HomeState, job: Job, number: int, reason: str, now: datetime
 ) -> list[Effect]:
     slot = job.slots[number]
-    job.wasted += 2
+    job.wasted[_known_reason(reason).value] += 2
     if not job.resumable:
         # Records of other tries of this task may be lost, so it may have run there.
         slot.state = SlotState.UNKNOWN
@@ -279,7 +280,7 @@
     slot = placed.job.slots[placed.task]
     slot.asked = now
     slot.is_running = True
-    placed.job.wasted += 2
+    placed.job.wasted[STILL_RUNNING] += 2
     if placed.job.is_ending and not placed.job.dropped:
         return note_ending_progress(state, placed.job, now)
     return []
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -350,7 +350,10 @@
     per_task = job.messages / len(job.slots)
     return [
         Observe("messages_per_task", per_task, job.submission.key.team),
-        Observe("wasted_messages", float(job.wasted)),
+        *(
+            Observe("wasted_messages", float(messages), reason)
+            for reason, messages in sorted(job.wasted.items())
+        ),
     ]
 
 
--- a/gypsumspoke/core/jobs.py
+++ b/gypsumspoke/core/jobs.py
@@ -5,6 +5,7 @@
 claim about the whole job follows from its tasks here, in one place.
 """
 
+from collections import Counter
 from datetime import datetime, timedelta
 from enum import Enum
 from typing import NamedTuple
@@ -76,7 +77,7 @@
         self.dropped = False
         self.longest_run = timedelta(0)
         self.messages = 0
-        self.wasted = 0
+        self.wasted: Counter[str] = Counter()
 
     @property
     def is_ending(self) -> bool:
--- a/gypsumspoke/tools/measure.py
+++ b/gypsumspoke/tools/measure.py
@@ -125,6 +125,28 @@
     json_path: Path | None,
 ) -> None:
     """Compare placement strategies on real processes on this machine."""
+    from gypsumspoke.tools.measure_load import LoadError
+
+    try:
+        every = _load_rounds(strategies, loads, rounds, seconds, straggler)
+    except LoadError as error:
+        raise click.ClickException(str(error)) from error
+    if json_path:
+        json_path.write_text(as_json(every))
+
+
+def _load_rounds(
+    strategies: tuple[str, ...],
+    loads: tuple[float, ...],
+    rounds: int,
+    seconds: float,
+    straggler: bool,
+) -> dict[str, list[Tally]]:
+    """Return the tallies of all rounds by load and strategy; print them as they come.
+
+    Raises:
+      LoadError: the system can't be started or put into the state that is measured.
+    """
     from gypsumspoke.tools.measure_load import manifest_text, start_system
 
     every: dict[str, list[Tally]] = {}
@@ -147,8 +169,7 @@
             click.echo(as_table(tallies))
             click.echo(reasons_table(tallies))
             every.update({f"{offered} {name}": tallies[name] for name in tallies})
-    if json_path:
-        json_path.write_text(as_json(every))
+    return every
 
 
 def _slopes(workers: tuple[int, ...], partitions: int) -> dict[str, float]:
--- a/gypsumspoke/tools/measure_load.py
+++ b/gypsumspoke/tools/measure_load.py
@@ -201,7 +201,12 @@
     # Processes
 
     def _start(self, stack: ExitStack) -> None:
-        from tests.standins.processes import Processes
+        # The stand-ins and the processes are started as the tests do it: the product
+        # itself starts no process.
+        try:
+            from tests.standins.processes import Processes
+        except ImportError as error:
+            raise LoadError("this needs a checkout, for its stand-ins") from error
 
         folder = Path(stack.enter_context(TemporaryDirectory()))
         processes = stack.enter_context(Processes(folder))
