--- a/gypsumspoke/shell/role.py
+++ b/gypsumspoke/shell/role.py
@@ -3,6 +3,7 @@
 import logging
 import os
 from collections.abc import Callable
+from contextlib import ExitStack, closing
 from datetime import datetime
 from functools import partial
 from typing import Any, NamedTuple
@@ -47,6 +48,41 @@
     seed: int
 
 
+class PeerSide(NamedTuple):
+    """What a process opens towards its peers before it is anything else.
+
+    Attributes:
+      identity: identity of this start.
+      links: connections to peers, listening.
+      peer_port: the port they listen on.
+      metrics: metrics of this process, which show what the links count.
+    """
+
+    identity: Identity
+    links: PeerLinks
+    peer_port: int
+    metrics: Metrics
+
+
+def open_peer_side(settings: Settings, clock: Clock, stack: ExitStack) -> PeerSide:
+    """Draw an identity and listen for peers.
+
+    Args:
+      settings: checked settings.
+      clock: source of time.
+      stack: closes the links.
+
+    Raises:
+      OSError: the port can't be bound.
+    """
+    identity = new_identity(settings)
+    links = stack.enter_context(closing(open_links(settings, identity, clock)))
+    peer_port = links.listen(settings.host, settings.peer_port)
+    metrics = Metrics(settings.role.value, settings.worker)
+    show_links(metrics, links)
+    return PeerSide(identity, links, peer_port, metrics)
+
+
 def new_identity(settings: Settings) -> Identity:
     """Return the identity of this start of the process."""
     suffix = os.urandom(_INCARNATION_BYTES).hex()
--- a/gypsumspoke/shell/sidecar.py
+++ b/gypsumspoke/shell/sidecar.py
@@ -11,10 +11,8 @@
 from gypsumspoke.shell.admin_http import AdminServer
 from gypsumspoke.shell.role import (
     log_listening,
-    new_identity,
-    open_links,
+    open_peer_side,
     own_member,
-    show_links,
     with_addresses,
 )
 from gypsumspoke.shell.runtime import Runtime
@@ -42,11 +40,7 @@
 
 def _open(settings: Settings, clock: Clock, stack: ExitStack) -> Runtime:
     """Bind the ports and put the parts together; the stack closes them."""
-    identity = new_identity(settings)
-    links = stack.enter_context(closing(open_links(settings, identity, clock)))
-    peer_port = links.listen(settings.host, settings.peer_port)
-    own_metrics = metrics.Metrics(settings.role.value, settings.worker)
-    show_links(own_metrics, links)
+    identity, links, peer_port, own_metrics = open_peer_side(settings, clock, stack)
     # The admin port must be bound before the member, and so the state, is known.
     # Nothing is served until the loop runs, and by then all parts are there.
     announcements = UpstreamHttp(
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -50,6 +50,7 @@
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 STEP = timedelta(milliseconds=100)
+SETTLED = 3.0
 SERVICE = "estimate"
 POLICY = DEFAULT_POLICY._replace(takeover_after=timedelta(seconds=1))
 MANIFEST = Manifest(
@@ -423,3 +424,10 @@
 
     def starts(self, key):
         return Tally(start.task for start in self.started if start.key == key)
+
+
+def settled_system(**options):
+    """Return a system in which every partition is served."""
+    system = System(**options)
+    system.run(SETTLED)
+    return system
--- a/tests/core/test_endings.py
+++ b/tests/core/test_endings.py
@@ -3,8 +3,7 @@
 from gypsumspoke.core import jobs
 from gypsumspoke.core.data import Observe, Outcome
 from gypsumspoke.core.errors import ErrorKind, Work
-from tests.core.system import System
-from tests.core.test_home import settled_system
+from tests.core.system import System, settled_system
 
 
 def test_results_too_large_for_a_frame_are_told_as_run(monkeypatch):
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -4,15 +4,7 @@
 
 from gypsumspoke.core.data import Counter, Outcome
 from gypsumspoke.core.errors import ErrorKind, Work
-from tests.core.system import System
-
-SETTLED = 3.0
-
-
-def settled_system(**options):
-    system = System(**options)
-    system.run(SETTLED)
-    return system
+from tests.core.system import settled_system
 
 
 def test_every_partition_gets_an_owner():
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -3,8 +3,7 @@
 from gypsumspoke.core import sidecar
 from gypsumspoke.core.data import Drain, Exit, RetryReason, Tick, UpstreamAnnounced
 from gypsumspoke.core.errors import ErrorKind
-from tests.core.system import SERVICE, START, System, parse_manifest
-from tests.core.test_home import settled_system
+from tests.core.system import SERVICE, START, System, parse_manifest, settled_system
 
 COMES = UpstreamAnnounced(SERVICE, 2, leaving=False)
 LEAVES = COMES._replace(leaving=True)
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -16,18 +16,11 @@
     StartTask,
 )
 from gypsumspoke.core.errors import ErrorKind, Work
-from tests.core.system import MANIFEST, POLICY, System
+from tests.core.system import MANIFEST, POLICY, System, settled_system
 
-SETTLED = 3.0
 TAKEN_OVER = 3.0
 
 
-def settled_system(**options):
-    system = System(**options)
-    system.run(SETTLED)
-    return system
-
-
 def test_a_job_is_resumed_by_the_next_home_without_a_second_start():
     """The caller sees one complete answer, a few seconds later than usual.
 
