--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -340,8 +340,8 @@
 def _retell(
     state: HomeState, ownership: Ownership, lost: str, now: datetime
 ) -> list[Effect]:
-    helpers = state.takeover.helpers()
-    if not helpers:
+    others = state.takeover.other_sidecars()
+    if not others:
         return []
     partition = ownership.partition
     source = f"{lost}@{ownership.epoch}"
@@ -352,7 +352,7 @@
         if record.answer.kind is not ErrorKind.RECORDS_LOST
     ]
     started = _started_at(state, partition, lost)
-    target = helpers[state.placement_number % len(helpers)]
+    target = others[state.placement_number % len(others)]
     messages = remember_messages(
         partition,
         ownership.epoch,
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -164,15 +164,17 @@
 ) -> list[Effect]:
     """Ask an executor that was not asked yet, or give up."""
     partition = confirmation.partition
-    helpers = [
-        name for name in state.takeover.helpers() if name not in confirmation.asked
+    others = [
+        name
+        for name in state.takeover.other_sidecars()
+        if name not in confirmation.asked
     ]
-    if not helpers or len(confirmation.asked) >= CONFIRM_TRIES:
+    if not others or len(confirmation.asked) >= CONFIRM_TRIES:
         state.confirmations.pop(partition, None)
         return _settle(state, confirmation, confirmed=False, now=now)
     state.confirmation_number += 1
     number = state.confirmation_number
-    executor = helpers[number % len(helpers)]
+    executor = others[number % len(others)]
     confirmation.asked.append(executor)
     confirmation.sent = now
     state.confirmations[partition] = (number, confirmation)
--- a/gypsumspoke/core/fences.py
+++ b/gypsumspoke/core/fences.py
@@ -288,11 +288,11 @@
     """
     if ownership.remember_to and now - ownership.asked < FENCE_RESEND:
         return []
-    helpers = state.helpers()
-    if not helpers:
+    others = state.other_sidecars()
+    if not others:
         return []
     ownership.asked = now
-    ownership.remember_to = helpers[ownership.partition % len(helpers)]
+    ownership.remember_to = others[ownership.partition % len(others)]
     parts = ownership.parts.get(state.incarnation, {}).values()
     started = [record for part in parts for record in part.started]
     closed = [record for part in parts for record in part.closed]
--- a/gypsumspoke/core/takeover_view.py
+++ b/gypsumspoke/core/takeover_view.py
@@ -67,7 +67,7 @@
         member = self.members.get(incarnation)
         return member is not None and member.ended is not None
 
-    def helpers(self) -> list[str]:
+    def other_sidecars(self) -> list[str]:
         """Return other sidecars that answer and don't leave, in order."""
         return sorted(
             member.incarnation
