--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -18,7 +18,6 @@
     Effect,
     FinishedRecord,
     Handoff,
-    HandoffAck,
     JobKey,
     PartitionRow,
     RefusedRecord,
@@ -46,7 +45,6 @@
     HandoffWanted,
     Lost,
     Ownership,
-    Phase,
     Serving,
     is_running,
 )
@@ -417,14 +415,3 @@
         if ownership is not None and place[1].endswith(f"@{ownership.epoch}"):
             effects += _retell(state, ownership, retelling.lost, now)
     return effects
-
-
-def refuse_handoff(message: Handoff, sender: str) -> list[Effect]:
-    """Tell a giver that its handoff is not taken."""
-    return [Send(sender, HandoffAck(message.partition, message.epoch, False))]
-
-
-def is_handing(state: HomeState, partition: int) -> bool:
-    """Return whether a partition is owned here but not served yet or any more."""
-    ownership = state.takeover.owned.get(partition)
-    return ownership is not None and ownership.phase is not Phase.SERVING
--- a/gypsumspoke/core/jobs.py
+++ b/gypsumspoke/core/jobs.py
@@ -106,11 +106,6 @@
         self.result_bytes += len(result)
         slot.result = None if self.is_too_large else result
 
-    @property
-    def holders(self) -> list[str]:
-        """Executors that were sent a task, in order of first use."""
-        return list(dict.fromkeys(slot.executor for slot in self.slots if slot.attempt))
-
     @property
     def has_open_slots(self) -> bool:
         """Whether a placed task has not been heard of yet."""
