--- a/tests/core/test_endings.py
+++ b/tests/core/test_endings.py
@@ -1,6 +1,6 @@
 """Ends of jobs."""
 
-from gypsumspoke.core import jobs
+from gypsumspoke.core import endings, jobs
 from gypsumspoke.core.data import Observe, Outcome
 from gypsumspoke.core.errors import ErrorKind, Work
 from tests.core.system import System, settled_system
@@ -61,3 +61,29 @@
     system.run(1)
     by_team = {effect.name for effect in system.observed if effect.label == "team"}
     assert by_team == {"response_seconds", "response_over_ideal", "messages_per_task"}
+
+
+def test_refusals_stay_true_when_their_table_is_full(monkeypatch):
+    """Under overload the home forgets single refusals; one floor stands for them.
+
+    Copies of the refused submissions come late, when there would be room. They are
+    refused still, and run only with the number that the refusal then hands out.
+    """
+    monkeypatch.setattr(endings, "REFUSED_LIMIT", 3)
+    system = settled_system(workers=3, partitions=1)
+    copies = [system.submission(f"k{number}", tasks=1) for number in range(10)]
+    for copy in copies:
+        system.submit(copy._replace(service="other"))
+    system.run(0.5)
+    home = system.nodes[system.owner(copies[0].key)].state.home
+    assert home.ledger.refused_count(0) < 3
+    for copy in copies:
+        system.submit(copy)
+    system.run(1)
+    assert not system.started
+    for copy in copies:
+        answer = system.answers(copy.key)[-1]
+        system.submit(copy._replace(attempt=answer.next_attempt))
+    system.run(2)
+    for copy in copies:
+        assert set(system.starts(copy.key).values()) == {1}
