The test of slow tasks uses one partition, so that it fails without the safeguard

It passed with both rules taken out, since the slow job and the next one had different homes. Now it fails without them (trial on a scratch copy) and passes with either.

--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -135,7 +135,7 @@
     By the run times learned meanwhile no job could finish in time. Refusing them all
     would keep the home from ever learning better.
     """
-    system = settled_system()
+    system = settled_system(partitions=1)
     system.hold_upstreams = True
     system.submit(system.submission("slow", tasks=4))
     system.run(15)
