A change of strategy is applied in one place

The home built a new placement when the manifest named another strategy, although the placement's own set_policy takes the strategy over. The rebuild was a second copy of that step and also dropped the counts of tasks in flight and the learned run times; they stay now. A parameter kept for its signature's sake goes. tests/core and tests/tools: 214 passed.

--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -52,8 +52,6 @@
 from gypsumspoke.core.home_state import HomeState
 from gypsumspoke.core.ownership import HandoffWanted, Lost, Serving
 from gypsumspoke.core.placement import (
-    STRATEGIES,
-    new_placement,
     note_load,
     set_members,
     set_policy,
@@ -333,12 +331,7 @@
     state.ledger.set_kept_bytes(manifest.policy.kept_bytes)
     state.team_weights = {team.name: team.weight for team in manifest.teams}
     takeover_view.set_policy(state.takeover, manifest.policy)
-    if manifest.policy.placement != state.placement_name:
-        state.placement_name = manifest.policy.placement
-        strategy = STRATEGIES.get(manifest.policy.placement)
-        state.placement = new_placement(state.seed, strategy)
-        _update_placement(state)
-    set_policy(state.placement, manifest.policy, manifest.services)
+    set_policy(state.placement, manifest.policy)
     return []
 
 
--- a/gypsumspoke/core/home_state.py
+++ b/gypsumspoke/core/home_state.py
@@ -101,9 +101,7 @@
         self.job_count = 0
         self.adopted: dict[int, dict[JobKey, AdoptedJob]] = {}
         self.parked: dict[int, list[Parked]] = {}
-        self.seed = seed
         self.placement: PlacementState = new_placement(seed)
-        self.placement_name = ""
         self.queues: dict[str, FairQueue] = {}
         self.team_weights: dict[str, float] = {}
         self.team_queued: dict[str, int] = {}
--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Load, Member, Outcome, Policy, Role, ServicePolicy
+from gypsumspoke.core.data import Load, Member, Outcome, Policy, Role
 from gypsumspoke.core.ejection import (
     due_probe,
     learn_health,
@@ -51,16 +51,12 @@
     return PlacementState(seed, strategy or STRATEGIES[DEFAULT_STRATEGY])
 
 
-def set_policy(
-    state: PlacementState, policy: Policy, services: tuple[ServicePolicy, ...]
-) -> None:
+def set_policy(state: PlacementState, policy: Policy) -> None:
     """Take over what the manifest says; an unknown strategy leaves the present one.
 
     Args:
       state: changed in place.
       policy: the manifest's policy.
-      services: the manifest's services; kept for the signature's sake, their limits
-        are enforced at the executors.
     """
     state.message_weight = policy.message_weight
     state.strategy = STRATEGIES.get(policy.placement, state.strategy)
--- a/gypsumspoke/tools/measure_model.py
+++ b/gypsumspoke/tools/measure_model.py
@@ -157,7 +157,7 @@
         policy = DEFAULT_POLICY._replace(
             message_weight=model.settings.message_weight, placement=""
         )
-        set_policy(self.placement, policy, ())
+        set_policy(self.placement, policy)
         names = frozenset(model.executors)
         set_members(self.placement, model.members, names, worker)
         self._queue = new_fair_queue()
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -111,7 +111,7 @@
     assert Counter(place(eager) for _ in range(100))["w1-1"] == SLOTS * 3 // 2
     state = placement(2, strategy)
     policy = DEFAULT_POLICY._replace(message_weight=1.0, placement="")
-    set_policy(state, policy, ())
+    set_policy(state, policy)
     assert Counter(place(state) for _ in range(100))["w1-1"] == SLOTS
 
 
