--- a/gypsumspoke/core/clock.py
+++ b/gypsumspoke/core/clock.py
@@ -5,6 +5,7 @@
 machines; durations are timedeltas.
 """
 
+import time
 from datetime import datetime, timedelta, timezone
 from typing import Protocol
 
@@ -24,6 +25,24 @@
         return datetime.now(timezone.utc)
 
 
+class SteadyClock:
+    """A clock that never jumps, and counts the time that the machine was suspended.
+
+    Leases and silences are measured with it. With the wall clock, a step of the time of
+    day would end all leases at once or keep them for good; with the usual monotonic
+    clock, a process that was suspended would take old orders for fresh ones.
+    """
+
+    def __init__(self) -> None:
+        self._start = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._origin = datetime.now(timezone.utc)
+
+    def now(self) -> datetime:
+        """Return the time since the start, added to the wall clock's time then."""
+        elapsed = time.clock_gettime(time.CLOCK_BOOTTIME) - self._start
+        return self._origin + timedelta(seconds=elapsed)
+
+
 class ManualClock:
     """A clock that moves only when told to.
 
--- /dev/null
+++ b/gypsumspoke/platform/callers.py
@@ -0,0 +1,203 @@
+"""Callers' requests to an entry on the platform."""
+
+import json
+import math
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+import gevent
+from returns.pipeline import is_successful
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.data import Count
+from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
+from gypsumspoke.runs.coordinator_state import (
+    AnswerJob,
+    CancelJobArrived,
+    CoordinatorState,
+    JobArrived,
+    JobCallerLeft,
+)
+from gypsumspoke.runs.values import JobEnd, RefusalReason, Route
+from gypsumspoke.shell.departure import departure
+from gypsumspoke.shell.entry_http import SOCKET_KEY
+from gypsumspoke.shell.http_answers import (
+    Environ,
+    HttpAnswer,
+    StartResponse,
+    TooLarge,
+    json_answer,
+    read_body,
+    respond,
+)
+from gypsumspoke.shell.waiters import Waiters
+
+# What a caller without a deadline gets: far beyond any task of the users.
+_DEFAULT_PATIENCE = timedelta(seconds=30)
+# The reducer answers every request by its deadline; this only guards against a fault.
+_ANSWER_SLACK = timedelta(seconds=2)
+# Before the first configuration the bound on bodies is not known.
+_BODY_BYTES = 262_144
+_RETRY_SOON = timedelta(seconds=1)
+_RETRY_LATER = timedelta(seconds=10)
+
+_STATUS = {
+    JobEnd.COMPLETED: 200,
+    JobEnd.FAILED: 200,
+    # Not accepted, and nothing of it ever runs.
+    JobEnd.NOT_RUN: 503,
+    # Nothing is claimed; the caller may send the job again.
+    JobEnd.GIVEN_UP: 504,
+}
+
+
+class Callers:
+    """The WSGI application towards callers.
+
+    Args:
+      post: queues an event for the reducer.
+      count: counts a refusal that never reaches the reducer.
+      clock: source of arrival times.
+      state: the reducer's state, to find routes.
+    """
+
+    def __init__(
+        self,
+        post: Callable[[Any], None],
+        count: Callable[[Count], None],
+        clock: Clock,
+        state: CoordinatorState,
+    ) -> None:
+        self._post = post
+        self._count = count
+        self._clock = clock
+        self._state = state
+        self._waiters = Waiters()
+
+    def deliver(self, effect: AnswerJob) -> None:
+        """Hand an answer to the request that waits for it."""
+        self._waiters.deliver(effect.request, effect)
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request (WSGI)."""
+        answer = self._answer(environ)
+        if self._state.draining is not None:
+            # A connection kept open would have its next request cut by the stop.
+            answer = answer._replace(headers=(*answer.headers, ("Connection", "close")))
+        return respond(answer, start)
+
+    def _answer(self, environ: Environ) -> HttpAnswer:
+        if self._state.table is None:
+            reason = RefusalReason.NO_CONFIGURATION
+            return self._refuse(503, reason, "no configuration yet", _RETRY_SOON)
+        path = environ["PATH_INFO"]
+        route = self._state.table.find(environ.get("HTTP_HOST", ""), path)
+        if route is None:
+            return self._refuse(404, RefusalReason.NO_ROUTE, "no such queue")
+        job_id = path.removeprefix(route.path_prefix)
+        method = environ["REQUEST_METHOD"]
+        if not job_id and method == "GET":
+            # Best-effort jobs are accepted by the answer that ends them, so none of
+            # the accepted ones ever waits.
+            return json_answer({"pending": 0})
+        if not is_job_id(job_id):
+            return self._refuse(404, RefusalReason.NO_ROUTE, "no job id in the path")
+        if method == "POST":
+            return self._submit(environ, route, job_id)
+        if method == "GET":
+            return json_answer({"error": "no such job"}, 410)
+        if method == "DELETE":
+            self._post(CancelJobArrived(job_id))
+            known = job_id in self._state.by_id
+            return json_answer({}, 200 if known else 410)
+        return self._refuse(405, RefusalReason.INVALID_JOB, "no such method")
+
+    def _submit(self, environ: Environ, route: Route, job_id: str) -> HttpAnswer:
+        limit = self._state.table.configuration.limits.body_bytes
+        try:
+            body = read_body(environ, limit or _BODY_BYTES)
+        except TooLarge:
+            reason = RefusalReason.BODY_TOO_LARGE
+            return self._refuse(413, reason, f"at most {limit} bytes are taken")
+        except (OSError, ValueError):
+            return self._refuse(400, RefusalReason.INVALID_JOB, "the body ended early")
+        parsed = parse_job(job_id, body)
+        if not is_successful(parsed):
+            return self._refuse_body(parsed.failure())
+        patience = _patience(environ, route)
+        request, result = self._waiters.open()
+        try:
+            deadline = self._clock.now() + patience
+            self._post(JobArrived(request, parsed.unwrap(), route, deadline))
+            with departure(
+                environ[SOCKET_KEY],
+                lambda: self._post(JobCallerLeft(request)),
+            ):
+                limit = patience + _ANSWER_SLACK
+                return _encode(result.get(timeout=limit.total_seconds()))
+        except gevent.Timeout:
+            self._post(JobCallerLeft(request))
+            reason = RefusalReason.DEADLINE_EXCEEDED
+            return self._refuse(504, reason, "no answer in time", _RETRY_SOON)
+        finally:
+            self._waiters.close(request)
+
+    def _refuse_body(self, error: ValueError) -> HttpAnswer:
+        if isinstance(error, Unsupported):
+            reason = RefusalReason.NOT_SUPPORTED
+            return self._refuse(503, reason, str(error), _RETRY_LATER)
+        return self._refuse(400, RefusalReason.INVALID_JOB, str(error))
+
+    def _refuse(
+        self,
+        status: int,
+        reason: RefusalReason,
+        detail: str,
+        retry_after: timedelta | None = None,
+    ) -> HttpAnswer:
+        self._count(Count(reason))
+        body = {"error": detail, "reason": reason.value}
+        return json_answer(body, status, _retry_headers(retry_after))
+
+
+def _patience(environ: Environ, route: Route) -> timedelta:
+    """Return how long the caller waits, within the route's bound."""
+    text = environ.get("HTTP_GYPSUMSPOKE_DEADLINE_MS", "")
+    patience = _DEFAULT_PATIENCE
+    if text.isdecimal():
+        patience = min(patience, timedelta(milliseconds=int(text[:9])))
+    return min(patience, route.timeout) if route.timeout else patience
+
+
+def _encode(answer: AnswerJob) -> HttpAnswer:
+    status = _STATUS[answer.end]
+    if answer.reason is RefusalReason.TOO_MANY_JOBS:
+        status = 429
+    if status == 200:
+        return json_answer({"state": answer.end.value})
+    body = {"error": answer.end.value, "reason": answer.reason.value}
+    return json_answer(body, status, _retry_headers(answer.retry_after))
+
+
+def _retry_headers(retry_after: timedelta | None) -> tuple[tuple[str, str], ...]:
+    if retry_after is None:
+        return ()
+    # The header knows whole seconds only; rounding down would bring callers too early.
+    seconds = max(1, math.ceil(retry_after.total_seconds()))
+    return (("Retry-After", str(seconds)),)
+
+
+def readiness(is_ready: Callable[[], bool]):
+    """Return the WSGI application that the platform's balancer asks.
+
+    Args:
+      is_ready: whether new connections should come.
+    """
+
+    def answer(environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        ready = is_ready()
+        text = json.dumps({"ready": ready}).encode()
+        return respond(HttpAnswer(200 if ready else 503, text), start)
+
+    return answer
--- /dev/null
+++ b/gypsumspoke/platform/settings.py
@@ -0,0 +1,70 @@
+"""The platform's settings file."""
+
+import json
+import os
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from gypsumspoke.runs.settings import Address, RunSettings, parse_address
+
+PATH_VARIABLE = "GYPSUMSPOKE_SETTINGS"
+# The platform leaves the address of metrics to the deploy file, which names this port.
+METRICS_PORT = 9464
+
+
+def settings_path() -> Path:
+    """Return where the platform placed the settings.
+
+    Raises:
+      KeyError: the variable is not set.
+    """
+    return Path(os.environ[PATH_VARIABLE])
+
+
+def read_settings(path: Path) -> Result[RunSettings, str]:
+    """Read the settings file; unknown fields are ignored, as the platform asks.
+
+    Args:
+      path: JSON file.
+
+    Returns:
+      The settings, or a sentence that says what is wrong.
+    """
+    try:
+        return Success(_decode(json.loads(path.read_text(encoding="utf-8"))))
+    except OSError as error:
+        return Failure(f"{path}: {error.strerror}")
+    except KeyError as error:
+        return Failure(f"{path}: {error.args[0]} is missing")
+    except (ValueError, TypeError, AttributeError) as error:
+        return Failure(f"{path}: {error}")
+
+
+def _decode(fields: dict[str, Any]) -> RunSettings:
+    listen = fields["listen"]
+    is_entry = "front" in fields["serves"]
+    return RunSettings(
+        # "node" is the process's machine, not a member of some cluster.
+        instance=fields["node"],
+        failure_domain=fields["zone"],
+        host=fields["ip"],
+        callers=_address(listen, "front"),
+        readiness=_address(listen, "ready"),
+        # "control" is one field for two uses: peers call an entry there, a worker its
+        # sidecar.
+        peers=_address(listen, "control") if is_entry else None,
+        registration=None if is_entry else _address(listen, "control"),
+        worker=_address(fields, "app"),
+        service=fields.get("service", ""),
+        metrics=(fields["ip"], METRICS_PORT),
+        known_entries=tuple(fields["seeds"]),
+        store=parse_address(fields["platform"]["address"]),
+        grace=timedelta(seconds=fields["bounds"]["grace_s"]),
+    )
+
+
+def _address(fields: dict[str, Any], name: str) -> Address | None:
+    return parse_address(fields[name]) if fields.get(name) else None
--- /dev/null
+++ b/gypsumspoke/platform/store.py
@@ -0,0 +1,197 @@
+"""The platform's store: rows of tables, changes under a condition, and a feed.
+
+One client for all that this process asks of the store. A call without an answer may
+have been carried out; it is reported as unanswered and not sent again here.
+"""
+
+import base64
+import json
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+import gevent
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from gypsumspoke.runs.settings import Address
+from gypsumspoke.shell.keep_alive import KeepAliveClient, Request, success
+
+_JSON = {"Content-Type": "application/json"}
+_CONNECT_TIMEOUT = timedelta(milliseconds=500)
+_ANSWER_BYTES = 8 * 1024 * 1024
+# An answer takes some 4 ms; a slow store takes 60 times as long.
+CALL_WITHIN = timedelta(milliseconds=800)
+# Pause after a failed call, so that an outage brings few calls: they are priced, and
+# what is beyond the store's rates is refused. One second of it is still well inside the
+# time in which a change must be in force.
+RETRY_PAUSE = timedelta(milliseconds=400)
+_GONE_HISTORY = 410
+
+_log = logging.getLogger(__name__)
+
+
+class StoredRow(NamedTuple):
+    """One row; ``value`` is None for one that was removed."""
+
+    key: str
+    value: bytes | None
+
+
+class Watch(NamedTuple):
+    """A table that is followed.
+
+    Attributes:
+      table: name of the table.
+      wait: how long the store holds a call open for a change. An open connection may
+        go silent without a sign, so this also bounds how late a change is seen.
+      on_rows: called with the whole table after each change; must not block.
+    """
+
+    table: str
+    wait: timedelta
+    on_rows: Callable[[dict[str, bytes]], None]
+
+
+class Store:
+    """Client of the store.
+
+    Args:
+      address: where it listens.
+      watches: tables to follow.
+    """
+
+    def __init__(self, address: Address, watches: tuple[Watch, ...]) -> None:
+        self._client = KeepAliveClient(address, _CONNECT_TIMEOUT, _ANSWER_BYTES)
+        self._watches = watches
+        self._greenlets: list[gevent.Greenlet] = []
+        self._is_reached = True
+
+    def start(self) -> None:
+        """Begin to follow the tables."""
+        self._greenlets = [gevent.spawn(self._follow, each) for each in self._watches]
+
+    def close(self) -> None:
+        """Stop following."""
+        gevent.killall(self._greenlets)
+        self._client.close()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row until the store says that it did; returns at once.
+
+        Only for rows that no other process writes: repeating is then harmless.
+        """
+        self._greenlets.append(gevent.spawn(self._put, table, key, value))
+
+    def _put(self, table: str, key: str, value: bytes) -> None:
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+        }
+        body = {"expected_revision": [], "puts": [row], "remove": []}
+        request = Request("POST", "/v1/rows-tx", _JSON, json.dumps(body).encode())
+        while not is_successful(self._call(request, CALL_WITHIN)):
+            gevent.sleep(RETRY_PAUSE.total_seconds())
+
+    def _follow(self, watch: Watch) -> None:
+        while True:
+            try:
+                self._follow_until_lost(watch)
+            except Exception:
+                # A row in an unknown form must not end the watch for good.
+                _log.exception({"message": "watch failed", "table": watch.table})
+            gevent.sleep(RETRY_PAUSE.total_seconds())
+
+    def _follow_until_lost(self, watch: Watch) -> None:
+        """Read the table whole, then take its changes until a call fails."""
+        read = self._read_table(watch.table)
+        if not is_successful(read):
+            return
+        rows, version = read.unwrap()
+        watch.on_rows(rows)
+        while True:
+            changed = self._read_changes(watch, version)
+            if not is_successful(changed):
+                return
+            changes, version = changed.unwrap()
+            if not changes:
+                continue
+            for row in changes:
+                if row.value is None:
+                    rows.pop(row.key, None)
+                else:
+                    rows[row.key] = row.value
+            watch.on_rows(rows)
+
+    def _read_table(self, table: str) -> Result[tuple[dict[str, bytes], int], str]:
+        """Return all rows of a table and the version they are of.
+
+        A change between two pages is in the feed from the first page's version on.
+        """
+        rows: dict[str, bytes] = {}
+        version = None
+        query = {"table": table, "part": ""}
+        while True:
+            request = Request("GET", "/v1/rows-get?" + urlencode(query), {})
+            answer = self._call(request, CALL_WITHIN)
+            if not is_successful(answer):
+                return answer
+            fields = answer.unwrap()
+            page = [_row(each) for each in fields["rows"]]
+            rows.update({row.key: row.value for row in page})
+            version = fields["ver"] if version is None else version
+            if not fields["more_pages"]:
+                return Success((rows, version))
+            # The range includes its start; the smallest key after the last one.
+            query["from"] = page[-1].key + "\x00"
+
+    def _read_changes(
+        self, watch: Watch, version: int
+    ) -> Result[tuple[list[StoredRow], int], str]:
+        query = {
+            "table": watch.table,
+            "after": version,
+            "wait_ms": watch.wait // timedelta(milliseconds=1),
+        }
+        request = Request("GET", "/v1/rows-feed?" + urlencode(query), {})
+        answer = self._call(request, watch.wait + CALL_WITHIN)
+        if not is_successful(answer):
+            return answer
+        fields = answer.unwrap()
+        return Success(([_row(each) for each in fields["rows"]], fields["ver"]))
+
+    def _call(self, request: Request, within: timedelta) -> Result[dict, str]:
+        """Send a call and return the fields of its answer."""
+        answer = success(self._client.send(request, within)).bind(_fields)
+        self._note_reached(request, answer)
+        return answer
+
+    def _note_reached(self, request: Request, answer: Result[Any, str]) -> None:
+        """Log a lost or regained store once."""
+        reached = is_successful(answer)
+        if reached is self._is_reached:
+            return
+        self._is_reached = reached
+        if reached:
+            _log.info({"message": "store reached again"})
+            return
+        details = {"call": request.path, "reason": answer.failure()}
+        _log.warning({"message": "store lost", "details": details})
+
+
+def _fields(body: bytes) -> Result[dict, str]:
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return Failure("the answer is not JSON")
+    return Success(fields) if isinstance(fields, dict) else Failure("no object")
+
+
+def _row(fields: dict[str, Any]) -> StoredRow:
+    if fields.get("removed"):
+        return StoredRow(fields["key"], None)
+    return StoredRow(fields["key"], base64.b64decode(fields["value"]))
--- /dev/null
+++ b/gypsumspoke/platform/worker.py
@@ -0,0 +1,201 @@
+"""Orders to the worker beside a sidecar, in the platform's words."""
+
+import json
+import logging
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Any
+
+import gevent
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.platform.names import run_of, task_name
+from gypsumspoke.runs.orders import (
+    EndedRun,
+    HoldAnswered,
+    HoldFailed,
+    HoldOrder,
+    OrderAnswered,
+    OrderKind,
+    OrderResult,
+    RunningRun,
+    StartOrder,
+    StopOrder,
+)
+from gypsumspoke.runs.settings import Address
+from gypsumspoke.runs.values import RunEnd
+from gypsumspoke.shell.http_exchange import ExchangeError, HttpAnswer
+from gypsumspoke.shell.keep_alive import KeepAliveClient, Request
+
+_MILLISECOND = timedelta(milliseconds=1)
+_CONNECT_TIMEOUT = timedelta(milliseconds=200)
+_ANSWER_BYTES = 4 * 1024 * 1024
+# The worker is on this instance and answers in about a millisecond. Waiting longer
+# would keep the room of a start in doubt; it is stopped and placed again instead.
+ORDER_WITHIN = timedelta(milliseconds=250)
+
+_CONFLICT = 409
+_OTHER_LIFE = 421
+_BAD_REQUEST = 400
+_UNHEALTHY = (429, 503)
+_REASONS = {
+    "fence": OrderResult.FENCED,
+    "old": OrderResult.NUMBER_TOO_LOW,
+    "late": OrderResult.LATE,
+    "room": OrderResult.NO_ROOM,
+}
+# "lapsed": the lease ended. "broken" and "alone" speak of gangs, which are not placed
+# here. "saved" beside each end is a checkpoint, which best-effort jobs do not use.
+_ENDS = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.LOST,
+    "broken": RunEnd.LOST,
+    "alone": RunEnd.LOST,
+}
+
+_log = logging.getLogger(__name__)
+
+
+class WorkerClient:
+    """Carries out orders, each in a greenlet of its own.
+
+    Args:
+      address: where the worker listens.
+      post: takes the events that answer the orders.
+      clock: source of time.
+    """
+
+    def __init__(
+        self, address: Address, post: Callable[[Any], None], clock: Clock
+    ) -> None:
+        self._client = KeepAliveClient(address, _CONNECT_TIMEOUT, _ANSWER_BYTES)
+        self._post = post
+        self._clock = clock
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def start(self, order: StartOrder) -> None:
+        """Tell the worker to start a run; returns at once."""
+        body = {
+            "task": task_name(order.run.task),
+            "run": order.run.number,
+            "spec": order.spec,
+            # Not this run's deadline: the end of the lease of all that runs there.
+            "deadline_ms": order.lease_end // _MILLISECOND,
+            "fencing_token": order.token,
+        }
+        gevent.spawn(
+            self._order, OrderKind.START, "/v1/run-start", order.run, order.worker, body
+        )
+
+    def stop(self, order: StopOrder) -> None:
+        """Tell the worker to stop a run; returns at once."""
+        body = {
+            "task": task_name(order.run.task),
+            "run": order.run.number,
+            "fencing_token": order.token,
+        }
+        gevent.spawn(
+            self._order, OrderKind.STOP, "/v1/run-stop", order.run, order.worker, body
+        )
+
+    def hold(self, order: HoldOrder) -> None:
+        """Extend the lease and ask for the lists; returns at once."""
+        gevent.spawn(self._hold, order)
+
+    def _order(self, kind: OrderKind, path: str, run, worker: str, body: dict) -> None:
+        answer = self._send(path, worker, body, ORDER_WITHIN)
+        result = _result(answer)
+        fields = _fields(answer)
+        self._post(OrderAnswered(kind, run, result, _clock_of(fields)))
+
+    def _hold(self, order: HoldOrder) -> None:
+        body: dict[str, Any] = {
+            "fencing_token": order.token,
+            "last_seen": order.last_seen,
+            "wait_ms": order.wait // _MILLISECOND,
+        }
+        if order.lease_end is not None:
+            body["deadline_ms"] = order.lease_end // _MILLISECOND
+        sent = self._clock.now()
+        answer = self._send("/v1/hold", order.worker, body, order.wait + ORDER_WITHIN)
+        result = _result(answer)
+        fields = _fields(answer)
+        event = _hold_answered(sent, fields) if result is OrderResult.ACCEPTED else None
+        self._post(event or HoldFailed(result, _clock_of(fields)))
+
+    def _send(
+        self, path: str, worker: str, body: dict, within: timedelta
+    ) -> Result[HttpAnswer, ExchangeError]:
+        headers = {"Content-Type": "application/json"}
+        if worker:
+            # Names the worker that is meant; another one at this address refuses.
+            headers["Gypsumspoke-Expect-Instance"] = worker
+        request = Request("POST", path, headers, json.dumps(body).encode())
+        return self._client.send(request, within)
+
+
+def _result(answer: Result[HttpAnswer, ExchangeError]) -> OrderResult:
+    if not is_successful(answer):
+        unsent = answer.failure() is ExchangeError.NOT_SENT
+        return OrderResult.NOT_SENT if unsent else OrderResult.UNANSWERED
+    status = answer.unwrap().status
+    if 200 <= status < 300:
+        return OrderResult.ACCEPTED
+    if status == _CONFLICT:
+        reason = (_fields(answer) or {}).get("reason")
+        return _REASONS.get(reason, OrderResult.INVALID)
+    if status == _OTHER_LIFE:
+        return OrderResult.OTHER_WORKER
+    if status in _UNHEALTHY:
+        return OrderResult.UNHEALTHY
+    if status == _BAD_REQUEST:
+        return OrderResult.INVALID
+    return OrderResult.UNANSWERED
+
+
+def _fields(answer: Result[HttpAnswer, ExchangeError]) -> dict[str, Any] | None:
+    if not is_successful(answer):
+        return None
+    try:
+        fields = json.loads(answer.unwrap().body)
+    except ValueError:
+        return None
+    return fields if isinstance(fields, dict) else None
+
+
+def _clock_of(fields: dict[str, Any] | None) -> timedelta | None:
+    clock = (fields or {}).get("clock_ms")
+    return clock * _MILLISECOND if isinstance(clock, (int, float)) else None
+
+
+def _hold_answered(sent: datetime, fields: dict | None) -> HoldAnswered | None:
+    """Return the event of an answer, or None for one that can't be read."""
+    try:
+        born = fields.get("born")
+        return HoldAnswered(
+            sent,
+            fields["clock_ms"] * _MILLISECOND,
+            int(born) if born is not None else None,
+            tuple(_running(row) for row in fields["running"]),
+            tuple(_ended(row) for row in fields["ended"]),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
+        _log.error({"message": "unreadable list of runs", "reason": repr(error)})
+        return None
+
+
+def _running(row: list) -> RunningRun:
+    return RunningRun(run_of(row[0], row[1]), int(row[3]))
+
+
+def _ended(row: list) -> EndedRun:
+    return EndedRun(
+        int(row[0]), run_of(row[1], row[2]), _ENDS[row[3]], row[3] == "lapsed"
+    )
--- /dev/null
+++ b/gypsumspoke/runs/directory.py
@@ -0,0 +1,75 @@
+"""Whom this process connects to: the entries, from all that tells of them.
+
+Sidecars connect to every entry, and entries to each other. An entry writes its address
+into the store; a process that the store turns away still finds the others by the
+addresses in its settings, and by what the first peer tells.
+"""
+
+from typing import NamedTuple
+
+from gypsumspoke.core.data import Effect
+
+# An address is never forgotten while the process lives, but only so many are kept:
+# dialling one that is gone for good costs a packet a second.
+MOST_ADDRESSES = 64
+
+
+class EntriesRead(NamedTuple):
+    """Event: the addresses of all entries in the store, as HOST:PORT."""
+
+    addresses: tuple[str, ...]
+
+
+class DialEntries(NamedTuple):
+    """Effect: keep a connection to each of these, and to no other."""
+
+    addresses: tuple[str, ...]
+
+
+class Directory:
+    """The addresses known.
+
+    Args:
+      own: this process's own address; empty for one that nobody connects to.
+      given: addresses in the settings, which may be stale.
+    """
+
+    def __init__(self, own: str, given: tuple[str, ...]) -> None:
+        self._own = own
+        self._given = given
+        self._stored: tuple[str, ...] = ()
+        self._told: dict[str, None] = {}
+
+    @property
+    def known(self) -> tuple[str, ...]:
+        """All addresses that peers should know, the own one included."""
+        own = (self._own,) if self._own else ()
+        told = tuple(self._told)
+        merged = dict.fromkeys((*own, *self._stored, *told, *self._given))
+        return tuple(merged)[:MOST_ADDRESSES]
+
+    @property
+    def to_dial(self) -> tuple[str, ...]:
+        """Addresses that this process connects to.
+
+        Of two entries the one with the lower address dials, so that there is one
+        connection for each pair. A sidecar, which has no address, dials all.
+        """
+        return tuple(address for address in self.known if address > self._own)
+
+    def take_stored(self, addresses: tuple[str, ...]) -> list[Effect]:
+        """Take the addresses in the store."""
+        before = self.to_dial
+        self._stored = addresses
+        return self._changed(before)
+
+    def take_told(self, addresses: tuple[str, ...]) -> list[Effect]:
+        """Take the addresses that a peer knows."""
+        before = self.to_dial
+        for address in addresses:
+            if len(self._told) < MOST_ADDRESSES:
+                self._told[address] = None
+        return self._changed(before)
+
+    def _changed(self, before: tuple[str, ...]) -> list[Effect]:
+        return [DialEntries(self.to_dial)] if self.to_dial != before else []
--- /dev/null
+++ b/gypsumspoke/runs/fleet.py
@@ -0,0 +1,152 @@
+"""What an entry believes of the sidecars that are connected to it.
+
+A report is up to a report interval old, and says how many of this entry's placements it
+includes. The placements sent since are added to it, so that one entry never takes room
+twice; that several entries do it at once is what the queue at the sidecar is for.
+"""
+
+from collections import deque
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from gypsumspoke.runs.budget import RUNS_DEAD_AFTER
+from gypsumspoke.runs.messages import WorkerReport
+from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, subtract
+
+# A sidecar that missed three reports gets nothing new: it may be frozen or cut off.
+REPORT_SILENCE = timedelta(milliseconds=400)
+# Run time over estimate that is assumed before the first end of a worker.
+UNKNOWN_PACE = 1.0
+# A worker's pace may look extreme after one odd run; beyond these it is not believed.
+LOWEST_PACE, HIGHEST_PACE = 0.2, 20.0
+
+
+class Placement(NamedTuple):
+    """One run that was placed and may not be in the report yet."""
+
+    run: RunId
+    room: Room
+    priority: int
+    work: float
+
+
+class SidecarView:
+    """One connected or lately lost sidecar.
+
+    Attributes:
+      incarnation, host: the process, and the name of the instance it runs on.
+      report: its latest report; None before the first.
+      reported: when that came.
+      last_sent: when this entry last sent it proof of being alive.
+      connected: whether a connection is up.
+      sent: how many placements were sent on this connection.
+      unreported: placements that the latest report does not include.
+      freed: room of runs that ended since the latest report.
+      open_runs: room of the runs placed there that have not ended.
+    """
+
+    def __init__(self, incarnation: str, host: str, now: datetime) -> None:
+        self.incarnation = incarnation
+        self.host = host
+        self.report: WorkerReport | None = None
+        self.reported = now
+        self.last_sent = now
+        self.connected = True
+        self.sent = 0
+        self.unreported: deque[tuple[int, Placement]] = deque()
+        self.freed = NO_ROOM
+        self.open_runs: dict[RunId, Room] = {}
+
+    @property
+    def pace(self) -> float:
+        """Run time over estimate on this worker."""
+        pace = self.report.pace if self.report else 0.0
+        return min(max(pace or UNKNOWN_PACE, LOWEST_PACE), HIGHEST_PACE)
+
+    @property
+    def runs_dead_at(self) -> datetime:
+        """When all runs placed there are certainly gone if it stays silent."""
+        return self.last_sent + RUNS_DEAD_AFTER
+
+
+def take_report(view: SidecarView, report: WorkerReport, now: datetime) -> None:
+    """Take a newer report."""
+    view.report = report
+    view.reported = now
+    view.freed = NO_ROOM
+    while view.unreported and view.unreported[0][0] <= report.taken:
+        view.unreported.popleft()
+
+
+def note_placed(view: SidecarView, placement: Placement) -> None:
+    """Count a placement that was just sent."""
+    view.sent += 1
+    view.unreported.append((view.sent, placement))
+    view.open_runs[placement.run] = placement.room
+
+
+def note_ended(view: SidecarView, run: RunId, ran: bool) -> None:
+    """Count an end that came since the latest report."""
+    room = view.open_runs.pop(run, None)
+    if room is None:
+        return
+    known = len(view.unreported)
+    view.unreported = deque(entry for entry in view.unreported if entry[1].run != run)
+    if ran and len(view.unreported) == known:
+        view.freed = add(view.freed, room)
+
+
+def restart_connection(view: SidecarView, now: datetime) -> None:
+    """Start counting placements anew, as the sidecar does on a new connection."""
+    view.connected = True
+    view.sent = 0
+    view.unreported.clear()
+    view.reported = now
+
+
+def is_open(view: SidecarView, now: datetime) -> bool:
+    """Return whether new runs may be placed there."""
+    return (
+        view.connected
+        and view.report is not None
+        and view.report.takes_work
+        and now - view.reported < REPORT_SILENCE
+    )
+
+
+def free_room(view: SidecarView, priority: int) -> Room:
+    """Return the room left for a run of this priority; negative when others wait."""
+    free = add(view.report.free, view.freed)
+    waiting_cpu = sum(
+        queued.cpu for queued in view.report.queued if queued.priority <= priority
+    )
+    free = free._replace(cpu=free.cpu - waiting_cpu)
+    for _, placement in view.unreported:
+        if placement.priority <= priority:
+            free = subtract(free, placement.room)
+    return free
+
+
+def expected_wait(view: SidecarView, need: Room, priority: int) -> float:
+    """Return the seconds until a run of this priority is likely to start.
+
+    All that runs, and all that waits in front, is taken as work that the whole worker
+    does evenly. It leaves out in which order the runs end; what counts is that it
+    grows with the backlog, so that of two workers the emptier one is chosen.
+    """
+    free = free_room(view, priority)
+    if need.cpu <= free.cpu:
+        return 0.0
+    capacity = max(view.report.capacity.cpu, 1)
+    ahead = view.report.running_work + sum(
+        queued.work * view.pace
+        for queued in view.report.queued
+        if queued.priority <= priority
+    )
+    ahead += sum(
+        placement.work * view.pace
+        for _, placement in view.unreported
+        if placement.priority <= priority
+    )
+    short = min((need.cpu - free.cpu) / capacity, 1.0)
+    return ahead / capacity * max(short, ahead / (ahead + capacity))
--- /dev/null
+++ b/gypsumspoke/runs/guard_state.py
@@ -0,0 +1,173 @@
+"""What a sidecar knows of its worker and of the runs placed on it."""
+
+from collections import OrderedDict
+from datetime import datetime, timedelta
+from enum import Enum
+from typing import NamedTuple
+
+from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.messages import RunEnded
+from gypsumspoke.runs.values import (
+    NO_ROOM,
+    EndReason,
+    Registration,
+    Room,
+    RunId,
+    TaskId,
+    add,
+)
+
+# Ends kept to be told again after a lost connection: about a minute of a busy worker.
+KEPT_ENDS = 4000
+
+
+class Phase(Enum):
+    """How far a run is. Only a WAITING one takes no room."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Lease(NamedTuple):
+    """What is known of the worker's lease and clock.
+
+    Attributes:
+      clock_ahead: the worker's clock minus this sidecar's; at most the true value.
+      measured: when that was last learnt.
+      dead_by: whatever ran is dead by then unless the lease is extended again.
+    """
+
+    clock_ahead: timedelta | None
+    measured: datetime
+    dead_by: datetime
+
+
+class GuardedRun:
+    """One run placed on this sidecar.
+
+    Attributes:
+      run: which run.
+      coordinator: incarnation of the entry that placed it.
+      room, priority, estimate, spec: as in PlaceRun.
+      start_by: not started later than this.
+      order: rises with each placement; the tie-break within a priority.
+      phase: see Phase.
+      started: when the worker accepted the start.
+      percent: progress as last seen.
+      progressed: when the progress last changed.
+      stop_reason: why it is being stopped.
+      stop_accepted: when the worker last accepted the stop.
+      stop_sent: when a stop was last sent.
+      in_doubt: the start got no answer.
+    """
+
+    def __init__(
+        self,
+        run: RunId,
+        coordinator: str,
+        room: Room,
+        priority: int,
+        estimate: timedelta,
+        spec: str,
+        start_by: datetime,
+        order: int,
+    ) -> None:
+        self.run = run
+        self.coordinator = coordinator
+        self.room = room
+        self.priority = priority
+        self.estimate = estimate
+        self.spec = spec
+        self.start_by = start_by
+        self.order = order
+        self.phase = Phase.WAITING
+        self.started: datetime | None = None
+        self.percent = 0
+        self.progressed: datetime | None = None
+        self.stop_reason = EndReason.WITHDRAWN
+        self.stop_accepted: datetime | None = None
+        self.stop_sent: datetime | None = None
+        self.in_doubt = False
+
+
+class GuardState:
+    """State of the guard; changed only by ``guard.reduce``.
+
+    Attributes:
+      origin: zero of the stamps in reports.
+      service: the service that the settings name; empty for any.
+      worker: what the worker last said of itself; None before.
+      born: the life of the worker that ``last_seen`` belongs to.
+      token: fencing token; 0 before the worker's clock is known.
+      lease: see Lease.
+      last_seen: highest number of the ends taken note of.
+      hold_sent: when the hold under way was sent; None when there is none.
+      hold_token: fencing token of that hold.
+      is_fenced: whether the worker has seen this sidecar's token, and so refuses
+        orders of earlier processes of this sidecar.
+      heard_worker: when a hold was last answered.
+      orphans: runs at the worker that nobody here placed; they are being stopped.
+      runs: placed runs that have not ended, in order of placement.
+      held: room of all runs that are not waiting.
+      ended: the latest ends.
+      heard: for each entry, when it was provably alive.
+      taken: for each entry, how many of its orders arrived on this connection.
+      peers: entries that are connected.
+      highest: highest run number started for a task, for the latest tasks.
+      pace: run time over estimate, smoothed; 0 before the first end.
+      failing: smoothed share of failed ends.
+      next_probe: while the worker fails, when it may be tried again.
+      draining: when the graceful stop began.
+      left: the stop is complete.
+      directory: whom this sidecar connects to.
+    """
+
+    def __init__(self, service: str, directory: Directory, now: datetime) -> None:
+        self.origin = now
+        self.service = service
+        self.worker: Registration | None = None
+        self.born: int | None = None
+        self.token = 0
+        self.lease = Lease(None, now, now)
+        self.last_seen = 0
+        self.hold_sent: datetime | None = None
+        self.hold_token = 0
+        self.is_fenced = False
+        self.heard_worker: datetime | None = None
+        self.orphans: set[RunId] = set()
+        self.runs: OrderedDict[RunId, GuardedRun] = OrderedDict()
+        self.held = NO_ROOM
+        self.ended: OrderedDict[RunId, RunEnded] = OrderedDict()
+        self.heard: dict[str, datetime] = {}
+        self.taken: dict[str, int] = {}
+        self.peers: set[str] = set()
+        self.highest: OrderedDict[TaskId, int] = OrderedDict()
+        self.pace = 0.0
+        self.failing = 0.0
+        self.next_probe: datetime | None = None
+        self.order = 0
+        self.draining: datetime | None = None
+        self.left = False
+        self.directory = directory
+
+
+def hold_room(state: GuardState, guarded: GuardedRun) -> None:
+    """Count a run's room as taken, from just before its start is sent."""
+    state.held = add(state.held, guarded.room)
+
+
+def keep_end(state: GuardState, ended: RunEnded) -> None:
+    """Keep an end to tell it again, within the bound."""
+    state.ended[ended.run] = ended
+    if len(state.ended) > KEPT_ENDS:
+        state.ended.popitem(last=False)
+
+
+def note_highest(state: GuardState, run: RunId) -> None:
+    """Remember the highest run number of a task, within the bound."""
+    known = state.highest.get(run.task, 0)
+    state.highest[run.task] = max(known, run.number)
+    if len(state.highest) > KEPT_ENDS:
+        state.highest.popitem(last=False)
--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -59,7 +59,7 @@
             (host, port),
             self._answer,
             spawn=Pool(MAX_CONNECTIONS),
-            handler_class=_Handler,
+            handler_class=IdleClosingHandler,
             log=None,
             error_log=logging.getLogger("gypsumspoke.admin"),
             environ=server_environ(host),
@@ -133,7 +133,7 @@
     return {"SERVER_NAME": host}
 
 
-class _Handler(WSGIHandler):
+class IdleClosingHandler(WSGIHandler):
     """Closes a connection that sends nothing or takes nothing for too long."""
 
     def handle(self) -> None:
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -5,14 +5,14 @@
 its job: it may come back through any entry and gets the answer then.
 """
 
-import itertools
 import logging
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 from returns.pipeline import is_successful
@@ -42,8 +42,10 @@
     read_body,
     respond,
 )
+from gypsumspoke.shell.waiters import Waiters
 
 JOBS_PATH = "/v1/jobs"
+SOCKET_KEY = "gypsumspoke.socket"
 MAX_CONNECTIONS = 3_000
 IDLE_TIMEOUT_SECONDS = 60.0
 DISCARD_LIMIT = 16 * 1024 * 1024
@@ -77,14 +79,11 @@
         self._count = count
         self._clock = clock
         self._is_draining = is_draining
-        self._numbers = itertools.count(1)
-        self._waiting: dict[str, AsyncResult] = {}
+        self._waiters = Waiters()
 
     def deliver(self, effect: Deliver) -> None:
         """Hand an answer to the request that waits for it."""
-        waiting = self._waiting.get(effect.request)
-        if waiting is not None:
-            waiting.set(effect.answer)
+        self._waiters.deliver(effect.request, effect.answer)
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
@@ -103,9 +102,9 @@
         if key is None:
             return self._refuse(ErrorKind.INVALID_REQUEST, f"no such path: {path}")
         if method == "GET":
-            return job_answer(key, self._ask(QueryArrived(self._next(), key)))
+            return job_answer(key, self._ask(partial(QueryArrived, key=key)))
         if method == "DELETE":
-            return cancel_answer(key, self._ask(CancelArrived(self._next(), key)))
+            return cancel_answer(key, self._ask(partial(CancelArrived, key=key)))
         return self._bad_method()
 
     def _submit(self, environ: Environ) -> HttpAnswer:
@@ -122,29 +121,27 @@
             return self._refuse_body(parsed.failure())
         submission = parsed.unwrap()
         wait = not _prefers_async(environ)
-        event = CallerArrived(self._next(), submission, wait)
         patience = submission.deadline - self._clock.now() + DEADLINE_GRACE
-        return job_answer(submission.key, self._ask(event, patience))
-
-    def _ask(self, event: Any, patience: timedelta = QUERY_PATIENCE) -> Answer:
-        """Post an event and wait for the answer to its request."""
-        result = AsyncResult()
-        self._waiting[event.request] = result
+        arrived = partial(CallerArrived, submission=submission, wait=wait)
+        return job_answer(submission.key, self._ask(arrived, patience))
+
+    def _ask(
+        self, event_for: Callable[[str], Any], patience: timedelta = QUERY_PATIENCE
+    ) -> Answer:
+        """Post the event of a new request and wait for its answer."""
+        request, result = self._waiters.open()
         try:
-            self._post(event)
+            self._post(event_for(request))
             limit = max(patience, timedelta(0)) + _ANSWER_SLACK
             return result.get(timeout=limit.total_seconds())
         except gevent.Timeout:
-            details = {"request": event.request}
+            details = {"request": request}
             _log.error({"message": "no answer from the reducer", "details": details})
-            self._post(CallerLeft(event.request))
+            self._post(CallerLeft(request))
             self._count(Count(ErrorKind.INTERNAL))
             return refusal_of(ErrorKind.INTERNAL)
         finally:
-            del self._waiting[event.request]
-
-    def _next(self) -> str:
-        return f"r{next(self._numbers)}"
+            self._waiters.close(request)
 
     def _refuse(self, kind: ErrorKind, detail: str, **more: Any) -> HttpAnswer:
         self._count(Count(kind))
@@ -228,6 +225,12 @@
         self.socket.settimeout(IDLE_TIMEOUT_SECONDS)
         super().handle()
 
+    def get_environ(self) -> Environ:
+        """Add the connection, on which an application may notice that a caller left."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
     def handle_one_response(self) -> None:
         with self.server.busy:
             super().handle_one_response()
--- a/gypsumspoke/shell/http_exchange.py
+++ b/gypsumspoke/shell/http_exchange.py
@@ -81,22 +81,32 @@
             sock.connect(address)
         except OSError:
             return Failure(ExchangeError.NOT_SENT)
-        return _exchange(sock, _request_bytes(address, path, headers, body), limits)
+        closing = (("Connection", "close"), *headers)
+        payload = request_bytes(address, "POST", path, closing, body)
+        return _exchange(sock, payload, limits)
     finally:
         sock.close()
 
 
-def _request_bytes(
+def request_bytes(
     address: tuple[str, int],
+    method: str,
     path: str,
     headers: tuple[tuple[str, str], ...],
     body: bytes,
 ) -> bytes:
+    """Return a whole request.
+
+    Args:
+      address: IP number and port, for the Host header.
+      method, path: of the request line.
+      headers: names and values without line ends; length and host are added.
+      body: request body.
+    """
     host, port = address
     lines = [
-        f"POST {path} HTTP/1.1",
+        f"{method} {path} HTTP/1.1",
         f"Host: {host}:{port}",
-        "Connection: close",
         f"Content-Length: {len(body)}",
         *(f"{name}: {value}" for name, value in headers),
     ]
@@ -111,15 +121,23 @@
     try:
         with gevent.Timeout(limits.answer_timeout.total_seconds()):
             sock.sendall(request)
-            return _read_answer(sock, limits.answer_bytes)
+            response = HTTPSocketResponse(sock, block_size=_READ_BYTES, method="POST")
+            return read_response(response, limits.answer_bytes)
     except gevent.Timeout:
         return Failure(ExchangeError.TIMEOUT)
     except (OSError, HTTPParseError, ValueError):
         return Failure(ExchangeError.BROKEN)
 
 
-def _read_answer(sock: socket, bound: int) -> Result[HttpAnswer, ExchangeError]:
-    response = HTTPSocketResponse(sock, block_size=_READ_BYTES, method="POST")
+def read_response(
+    response: HTTPSocketResponse, bound: int
+) -> Result[HttpAnswer, ExchangeError]:
+    """Read the body of a response whose header has come.
+
+    Args:
+      response: the response.
+      bound: most bytes of the body.
+    """
     # Without a declared end, a body that was cut when the server died looks whole, and
     # the caller would get a partial answer as a complete one.
     if not _has_declared_end(response):
--- /dev/null
+++ b/gypsumspoke/shell/http_servers.py
@@ -0,0 +1,59 @@
+"""HTTP servers of a role that runs best-effort jobs."""
+
+import logging
+from contextlib import ExitStack
+
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from gypsumspoke.runs.settings import Address
+from gypsumspoke.shell.admin_http import (
+    AdminServer,
+    Application,
+    IdleClosingHandler,
+    server_environ,
+)
+from gypsumspoke.shell.metrics import Metrics
+
+# Readiness checks come once a second, heartbeats each second or two.
+_SMALL_SERVER_CONNECTIONS = 32
+
+
+def open_small_server(
+    address: Address, application: Application, stack: ExitStack
+) -> None:
+    """Serve an application that a handful of clients call.
+
+    Args:
+      address: where to listen.
+      application: WSGI application.
+      stack: closes the server.
+
+    Raises:
+      OSError: the address can't be bound.
+    """
+    server = WSGIServer(
+        address,
+        application,
+        spawn=Pool(_SMALL_SERVER_CONNECTIONS),
+        handler_class=IdleClosingHandler,
+        log=None,
+        error_log=logging.getLogger("gypsumspoke.http"),
+        environ=server_environ(address[0]),
+    )
+    server.start()
+    stack.callback(server.stop, timeout=0)
+
+
+def open_metrics(
+    address: Address, metrics: Metrics, is_ready, stack: ExitStack
+) -> None:
+    """Serve metrics and health.
+
+    Args:
+      address: where to listen.
+      metrics: what is shown.
+      is_ready: whether this process takes new work.
+      stack: closes the server.
+    """
+    stack.enter_context(AdminServer(address[0], address[1], metrics, is_ready))
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -21,6 +21,7 @@
 from gypsumspoke import __version__
 from gypsumspoke.core.data import Count, Counter, Log, Observe, RetryReason
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.runs.values import EndReason, RefusalReason
 from gypsumspoke.shell.logs import log
 
 NAMESPACE = "gypsumspoke"
@@ -63,6 +64,9 @@
     "wasted_messages": HistogramSpec(
         "Messages of a job that did not bring its answer nearer.", "reason", _WASTED
     ),
+    "job_seconds": HistogramSpec(
+        "Time from a best-effort job to its answer.", "route", _SECONDS
+    ),
     "takeover_seconds": HistogramSpec(
         "Time from the loss of a partition's owner to service.", "result", _SECONDS
     ),
@@ -81,6 +85,10 @@
         self._refusals = self._counter("refusals", "Answers by error kind.", "kind")
         self._retries = self._counter("retries", "Retries by reason.", "reason")
         self._events = self._counter("events", "Acts of safeguards.", "event")
+        self._run_ends = self._counter("run_ends", "Ends of runs by reason.", "reason")
+        self._job_refusals = self._counter(
+            "job_refusals", "Best-effort jobs refused or given up.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -141,6 +149,8 @@
             (self._refusals, ErrorKind),
             (self._retries, RetryReason),
             (self._events, Counter),
+            (self._run_ends, EndReason),
+            (self._job_refusals, RefusalReason),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -186,6 +196,16 @@
     return metrics._events
 
 
+@_family.register
+def _(what: EndReason, metrics: Metrics) -> CounterMetric:
+    return metrics._run_ends
+
+
+@_family.register
+def _(what: RefusalReason, metrics: Metrics) -> CounterMetric:
+    return metrics._job_refusals
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Let a runtime's ``Count``, ``Observe`` and ``Log`` effects be carried out.
 
--- /dev/null
+++ b/gypsumspoke/shell/run_entry.py
@@ -0,0 +1,77 @@
+"""The process of an entry that coordinates best-effort jobs."""
+
+from collections.abc import Callable
+from contextlib import ExitStack, closing
+from functools import partial
+from typing import Any, NamedTuple
+
+from returns.result import Result
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.runs import coordinator
+from gypsumspoke.runs.coordinator_state import AnswerJob, CoordinatorState
+from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.settings import RunSettings, address_text
+from gypsumspoke.runs.values import Configuration
+from gypsumspoke.shell.entry_http import CallerServer
+from gypsumspoke.shell.http_servers import open_metrics, open_small_server
+from gypsumspoke.shell.run_role import (
+    StorePort,
+    open_run_side,
+    open_runtime,
+    run_until_stopped,
+)
+
+
+class EntryAdapter(NamedTuple):
+    """How an entry meets the world around it.
+
+    Attributes:
+      parse_configuration: reads a configuration's text.
+      open_callers: makes the WSGI application towards callers, with ``deliver``, from
+        the functions that post an event and count a refusal, the clock and the state.
+      readiness: makes the WSGI application that tells whether this entry is ready.
+      open_store: makes the store's client from the settings and the post function.
+      reload: called on SIGHUP.
+    """
+
+    parse_configuration: Callable[[str], Result[Configuration, str]]
+    open_callers: Callable[..., Any]
+    readiness: Callable[[Callable[[], bool]], Any]
+    open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
+    reload: Callable[[], None]
+
+
+def run(settings: RunSettings, clock: Clock, adapter: EntryAdapter) -> int:
+    """Run an entry until its graceful stop is complete.
+
+    Args:
+      settings: settings of this process.
+      clock: steady clock.
+      adapter: the world around it.
+
+    Returns:
+      The exit status; see ``Runtime.run``.
+
+    Raises:
+      OSError: a port can't be bound.
+    """
+    with ExitStack() as stack:
+        side = open_run_side(settings, "entry", clock, stack)
+        own_address = address_text(settings.peers)
+        state = CoordinatorState(
+            adapter.parse_configuration, Directory(own_address, settings.known_entries)
+        )
+        runtime = open_runtime(settings, side, coordinator.reduce, state, clock)
+        callers = adapter.open_callers(runtime.post, side.metrics.count, clock, state)
+        runtime.handle(AnswerJob, callers.deliver)
+        is_ready = partial(coordinator.is_ready, state)
+        open_metrics(settings.metrics, side.metrics, is_ready, stack)
+        open_small_server(settings.readiness, adapter.readiness(is_ready), stack)
+        server = CallerServer(*settings.callers, callers)
+        stack.enter_context(closing(server))
+        server.start()
+        store = adapter.open_store(settings, runtime.post)
+        return run_until_stopped(
+            runtime, side, store, state.directory.to_dial, adapter.reload, stack
+        )
--- /dev/null
+++ b/gypsumspoke/shell/run_role.py
@@ -0,0 +1,149 @@
+"""What both roles of best-effort jobs open: peers, metrics, the loop around a reducer."""
+
+import logging
+import os
+import signal
+from collections.abc import Callable
+from contextlib import ExitStack, closing
+from datetime import timedelta
+from typing import Any, NamedTuple, Protocol
+
+import gevent
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.parser.settings import DEFAULT_PARTITION_COUNT
+from gypsumspoke.runs.directory import DialEntries
+from gypsumspoke.runs.settings import RunSettings, parse_address
+from gypsumspoke.shell import metrics as role_metrics
+from gypsumspoke.shell.metrics import Metrics
+from gypsumspoke.shell.role import show_links
+from gypsumspoke.shell.runtime import Reduce, Runtime
+from gypsumspoke.wire.dialler import Dialler
+from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
+from gypsumspoke.wire.links import PeerLinks
+
+# Reports and pulses pass several times a second, so a connection without bytes for this
+# long is dead; a new one is made before the entry's runs would be stopped for good.
+SILENCE_LIMIT = timedelta(milliseconds=750)
+# The reducers end a stop by themselves; this bounds one that does not.
+_BEFORE_KILL = timedelta(milliseconds=300)
+
+_log = logging.getLogger(__name__)
+
+
+class StorePort(Protocol):
+    """What a role asks of the store."""
+
+    def start(self) -> None:
+        """Begin to post what is in the store."""
+
+    def close(self) -> None:
+        """Stop."""
+
+
+class RunSide(NamedTuple):
+    """Peers and metrics of one process.
+
+    Attributes:
+      incarnation: unique name of this start; begins with the instance's name.
+      links: connections to peers.
+      dialler: keeps connections to entries.
+      metrics: metrics of this process.
+    """
+
+    incarnation: str
+    links: PeerLinks
+    dialler: Dialler
+    metrics: Metrics
+
+
+def open_run_side(
+    settings: RunSettings, role: str, clock: Clock, stack: ExitStack
+) -> RunSide:
+    """Draw an identity and listen for peers, if the role does.
+
+    Args:
+      settings: settings of this process.
+      role: name of the role, shown in metrics.
+      clock: steady clock.
+      stack: closes what is opened.
+
+    Raises:
+      OSError: the port can't be bound.
+    """
+    incarnation = f"{settings.instance}-{os.urandom(8).hex()}"
+    seed = int.from_bytes(os.urandom(8), "big")
+    hello = Hello(
+        PROTOCOL_VERSION, incarnation, settings.instance, DEFAULT_PARTITION_COUNT
+    )
+    links = stack.enter_context(closing(PeerLinks(hello, clock, seed, SILENCE_LIMIT)))
+    if settings.peers is not None:
+        links.listen(*settings.peers)
+    dialler = stack.enter_context(closing(Dialler(links, clock, seed)))
+    metrics = Metrics(role, settings.instance)
+    show_links(metrics, links)
+    return RunSide(incarnation, links, dialler, metrics)
+
+
+def open_runtime(
+    settings: RunSettings,
+    side: RunSide,
+    reduce: Reduce,
+    state: Any,
+    clock: Clock,
+) -> Runtime:
+    """Return the loop around a reducer, with what both roles carry out.
+
+    Args:
+      settings: settings of this process.
+      side: peers and metrics.
+      reduce: the role's reducer.
+      state: its state.
+      clock: steady clock.
+    """
+    runtime = Runtime(
+        reduce,
+        state,
+        clock,
+        side.links,
+        drain_timeout=settings.grace - _BEFORE_KILL,
+    )
+    role_metrics.install(runtime, side.metrics)
+
+    def dial(effect: DialEntries) -> None:
+        side.dialler.set_addresses(map(parse_address, effect.addresses))
+
+    runtime.handle(DialEntries, dial)
+    return runtime
+
+
+def run_until_stopped(
+    runtime: Runtime,
+    side: RunSide,
+    store: StorePort,
+    to_dial: tuple[str, ...],
+    reload: Callable[[], None],
+    stack: ExitStack,
+) -> int:
+    """Start all parts and run the loop.
+
+    Args:
+      runtime: the loop.
+      side: peers.
+      store: started, and closed with the stack.
+      to_dial: entries to connect to at first.
+      reload: called on SIGHUP.
+      stack: closes what is opened.
+
+    Returns:
+      The exit status; see ``Runtime.run``.
+    """
+    on_hangup = gevent.signal_handler(signal.SIGHUP, reload)
+    stack.callback(on_hangup.cancel)
+    stack.enter_context(closing(store))
+    side.dialler.set_addresses(map(parse_address, to_dial))
+    side.dialler.start()
+    store.start()
+    details = {"incarnation": side.incarnation}
+    _log.info({"message": "started", "details": details})
+    return runtime.run()
--- /dev/null
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -0,0 +1,78 @@
+"""The process of a sidecar that guards a worker running best-effort jobs."""
+
+from collections.abc import Callable
+from contextlib import ExitStack, closing
+from functools import partial
+from typing import Any, NamedTuple
+
+from gypsumspoke.core.clock import Clock
+from gypsumspoke.runs import guard
+from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.guard_report import can_start
+from gypsumspoke.runs.guard_state import GuardState
+from gypsumspoke.runs.orders import HoldOrder, StartOrder, StopOrder
+from gypsumspoke.runs.settings import RunSettings
+from gypsumspoke.shell.http_servers import open_metrics, open_small_server
+from gypsumspoke.shell.run_role import (
+    StorePort,
+    open_run_side,
+    open_runtime,
+    run_until_stopped,
+)
+
+
+class SidecarAdapter(NamedTuple):
+    """How a sidecar meets the world around it.
+
+    Attributes:
+      open_worker: makes the worker's client from its address, the function that posts
+        an event, and the clock.
+      registration: makes the WSGI application that takes the worker's heartbeats.
+      open_store: makes the store's client from the settings and the post function.
+      reload: called on SIGHUP.
+    """
+
+    open_worker: Callable[..., Any]
+    registration: Callable[[Callable[[Any], None]], Any]
+    open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
+    reload: Callable[[], None]
+
+
+def run(settings: RunSettings, clock: Clock, adapter: SidecarAdapter) -> int:
+    """Run a sidecar until its graceful stop is complete.
+
+    Args:
+      settings: settings of this process.
+      clock: steady clock.
+      adapter: the world around it.
+
+    Returns:
+      The exit status; see ``Runtime.run``.
+
+    Raises:
+      OSError: a port can't be bound.
+    """
+    with ExitStack() as stack:
+        side = open_run_side(settings, "sidecar", clock, stack)
+        state = GuardState(
+            settings.service, Directory("", settings.known_entries), clock.now()
+        )
+        runtime = open_runtime(settings, side, guard.reduce, state, clock)
+        worker = stack.enter_context(
+            closing(adapter.open_worker(settings.worker, runtime.post, clock))
+        )
+        runtime.handle(StartOrder, worker.start)
+        runtime.handle(StopOrder, worker.stop)
+        runtime.handle(HoldOrder, worker.hold)
+        is_ready = partial(_is_ready, state, clock)
+        open_metrics(settings.metrics, side.metrics, is_ready, stack)
+        registration = adapter.registration(runtime.post)
+        open_small_server(settings.registration, registration, stack)
+        store = adapter.open_store(settings, runtime.post)
+        return run_until_stopped(
+            runtime, side, store, state.directory.to_dial, adapter.reload, stack
+        )
+
+
+def _is_ready(state: GuardState, clock: Clock) -> bool:
+    return can_start(state, clock.now())
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -51,7 +51,7 @@
       state: its state.
       clock: source of the ``now`` of each event.
       links: connections to peers.
-      table: client of the platform's table.
+      table: client of the platform's table; None for a role that has none.
       drain_timeout: bound on a graceful stop; None for no bound.
       is_draining: whether the reducer has begun a graceful stop, which an operator
         or another process may have asked for; None when only SIGTERM can.
@@ -63,7 +63,7 @@
         state: Any,
         clock: Clock,
         links: PeerLinks,
-        table: TableClient,
+        table: TableClient | None = None,
         drain_timeout: timedelta | None = None,
         is_draining: Callable[[], bool] | None = None,
     ) -> None:
@@ -82,10 +82,11 @@
         self._status: int | None = None
         self._performers: dict[type, list[Performer]] = {
             Send: [self._send],
-            ReadRows: [table.call],
-            WriteRows: [table.call],
             Exit: [self._take_exit],
         }
+        if table is not None:
+            self.handle(ReadRows, table.call)
+            self.handle(WriteRows, table.call)
 
     @property
     def state(self) -> Any:
@@ -139,7 +140,8 @@
         on_signal = gevent.signal_handler(signal.SIGTERM, self.drain)
         ticker = gevent.spawn(self._tick)
         self._links.start(self.post)
-        self._table.start(self.post)
+        if self._table is not None:
+            self._table.start(self.post)
         try:
             while self._status is None:
                 self._pending.wait()
--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -97,6 +97,27 @@
     _run(role.run, settings)
 
 
+@main.group("platform")
+def on_platform() -> None:
+    """The roles on the users' platform, which places their settings."""
+
+
+@on_platform.command("entry")
+def platform_entry() -> None:
+    """Run an entry that coordinates best-effort jobs."""
+    from gypsumspoke.platform import roles
+
+    roles.run_entry()
+
+
+@on_platform.command("sidecar")
+def platform_sidecar() -> None:
+    """Run the sidecar of one worker that runs best-effort jobs."""
+    from gypsumspoke.platform import roles
+
+    roles.run_sidecar()
+
+
 def _start(path: Path, role: Role) -> Settings:
     """Return checked settings with logs set up, or end the process."""
     from gypsumspoke.shell.logs import configure_logs
--- a/gypsumspoke/wire/codec.py
+++ b/gypsumspoke/wire/codec.py
@@ -1,6 +1,6 @@
 """Messages to bytes and back, by thrift's compact protocol.
 
-The tuples of ``core/data.py`` stay free of thrift, so each is copied to and from the
+The tuples of ``core/data.py`` and ``runs/messages.py`` stay free of thrift, so each is copied to and from the
 generated struct with the same fields. The copying functions are built once, at import,
 from the annotations of the tuples: a field that is added there and missing in the IDL
 fails at once and in every test, instead of being dropped in silence.
@@ -24,10 +24,11 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from gypsumspoke.core import data
+from gypsumspoke.runs import messages
 from gypsumspoke.wire.generated import ttypes
 from gypsumspoke.wire.hello import Hello
 
-WireMessage = data.Message | Hello
+WireMessage = data.Message | messages.RunMessage | Hello
 
 _EPOCH = datetime(1970, 1, 1, tzinfo=timezone.utc)
 _MICROSECOND = timedelta(microseconds=1)
@@ -216,7 +217,7 @@
     """Return the bytes of a message.
 
     Args:
-      message: any message of ``core/data.py``, or a Hello.
+      message: any message of ``core/data.py`` or ``runs/messages.py``, or a Hello.
 
     Returns:
       The payload of one frame, without its length.
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -1,8 +1,8 @@
 /**
  * Messages between the system's own processes.
  *
- * Each struct has the fields of the tuple of the same name in core/data.py, in the same
- * order; wire/codec.py refuses to load otherwise. After a change run, from the root:
+ * Each struct has the fields of the tuple of the same name in core/data.py or
+ * runs/messages.py, in the same order; wire/codec.py refuses to load otherwise. After a change run, from the root:
  *
  *   thrift --gen py:slots,dynamic -out gypsumspoke/wire gypsumspoke/wire/gypsumspoke.thrift
  *
@@ -310,6 +310,109 @@
   3: list<TeamRates> usage
 }
 
+/** Names of the enums of runs/values.py. */
+typedef string RunEndName
+typedef string EndReasonName
+
+/** What a task needs, or a worker has. */
+struct Room {
+  1: i64 cpu
+  2: i64 memory
+  3: i64 gpu
+}
+
+/** Name of a task of a best-effort job. */
+struct TaskId {
+  1: string job
+  2: i64 step
+  3: i64 index
+}
+
+/** One start of a task. */
+struct RunId {
+  1: TaskId task
+  2: i64 number
+}
+
+/** Runs of one priority that wait at a sidecar. */
+struct QueuedWork {
+  1: i64 priority
+  2: i64 cpu
+  3: i64 work
+}
+
+/** Sidecar to entry: its worker and the room left. */
+struct WorkerReport {
+  1: DurationMicros stamp
+  2: string worker
+  3: string service_name
+  4: list<string> labels
+  5: bool takes_work
+  6: bool clean
+  7: Room capacity
+  8: Room free
+  9: i64 running_work
+  10: list<QueuedWork> queued
+  11: double pace
+  12: bool failing
+  13: i64 taken
+}
+
+/** Entry to sidecar: answers a report, and keeps the entry's runs alive. */
+struct Pulse {
+  1: DurationMicros heard
+}
+
+/** Entry to sidecar: start this run when there is room. */
+struct PlaceRun {
+  1: DurationMicros heard
+  2: RunId run
+  3: Room room
+  4: i64 priority
+  5: DurationMicros estimate
+  6: DurationMicros within
+  7: string spec
+}
+
+/** Entry to sidecar: don't start this run, or stop it. */
+struct WithdrawRun {
+  1: RunId run
+}
+
+/** Entry to sidecar: what became of this run? */
+struct AskRun {
+  1: RunId run
+}
+
+/** Sidecar to entry: the end of a run. */
+struct RunEnded {
+  1: RunId run
+  2: RunEndName end
+  3: EndReasonName reason
+  4: optional DurationMicros took
+  5: i64 highest
+}
+
+/** To a peer: the addresses of all entries that the sender knows. */
+struct KnownEntries {
+  1: list<string> addresses
+}
+
+/** Between entries: the version of the configuration in force. */
+struct ConfigurationOffer {
+  1: i64 version
+}
+
+/** Between entries: send the text of your configuration. */
+struct ConfigurationRequest {
+}
+
+/** Between entries: the whole configuration. */
+struct ConfigurationText {
+  1: i64 version
+  2: string text
+}
+
 /** What a frame holds: exactly one of these. */
 union Message {
   1: Hello hello
@@ -335,4 +438,14 @@
   21: ManifestRequest manifest_request
   22: ManifestUpdate manifest_update
   23: TeamUsage team_usage
+  24: WorkerReport worker_report
+  25: Pulse pulse
+  26: PlaceRun place_run
+  27: WithdrawRun withdraw_run
+  28: AskRun ask_run
+  29: RunEnded run_ended
+  30: KnownEntries known_entries
+  31: ConfigurationOffer configuration_offer
+  32: ConfigurationRequest configuration_request
+  33: ConfigurationText configuration_text
 }
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -89,9 +89,17 @@
       hello: what this process says of itself on each connection.
       clock: source of time.
       seed: for the jitter of reconnects.
+      silence_limit: a connection on which nothing came for this long is closed.
     """
 
-    def __init__(self, hello: Hello, clock: Clock, seed: int = 0) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        clock: Clock,
+        seed: int = 0,
+        silence_limit: timedelta = SILENCE_LIMIT,
+    ) -> None:
+        self._silence_limit = silence_limit
         self._hello = hello
         self._clock = clock
         self._random = random.Random(seed)
@@ -289,11 +297,20 @@
                 continue
             self._open(sock, None)
 
-    def _open(self, sock: socket, dialled: str | None) -> None:
+    def adopt(self, sock: socket) -> Connection:
+        """Take a connected socket whose peer is not known yet.
+
+        Args:
+          sock: connected socket, closed with the links.
+        """
+        return self._open(sock, None)
+
+    def _open(self, sock: socket, dialled: str | None) -> Connection:
         connection = Connection(sock, dialled, self._clock, self._handlers)
         self._connections.add(connection)
         connection.send(frame(encode(self._hello)).unwrap())
         connection.start()
+        return connection
 
     # What connections report
 
@@ -399,7 +416,7 @@
             self._watch_connection(connection, now)
 
     def _watch_connection(self, connection: Connection, now: datetime) -> None:
-        if now - connection.last_heard >= SILENCE_LIMIT:
+        if now - connection.last_heard >= self._silence_limit:
             self._counts["closed_silent"] += 1
             connection.close("silent")
         elif connection.peer is None and now - connection.opened >= HELLO_LIMIT:
