--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -125,7 +125,7 @@
         parsed = parse_job(job_id, body)
         if not is_successful(parsed):
             return self._refuse_body(parsed.failure())
-        patience = _patience(environ, route)
+        patience = _patience(environ)
         request, result = self._waiters.open()
         try:
             deadline = self._clock.now() + patience
@@ -161,13 +161,16 @@
         return json_answer(body, status, _retry_headers(retry_after))
 
 
-def _patience(environ: Environ, route: Route) -> timedelta:
-    """Return how long the caller waits, within the route's bound."""
+def _patience(environ: Environ) -> timedelta:
+    """Return how long the caller waits.
+
+    The route's time-out is for calls that are passed on whole. It is shorter than the
+    run time of the longest tasks, whose callers say that they wait longer.
+    """
     text = environ.get("HTTP_GYPSUMSPOKE_DEADLINE_MS", "")
-    patience = _DEFAULT_PATIENCE
-    if text.isdecimal():
-        patience = min(patience, timedelta(milliseconds=int(text[:9])))
-    return min(patience, route.timeout) if route.timeout else patience
+    if not text.isdecimal():
+        return _DEFAULT_PATIENCE
+    return min(_DEFAULT_PATIENCE, timedelta(milliseconds=int(text[:9])))
 
 
 def _encode(answer: AnswerJob) -> HttpAnswer:
