Tasks wait at the entry and go where they are in time

Cause: each entry sent all tasks to the worker with the earliest expected end. Change: a task takes free room only, on a worker where its job is expected to be in time, and among those one that is fast for how full it is; what finds none waits at the entry, by priority, jobs still in time first. A copy of a job attaches to the one that runs.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -109,7 +109,7 @@
             return json_answer({"error": "no such job"}, 410)
         if method == "DELETE":
             self._post(CancelJobArrived(job_id))
-            known = job_id in self._state.by_id
+            known = job_id in self._state.jobs
             return json_answer({}, 200 if known else 410)
         return self._refuse(405, RefusalReason.INVALID_JOB, "no such method")
 
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -2,15 +2,21 @@
 
 Load that it answers: more work arrives than the workers do, for seconds. Jobs that
 can't end before their caller stops waiting would take room from those that can, and
-the share of jobs in time falls to nothing. So a job whose tasks, placed as well as
-they can be now, would end after the caller's deadline is refused while it is still true
-that nothing of it has run.
+the share of jobs in time falls to nothing. So a job that would end after its caller's
+deadline, behind what waits already, is refused while it is still true that nothing of
+it has run; on arrival, or as soon as it shows.
 """
 
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.runs.coordinator_state import CoordinatorState, JobArrived
+from gypsumspoke.runs.coordinator_state import (
+    CoordinatorState,
+    JobArrived,
+    JobProgress,
+    longest_chain,
+)
+from gypsumspoke.runs.fleet import UNKNOWN_PACE
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.values import RefusalReason
 
@@ -29,9 +35,7 @@
     retry_after: timedelta
 
 
-def refuse_unservable(
-    state: CoordinatorState, event: JobArrived, now: datetime
-) -> Refusal | None:
+def refuse_unservable(state: CoordinatorState, event: JobArrived) -> Refusal | None:
     """Return why a job can't be served whatever the load, or None."""
     if len(state.jobs) >= MOST_JOBS:
         return Refusal(RefusalReason.TOO_MANY_JOBS, DEFAULT_RETRY_AFTER)
@@ -48,18 +52,61 @@
     return None
 
 
-def refuse_late(seconds: float, event: JobArrived, now: datetime) -> Refusal | None:
-    """Return a refusal if the job would end after its caller's deadline.
+def refuse_hopeless(
+    state: CoordinatorState, event: JobArrived, now: datetime
+) -> Refusal | None:
+    """Return a refusal if what waits in front keeps a job beyond its deadline."""
+    wait = expected_wait(state, event.route.service, event.route.priority)
+    chain = longest_chain(event.job) * _fastest_pace(state, event.route.service)
+    excess = now + wait + chain - event.deadline
+    if excess <= timedelta():
+        return None
+    return Refusal(RefusalReason.TOO_LATE, _bounded(excess))
+
 
-    Args:
-      seconds: expected time until its last task ends.
-      event: the job.
-      now: the current time.
-    """
-    patience = (event.deadline - now).total_seconds()
-    if seconds <= patience:
+def refuse_late(
+    state: CoordinatorState, progress: JobProgress, now: datetime
+) -> Refusal | None:
+    """Return a refusal if a job that has not run can't end before its deadline."""
+    pace = _fastest_pace(state, progress.route.service)
+    if now + longest_chain(progress.job) * pace <= progress.deadline:
         return None
-    excess = timedelta(seconds=seconds - patience)
-    return Refusal(
-        RefusalReason.TOO_LATE, min(max(excess, timedelta()), LONGEST_RETRY_AFTER)
-    )
+    wait = expected_wait(state, progress.route.service, progress.route.priority)
+    return Refusal(RefusalReason.TOO_LATE, _bounded(wait))
+
+
+def expected_wait(state: CoordinatorState, service: str, priority: int) -> timedelta:
+    """Return how long the work in front of a new job keeps the workers busy.
+
+    Only what waits at this entry is known; the other entries take about as much of the
+    workers, so this entry's share of them is one of all entries.
+    """
+    work = 0.0
+    for job_id, tasks in state.waiting.items():
+        progress = state.jobs[job_id]
+        if progress.route.service != service or progress.route.priority > priority:
+            continue
+        for task in tasks:
+            step = progress.job.steps[task.id.step]
+            work += step.room.cpu * step.estimate.total_seconds()
+    if not work:
+        return timedelta()
+    share = sum(
+        view.report.capacity.cpu / view.pace
+        for view in state.views.values()
+        if view.connected and view.report is not None and view.report.takes_work
+    ) / (len(state.entries) + 1)
+    return timedelta(seconds=work / share) if share else LONGEST_RETRY_AFTER
+
+
+def _fastest_pace(state: CoordinatorState, service: str) -> float:
+    paces = [
+        view.pace
+        for view in state.views.values()
+        if view.report is not None and view.report.service == service
+    ]
+    return min(paces, default=UNKNOWN_PACE)
+
+
+def _bounded(wait: timedelta) -> timedelta:
+    return min(max(wait, timedelta()), LONGEST_RETRY_AFTER)
--- /dev/null
+++ b/gypsumspoke/runs/conclusion.py
@@ -0,0 +1,110 @@
+"""How a job ends: the answer to its callers, and the end of what still runs."""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import Count, Effect, Log, Observe, Send
+from gypsumspoke.runs.admission import DEFAULT_RETRY_AFTER, Refusal
+from gypsumspoke.runs.coordinator_state import (
+    AnswerJob,
+    CoordinatorState,
+    JobProgress,
+    TaskProgress,
+)
+from gypsumspoke.runs.messages import WithdrawRun
+from gypsumspoke.runs.values import JobEnd, RefusalReason
+
+_FINAL_ENDS = frozenset({JobEnd.COMPLETED, JobEnd.FAILED})
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+def refuse(request: str, job_id: str, refusal: Refusal) -> list[Effect]:
+    """Refuse a request of whose job nothing runs here."""
+    fields = (
+        ("job", job_id),
+        ("request", request),
+        ("reason", refusal.reason.value),
+        ("retry_after_ms", refusal.retry_after // _MILLISECOND),
+    )
+    return [
+        Count(refusal.reason),
+        Log(logging.INFO, "job refused", fields=fields),
+        AnswerJob(request, JobEnd.NOT_RUN, refusal.reason, refusal.retry_after),
+    ]
+
+
+def give_up(
+    state: CoordinatorState,
+    progress: JobProgress,
+    reason: RefusalReason,
+    now: datetime,
+    retry_after: timedelta = DEFAULT_RETRY_AFTER,
+) -> list[Effect]:
+    """Answer at once; "not run" only if no run of the job can have started."""
+    end = JobEnd.GIVEN_UP if may_have_run(progress) else JobEnd.NOT_RUN
+    return finish(state, progress, end, reason, now, retry_after)
+
+
+def may_have_run(progress: JobProgress) -> bool:
+    """Return whether any run of the job started, or may have."""
+    return any(
+        task.done or task.has_started or task.run is not None
+        for tasks in progress.tasks
+        for task in tasks
+    )
+
+
+def finish(
+    state: CoordinatorState,
+    progress: JobProgress,
+    end: JobEnd,
+    reason: RefusalReason | None,
+    now: datetime,
+    retry_after: timedelta = DEFAULT_RETRY_AFTER,
+) -> list[Effect]:
+    """Answer all callers of a job and withdraw what is left of it."""
+    effects: list[Effect] = []
+    for tasks in progress.tasks:
+        for task in tasks:
+            effects += withdraw(state, task)
+    del state.jobs[progress.id]
+    state.waiting.pop(progress.id, None)
+    effects += _tell(progress, end, reason, now)
+    if end in _FINAL_ENDS:
+        retry_after = None
+    for request in progress.requests:
+        state.by_request.pop(request, None)
+        effects.append(AnswerJob(request, end, reason, retry_after))
+    return effects
+
+
+def withdraw(state: CoordinatorState, task: TaskProgress) -> list[Effect]:
+    """Have the open run of a task stopped or not started."""
+    run = task.run
+    if run is None or state.by_run.pop(run, None) is None:
+        return []
+    state.ending.setdefault(task.id, set()).add(run)
+    return [Send(task.view.incarnation, WithdrawRun(run))]
+
+
+def _tell(
+    progress: JobProgress, end: JobEnd, reason: RefusalReason | None, now: datetime
+) -> list[Effect]:
+    took = (now - progress.arrived) / _MILLISECOND
+    fields = (
+        ("job", progress.job.id),
+        ("request", progress.requests[0] if progress.requests else ""),
+        ("route", progress.route.name),
+        ("end", end.value),
+        ("reason", reason.value if reason else ""),
+        ("took_ms", round(took, 1)),
+        ("late", now > progress.aim),
+        ("runs", progress.placed),
+    )
+    effects: list[Effect] = [
+        Log(logging.INFO, "job answered", fields=fields),
+        Observe("job_seconds", took / 1000, progress.route.name),
+    ]
+    if reason is not None:
+        effects.append(Count(reason))
+    return effects
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -18,7 +18,6 @@
     Effect,
     Exit,
     Log,
-    Observe,
     PeerConnected,
     PeerLost,
     Received,
@@ -26,13 +25,13 @@
     Tick,
 )
 from gypsumspoke.runs.admission import (
-    DEFAULT_RETRY_AFTER,
-    Refusal,
+    refuse_hopeless,
     refuse_late,
     refuse_unservable,
 )
+from gypsumspoke.runs.assignment import let_wait, open_steps, place_waiting
+from gypsumspoke.runs.conclusion import finish, give_up, may_have_run, refuse
 from gypsumspoke.runs.coordinator_state import (
-    AnswerJob,
     CancelJobArrived,
     ConfigurationChanged,
     CoordinatorState,
@@ -45,7 +44,6 @@
 from gypsumspoke.runs.fleet import (
     SidecarView,
     note_ended,
-    note_placed,
     restart_connection,
     take_report,
 )
@@ -55,22 +53,14 @@
     ConfigurationRequest,
     ConfigurationText,
     KnownEntries,
-    PlaceRun,
     Pulse,
     RunEnded,
     RunMessage,
     WithdrawRun,
     WorkerReport,
 )
-from gypsumspoke.runs.placement import Choice, choose
 from gypsumspoke.runs.routing import RoutingTable
-from gypsumspoke.runs.values import (
-    EndReason,
-    JobEnd,
-    RefusalReason,
-    RunEnd,
-    RunId,
-)
+from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd, RunId
 
 # A stopping entry goes on taking requests on open connections until the platform's
 # balancer has missed two checks, a second apart, and sends nothing new.
@@ -111,161 +101,70 @@
 
 @_take.register
 def _(event: JobArrived, state: CoordinatorState, now: datetime) -> list[Effect]:
-    effects = _replace_earlier_copy(state, event.job.id, now)
-    refusal = refuse_unservable(state, event, now)
+    known = state.jobs.get(event.job.id)
+    if known is not None:
+        return _attach(state, known, event)
+    refusal = refuse_unservable(state, event) or refuse_hopeless(state, event, now)
     if refusal is not None:
-        return [*effects, *_refuse(event.request, event.job.id, refusal)]
+        return refuse(event.request, event.job.id, refusal)
     progress = JobProgress(event, now)
-    state.jobs[event.request] = progress
-    state.by_id[event.job.id] = event.request
-    choices = _plan_open_steps(state, progress, now)
-    if choices:
-        latest = max(choice.seconds for _, choice in choices)
-        refusal = refuse_late(latest, event, now)
-        if refusal is not None:
-            _undo_plan(choices)
-            _forget(state, progress)
-            return [*effects, *_refuse(event.request, event.job.id, refusal)]
-    effects.append(_log_accepted(progress, choices))
-    return [*effects, *_send_planned(state, progress, choices, now)]
-
-
-def _replace_earlier_copy(
-    state: CoordinatorState, job_id: str, now: datetime
-) -> list[Effect]:
-    """Give up an earlier copy of the same job: its caller has gone or come back."""
-    request = state.by_id.get(job_id)
-    if request is None or request not in state.jobs:
-        return []
-    progress = state.jobs[request]
-    return _give_up(state, progress, RefusalReason.CALLER_LEFT, now)
+    state.jobs[progress.id] = progress
+    state.by_request[event.request] = progress.id
+    open_steps(state, progress)
+    effects = place_waiting(state, now)
+    return [_log_accepted(state, progress), *effects]
 
 
-def _refuse(request: str, job_id: str, refusal: Refusal) -> list[Effect]:
-    fields = (
-        ("job", job_id),
-        ("request", request),
-        ("reason", refusal.reason.value),
-        ("retry_after_ms", refusal.retry_after // timedelta(milliseconds=1)),
-    )
-    return [
-        Count(refusal.reason),
-        Log(logging.INFO, "job refused", fields=fields),
-        AnswerJob(request, JobEnd.NOT_RUN, refusal.reason, refusal.retry_after),
-    ]
+def _attach(
+    state: CoordinatorState, progress: JobProgress, event: JobArrived
+) -> list[Effect]:
+    """Let another copy of a job wait for the answer to the first.
+
+    Run apart, both copies would have runs of one task at work at once.
+    """
+    progress.requests.append(event.request)
+    progress.deadline = max(progress.deadline, event.deadline)
+    state.by_request[event.request] = progress.id
+    fields = (("job", progress.id), ("request", event.request))
+    return [Log(logging.INFO, "copy attached", fields=fields)]
 
 
 @_take.register
 def _(event: JobCallerLeft, state: CoordinatorState, now: datetime) -> list[Effect]:
-    progress = state.jobs.get(event.request)
+    progress = state.jobs.get(state.by_request.pop(event.request, ""))
     if progress is None:
         return []
-    return _give_up(state, progress, RefusalReason.CALLER_LEFT, now)
+    progress.requests.remove(event.request)
+    if progress.requests:
+        return []
+    effects = give_up(state, progress, RefusalReason.CALLER_LEFT, now)
+    return [*effects, *place_waiting(state, now)]
 
 
 @_take.register
 def _(event: CancelJobArrived, state: CoordinatorState, now: datetime) -> list[Effect]:
-    return _replace_earlier_copy(state, event.job_id, now)
-
-
-def _plan_open_steps(
-    state: CoordinatorState, progress: JobProgress, now: datetime
-) -> list[tuple[TaskProgress, Choice]]:
-    """Choose places for the tasks of all steps that may begin."""
-    choices = []
-    for number, step in enumerate(progress.job.steps):
-        if progress.opened[number] or any(progress.left[i] for i in step.after):
-            continue
-        progress.opened[number] = True
-        for task in progress.tasks[number]:
-            choices += _plan_task(state, progress, task, now)
-    return choices
-
-
-def _plan_task(
-    state: CoordinatorState, progress: JobProgress, task: TaskProgress, now: datetime
-) -> list[tuple[TaskProgress, Choice]]:
-    """Choose a place for one task, or let it wait for one."""
-    step = progress.job.steps[task.id.step]
-    run = RunId(task.id, task.number + 1)
-    views = list(_allowed_views(state, progress, task))
-    fresh = [view for view in views if view.host not in task.avoided]
-    choice = choose(
-        fresh, progress.route.service, step, run, progress.route.priority, now
-    )
-    if choice is None:
-        # Every worker that answers was tried; a second try beats none.
-        choice = choose(
-            views, progress.route.service, step, run, progress.route.priority, now
-        )
-    if choice is None:
-        state.waiting.setdefault(progress.request, []).append(task)
+    progress = state.jobs.get(event.job_id)
+    if progress is None:
         return []
-    task.number = run.number
-    task.run = run
-    task.view = choice.view
-    note_placed(choice.view, choice.placement)
-    return [(task, choice)]
-
-
-def _allowed_views(state: CoordinatorState, progress: JobProgress, task: TaskProgress):
-    """Yield the sidecars that the step's bound per worker allows."""
-    step = progress.job.steps[task.id.step]
-    if not step.per_worker:
-        yield from state.views.values()
-        return
-    placed: dict[str, int] = {}
-    for other in progress.tasks[task.id.step]:
-        if other.view is not None and other is not task:
-            placed[other.view.host] = placed.get(other.view.host, 0) + 1
-    for view in state.views.values():
-        if placed.get(view.host, 0) < step.per_worker:
-            yield view
+    return finish(state, progress, JobEnd.FAILED, RefusalReason.CANCELLED, now)
 
 
-def _undo_plan(choices: list[tuple[TaskProgress, Choice]]) -> None:
-    for task, choice in choices:
-        note_ended(choice.view, task.run, ran=False)
-        choice.view.sent -= 1
-
-
-def _send_planned(
-    state: CoordinatorState,
-    progress: JobProgress,
-    choices: list[tuple[TaskProgress, Choice]],
-    now: datetime,
-) -> list[Effect]:
-    effects: list[Effect] = []
-    for task, choice in choices:
-        step = progress.job.steps[task.id.step]
-        state.by_run[task.run] = progress.request
-        choice.view.last_sent = now
-        message = PlaceRun(
-            choice.view.report.stamp,
-            task.run,
-            step.room,
-            progress.route.priority,
-            step.estimate,
-            progress.deadline - now,
-            progress.job.spec,
-        )
-        effects.append(Send(choice.view.incarnation, message))
-    return effects
-
-
-def _log_accepted(
-    progress: JobProgress, choices: list[tuple[TaskProgress, Choice]]
-) -> Log:
-    hosts = sorted({choice.view.host for _, choice in choices})
-    seconds = max((choice.seconds for _, choice in choices), default=-1.0)
+def _log_accepted(state: CoordinatorState, progress: JobProgress) -> Log:
+    hosts = {
+        task.view.host
+        for tasks in progress.tasks
+        for task in tasks
+        if task.view is not None
+    }
     fields = (
-        ("job", progress.job.id),
-        ("request", progress.request),
+        ("job", progress.id),
+        ("request", progress.requests[0]),
         ("route", progress.route.name),
+        ("version", state.table.configuration.version),
         ("tasks", sum(step.count for step in progress.job.steps)),
-        ("placed", len(choices)),
-        ("expected_ms", round(seconds * 1000)),
-        ("hosts", ",".join(hosts)),
+        ("placed", progress.placed),
+        ("jobs_waiting", len(state.waiting)),
+        ("hosts", ",".join(sorted(hosts))),
     )
     return Log(logging.INFO, "job accepted", fields=fields)
 
@@ -288,30 +187,36 @@
     state: CoordinatorState, message: RunEnded, now: datetime
 ) -> list[Effect]:
     """Go on with the task whose run ended."""
+    _note_gone(state, message.run)
     progress = state.jobs.get(state.by_run.pop(message.run, ""))
     if progress is None:
         return []
     name = message.run.task
     task = progress.tasks[name.step][name.index]
-    if task.done:
-        return []
     if message.end is RunEnd.DONE:
         return _take_done(state, progress, task, now)
-    if task.run != message.run:
-        return []
     return _take_not_done(state, progress, task, message, now)
 
 
+def _note_gone(state: CoordinatorState, run: RunId) -> None:
+    """Forget a withdrawn run: its task may run again."""
+    ending = state.ending.get(run.task)
+    if ending is None:
+        return
+    ending.discard(run)
+    if not ending:
+        del state.ending[run.task]
+
+
 def _take_done(
     state: CoordinatorState, progress: JobProgress, task: TaskProgress, now: datetime
 ) -> list[Effect]:
     task.done = True
-    effects = _withdraw(state, task)
     progress.left[task.id.step] -= 1
     if not any(progress.left):
-        return [*effects, *_finish(state, progress, JobEnd.COMPLETED, None, now)]
-    choices = _plan_open_steps(state, progress, now)
-    return [*effects, *_send_planned(state, progress, choices, now)]
+        return finish(state, progress, JobEnd.COMPLETED, None, now)
+    open_steps(state, progress)
+    return []
 
 
 def _take_not_done(
@@ -331,113 +236,12 @@
     if message.end is RunEnd.FAILED:
         task.failed += 1
         if task.failed >= progress.route.attempts:
-            return _fail(state, progress, now)
+            reason = RefusalReason.ATTEMPTS_EXHAUSTED
+            return finish(state, progress, JobEnd.FAILED, reason, now)
     if message.reason not in _MAY_RETRY_THERE:
         task.avoided.add(host)
-    return [Count(message.reason), *_place_again(state, progress, [task], now)]
-
-
-def _place_again(
-    state: CoordinatorState,
-    progress: JobProgress,
-    tasks: list[TaskProgress],
-    now: datetime,
-) -> list[Effect]:
-    choices = []
-    for task in tasks:
-        choices += _plan_task(state, progress, task, now)
-    effects: list[Effect] = [
-        _log_placed(progress, task, choice) for task, choice in choices
-    ]
-    return [*effects, *_send_planned(state, progress, choices, now)]
-
-
-def _log_placed(progress: JobProgress, task: TaskProgress, choice: Choice) -> Log:
-    fields = (
-        ("job", progress.job.id),
-        ("step", task.id.step),
-        ("run", task.number),
-        ("host", choice.view.host),
-        ("expected_ms", round(choice.seconds * 1000)),
-        ("avoided", ",".join(sorted(task.avoided))),
-    )
-    return Log(logging.INFO, "task placed again", task=task.id.index, fields=fields)
-
-
-def _withdraw(state: CoordinatorState, task: TaskProgress) -> list[Effect]:
-    """Have the open run of a task stopped or not started."""
-    if task.run is None or state.by_run.pop(task.run, None) is None:
-        return []
-    return [Send(task.view.incarnation, WithdrawRun(task.run))]
-
-
-def _fail(
-    state: CoordinatorState, progress: JobProgress, now: datetime
-) -> list[Effect]:
-    """Answer that the job failed: a task used up its attempts."""
-    return _finish(
-        state, progress, JobEnd.FAILED, RefusalReason.ATTEMPTS_EXHAUSTED, now
-    )
-
-
-def _give_up(
-    state: CoordinatorState,
-    progress: JobProgress,
-    reason: RefusalReason,
-    now: datetime,
-) -> list[Effect]:
-    """Answer at once; "not run" only if no run of the job can have started."""
-    end = JobEnd.GIVEN_UP if _may_have_run(progress) else JobEnd.NOT_RUN
-    return _finish(state, progress, end, reason, now)
-
-
-def _may_have_run(progress: JobProgress) -> bool:
-    return any(
-        task.done or task.has_started or task.run is not None
-        for tasks in progress.tasks
-        for task in tasks
-    )
-
-
-def _finish(
-    state: CoordinatorState,
-    progress: JobProgress,
-    end: JobEnd,
-    reason: RefusalReason | None,
-    now: datetime,
-) -> list[Effect]:
-    """Answer the caller and withdraw what is left of the job."""
-    effects: list[Effect] = []
-    for tasks in progress.tasks:
-        for task in tasks:
-            if not task.done:
-                effects += _withdraw(state, task)
-    _forget(state, progress)
-    retry_after = None if end in _FINAL_ENDS else DEFAULT_RETRY_AFTER
-    took = (now - progress.arrived) / timedelta(milliseconds=1)
-    fields = (
-        ("job", progress.job.id),
-        ("request", progress.request),
-        ("route", progress.route.name),
-        ("end", end.value),
-        ("reason", reason.value if reason else ""),
-        ("took_ms", round(took, 1)),
-    )
-    effects.append(Log(logging.INFO, "job answered", fields=fields))
-    if reason is not None:
-        effects.append(Count(reason))
-    effects.append(Observe("job_seconds", took / 1000, progress.route.name))
-    return [*effects, AnswerJob(progress.request, end, reason, retry_after)]
-
-
-_FINAL_ENDS = frozenset({JobEnd.COMPLETED, JobEnd.FAILED})
-
-
-def _forget(state: CoordinatorState, progress: JobProgress) -> None:
-    del state.jobs[progress.request]
-    state.waiting.pop(progress.request, None)
-    if state.by_id.get(progress.job.id) == progress.request:
-        del state.by_id[progress.job.id]
+    let_wait(state, progress, task)
+    return [Count(message.reason)]
 
 
 # ---------------------------------------------------------------------------
@@ -456,7 +260,8 @@
         restart_connection(view, now)
         # Ends may have been lost with the earlier connection, and so may placements.
         for run in view.open_runs:
-            effects.append(Send(event.incarnation, AskRun(run)))
+            ask = AskRun(run) if run in state.by_run else WithdrawRun(run)
+            effects.append(Send(event.incarnation, ask))
     return effects
 
 
@@ -502,7 +307,7 @@
         effects.append(_log_taking(view))
     if message.clean:
         effects += _end_replaced(state, view, now)
-    return [*effects, *_place_waiting(state, now)]
+    return [*effects, *place_waiting(state, now)]
 
 
 def _log_taking(view: SidecarView) -> Log:
@@ -523,7 +328,7 @@
     if view is not None:
         note_ended(view, message.run, ran=message.took is not None)
     effects = _take_run_end(state, message, now)
-    return [*effects, *_place_waiting(state, now)]
+    return [*effects, *place_waiting(state, now)]
 
 
 def host_of(incarnation: str) -> str:
@@ -558,23 +363,6 @@
     return effects
 
 
-def _place_waiting(state: CoordinatorState, now: datetime) -> list[Effect]:
-    """Try again to place tasks that found no sidecar."""
-    if not state.waiting:
-        return []
-    waiting = state.waiting
-    state.waiting = {}
-    requests = sorted(waiting, key=lambda request: _urgency(state.jobs[request]))
-    effects: list[Effect] = []
-    for request in requests:
-        effects += _place_again(state, state.jobs[request], waiting[request], now)
-    return effects
-
-
-def _urgency(progress: JobProgress) -> tuple[int, datetime]:
-    return (progress.route.priority, progress.arrived)
-
-
 # ---------------------------------------------------------------------------
 # Configuration
 
@@ -664,11 +452,24 @@
             effects += _take_lost(state, view, now)
         if not view.connected and now >= view.reported + FORGET_AFTER:
             del state.views[view.incarnation]
+    effects += _give_up_hopeless(state, now)
+    effects += place_waiting(state, now)
+    return [*effects, *_continue_drain(state, now)]
+
+
+def _give_up_hopeless(state: CoordinatorState, now: datetime) -> list[Effect]:
+    """Answer jobs that can't end before their deadline any more."""
+    effects: list[Effect] = []
     for progress in list(state.jobs.values()):
         if now >= progress.deadline:
-            effects += _give_up(state, progress, RefusalReason.DEADLINE_EXCEEDED, now)
-    effects += _place_waiting(state, now)
-    return [*effects, *_continue_drain(state, now)]
+            reason = RefusalReason.DEADLINE_EXCEEDED
+            effects += give_up(state, progress, reason, now)
+        elif not may_have_run(progress):
+            refusal = refuse_late(state, progress, now)
+            if refusal is not None:
+                wait = refusal.retry_after
+                effects += give_up(state, progress, refusal.reason, now, wait)
+    return effects
 
 
 @_take.register
@@ -687,6 +488,6 @@
         return []
     effects: list[Effect] = []
     for progress in list(state.jobs.values()):
-        effects += _give_up(state, progress, RefusalReason.STOPPING, now)
+        effects += give_up(state, progress, RefusalReason.STOPPING, now)
     state.left = True
     return [*effects, Log(logging.INFO, "stopped"), Exit()]
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -97,21 +97,26 @@
 
 
 class JobProgress:
-    """One job whose caller waits.
+    """One job whose callers wait.
 
     Attributes:
-      request: identity of the request.
       job, route: what was sent, and by which route.
-      arrived, deadline: times of the caller.
+      requests: the requests that wait for the answer; more than one where copies came.
+      arrived: when the first copy came.
+      aim: when the job is late.
+      deadline: when the last caller stops waiting.
       tasks: all tasks, by step.
       left: for each step, how many of its tasks are not done.
+      opened: for each step, whether its tasks may run.
+      placed: how many runs were placed.
     """
 
     def __init__(self, event: JobArrived, now: datetime) -> None:
-        self.request = event.request
         self.job = event.job
         self.route = event.route
+        self.requests = [event.request]
         self.arrived = now
+        self.aim = now + time_allowed(event.job, event.route)
         self.deadline = event.deadline
         self.tasks = [
             [TaskProgress(TaskId(event.job.id, number, i)) for i in range(step.count)]
@@ -119,6 +124,26 @@
         ]
         self.left = [step.count for step in event.job.steps]
         self.opened = [False] * len(event.job.steps)
+        self.placed = 0
+
+    @property
+    def id(self) -> str:
+        """The job's id."""
+        return self.job.id
+
+
+def time_allowed(job: Job, route: Route) -> timedelta:
+    """Return how long a job may take by the terms of its route."""
+    return longest_chain(job) * route.stretch + route.target_latency
+
+
+def longest_chain(job: Job) -> timedelta:
+    """Return the estimated time of the steps that must run one after another."""
+    ends: list[timedelta] = []
+    for step in job.steps:
+        before = max((ends[number] for number in step.after), default=timedelta())
+        ends.append(before + step.estimate)
+    return max(ends)
 
 
 class CoordinatorState:
@@ -126,10 +151,11 @@
 
     Attributes:
       views: sidecars by incarnation.
-      jobs: jobs by request.
-      by_id: the latest request of a job id.
-      by_run: the job of each open run.
-      waiting: tasks without a place, by request.
+      jobs: jobs by id.
+      by_request: the job id of each waiting request.
+      by_run: the job id of each open run that was not withdrawn.
+      ending: withdrawn runs that may still be at work, by task.
+      waiting: tasks without a place, by job id.
       table: the configuration in force; None before the first.
       text: its text as the operators wrote it.
       draining: when the graceful stop began.
@@ -149,8 +175,9 @@
         self.parse_configuration = parse_configuration
         self.views: dict[str, SidecarView] = {}
         self.jobs: dict[str, JobProgress] = {}
-        self.by_id: dict[str, str] = {}
+        self.by_request: dict[str, str] = {}
         self.by_run: dict[RunId, str] = {}
+        self.ending: dict[TaskId, set[RunId]] = {}
         self.waiting: dict[str, list[TaskProgress]] = {}
         self.table: RoutingTable | None = None
         self.text = ""
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -125,28 +125,3 @@
         if placement.priority <= priority:
             free = subtract(free, placement.room)
     return free
-
-
-def expected_wait(view: SidecarView, need: Room, priority: int) -> float:
-    """Return the seconds until a run of this priority is likely to start.
-
-    All that runs, and all that waits in front, is taken as work that the whole worker
-    does evenly. It leaves out in which order the runs end; what counts is that it
-    grows with the backlog, so that of two workers the emptier one is chosen.
-    """
-    free = free_room(view, priority)
-    if need.cpu <= free.cpu:
-        return 0.0
-    capacity = max(view.report.capacity.cpu, 1)
-    ahead = view.report.running_work + sum(
-        queued.work * view.pace
-        for queued in view.report.queued
-        if queued.priority <= priority
-    )
-    ahead += sum(
-        placement.work * view.pace
-        for _, placement in view.unreported
-        if placement.priority <= priority
-    )
-    short = min((need.cpu - free.cpu) / capacity, 1.0)
-    return ahead / capacity * max(short, ahead / (ahead + capacity))
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -1,8 +1,8 @@
 """The sidecar's reducer: its worker's only client, and guard of the worker's room.
 
 Entries place runs here; the guard lets them wait by priority, starts them when there is
-room, keeps the worker's lease alive, and tells the entry how each run ended. It counts a
-run's room as taken from before its start is sent until the worker lists its end, so
+room, keeps the worker's lease alive, and tells the entry how each run ended. It counts
+a run's room as taken from before its start is sent until the worker lists its end, so
 that an unanswered start and an unfinished stop still count.
 
 Load that it answers: four entries place work on one worker without seeing each other's,
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -35,12 +35,14 @@
     EndReason,
     Registration,
     RunEnd,
-    WorkerReady,
     subtract,
 )
 
 # A stop without an answer is sent again this often; one answer takes a few ms.
 STOP_AGAIN = timedelta(milliseconds=100)
+# Several stops without an answer: from then on the lease is not extended, and it ends
+# within the time in which the run must be gone.
+STOP_PATIENCE = timedelta(milliseconds=450)
 # A hold without an answer within its wait and this long is given up by the shell.
 HOLD_ANSWER_WITHIN = timedelta(milliseconds=250)
 # A run without progress for this long, or this share of its estimate, stands still. A
@@ -159,6 +161,7 @@
         return []
     guarded.phase = Phase.STOPPING
     guarded.stop_reason = reason
+    guarded.stop_since = now
     return _send_stop(state, guarded, now)
 
 
@@ -267,11 +270,25 @@
 def _may_extend(state: GuardState, now: datetime) -> bool:
     if state.token == 0 or state.lease.clock_ahead is None:
         return False
-    if state.heard_worker is None:
+    if state.heard_worker is None or _has_overdue_stop(state, now):
         return False
     return now - state.heard_worker < WORKER_SILENCE
 
 
+def _has_overdue_stop(state: GuardState, now: datetime) -> bool:
+    """Return whether the worker leaves a stop unanswered for too long.
+
+    Its run may be placed elsewhere soon, by an entry that counts on the time budget.
+    Only the end of the lease stops it then, with all that runs beside it.
+    """
+    return any(
+        guarded.phase is Phase.STOPPING
+        and guarded.stop_accepted is None
+        and now - guarded.stop_since > STOP_PATIENCE
+        for guarded in state.runs.values()
+    )
+
+
 def take_failed_hold(
     state: GuardState, event: HoldFailed, now: datetime
 ) -> list[Effect]:
@@ -408,7 +425,7 @@
 
 
 def _note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
-    """Learn the worker's clock; the answer's way makes the result too low, if at all."""
+    """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
         ahead = clock - (now - state.origin)
         state.lease = state.lease._replace(clock_ahead=ahead, measured=now)
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -58,6 +58,7 @@
       percent: progress as last seen.
       progressed: when the progress last changed.
       stop_reason: why it is being stopped.
+      stop_since: when the first stop was sent.
       stop_accepted: when the worker last accepted the stop.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
@@ -87,6 +88,7 @@
         self.percent = 0
         self.progressed: datetime | None = None
         self.stop_reason = EndReason.WITHDRAWN
+        self.stop_since: datetime | None = None
         self.stop_accepted: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -1,28 +1,27 @@
-"""Which sidecar gets a task, and when its job would end.
+"""Which sidecar gets a task that may start now.
 
-Load that it answers: workers differ in speed by a factor of two to three and a job is as
-late as its last task, so a task goes where it is expected to *end* first, not where the
-least work waits. Ties, as on an idle system, go to the worker with the most room left,
-which leaves space on all for the next wide job.
+Load that it answers: workers differ in speed by a factor of two to three, tasks in
+length by ten, and a job is as late as its last task. Always taking the fastest worker
+fills the few fast ones, and long tasks, which are in time only there, wait behind short
+ones that would be in time anywhere. So a task goes to a worker on which it is expected
+to be in time, and among those to one that is fast for how full it is. Only workers with
+room now are taken: what finds none waits at the entry, where the most urgent task gets
+the next free room, instead of behind others at one worker.
 """
 
 from collections.abc import Iterable
 from datetime import datetime
 from typing import NamedTuple
 
-from gypsumspoke.runs.fleet import (
-    Placement,
-    SidecarView,
-    expected_wait,
-    free_room,
-    is_open,
-)
-from gypsumspoke.runs.values import RunId, Step, fits
+from gypsumspoke.runs.fleet import Placement, SidecarView, free_room, is_open
+from gypsumspoke.runs.values import Room, RunId, Step, fits
 
 # From the platform's bounds: a task away from its data takes this much longer.
 REMOTE_SLOWDOWN = 1.5
-# Ends that differ by less than this are the same: estimates are off by more.
-SAME_END_SECONDS = 0.02
+# Messages, the start and the answer take some milliseconds of what a job may take.
+OVERHEAD_SECONDS = 0.015
+# Keeps the cost of the last free piece of a worker finite.
+LEAST_FREE_SHARE = 0.02
 
 
 class Choice(NamedTuple):
@@ -30,7 +29,7 @@
 
     Attributes:
       view: the sidecar.
-      seconds: expected time until the task ends.
+      seconds: expected run time there.
       placement: what it takes there.
     """
 
@@ -39,6 +38,24 @@
     placement: Placement
 
 
+class Wanted(NamedTuple):
+    """A task that looks for a worker.
+
+    Attributes:
+      service: service of the route.
+      step: the task's step.
+      run: the run to be placed.
+      priority: priority of the route.
+      seconds_left: until its job is late.
+    """
+
+    service: str
+    step: Step
+    run: RunId
+    priority: int
+    seconds_left: float
+
+
 def serves(view: SidecarView, service: str, step: Step) -> bool:
     """Return whether a worker may ever run tasks of a step."""
     report = view.report
@@ -51,41 +68,49 @@
 
 
 def choose(
-    views: Iterable[SidecarView],
-    service: str,
-    step: Step,
-    run: RunId,
-    priority: int,
-    now: datetime,
+    views: Iterable[SidecarView], wanted: Wanted, now: datetime
 ) -> Choice | None:
-    """Return the sidecar where a task is expected to end first, or None.
+    """Return the sidecar for a task, or None to let it wait.
+
+    A task that is still in time on a busy worker only, waits for that one rather than
+    be late for certain on a free one.
 
     Args:
       views: sidecars that may be chosen.
-      service: service of the route.
-      step: the task's step.
-      run: the run to be placed.
-      priority: priority of the route.
+      wanted: the task.
       now: the current time.
     """
     best: Choice | None = None
-    best_rank: tuple[float, float] | None = None
+    best_rank: tuple[bool, float] | None = None
+    may_wait = False
     for view in views:
-        if not serves(view, service, step) or not is_open(view, now):
+        if not serves(view, wanted.service, wanted.step) or not is_open(view, now):
+            continue
+        seconds = run_seconds(view, wanted.step)
+        in_time = seconds + OVERHEAD_SECONDS <= wanted.seconds_left
+        free = free_room(view, wanted.priority)
+        if not fits(wanted.step.room, free):
+            may_wait = may_wait or in_time
             continue
-        seconds = expected_end(view, step, priority)
-        free = free_room(view, priority).cpu
-        rank = (round(seconds / SAME_END_SECONDS), -free)
+        rank = (not in_time, seconds / _free_share(view, free))
         if best_rank is None or rank < best_rank:
-            work = step.room.cpu * step.estimate.total_seconds()
             best_rank = rank
-            best = Choice(view, seconds, Placement(run, step.room, priority, work))
+            work = wanted.step.room.cpu * wanted.step.estimate.total_seconds()
+            placement = Placement(wanted.run, wanted.step.room, wanted.priority, work)
+            best = Choice(view, seconds, placement)
+    if best is not None and best_rank[0] and may_wait:
+        return None
     return best
 
 
-def expected_end(view: SidecarView, step: Step, priority: int) -> float:
-    """Return the seconds until a task of this step would end there."""
+def _free_share(view: SidecarView, free: Room) -> float:
+    """Return the share of the worker's processors that is free, before the task."""
+    return max(free.cpu / max(view.report.capacity.cpu, 1), LEAST_FREE_SHARE)
+
+
+def run_seconds(view: SidecarView, step: Step) -> float:
+    """Return the expected run time of a task of this step there."""
     seconds = step.estimate.total_seconds() * view.pace
     if step.rack and step.rack not in view.report.labels:
         seconds *= REMOTE_SLOWDOWN
-    return expected_wait(view, step.room, priority) + seconds
+    return seconds
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -249,4 +249,5 @@
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CALLER_LEFT = "caller_left"
+    CANCELLED = "cancelled"
     STOPPING = "stopping"
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -1,4 +1,4 @@
-"""What both roles of best-effort jobs open: peers, metrics, the loop around a reducer."""
+"""What both roles of best-effort jobs open: peers, metrics, the reducer's loop."""
 
 import logging
 import os
--- a/gypsumspoke/wire/codec.py
+++ b/gypsumspoke/wire/codec.py
@@ -1,9 +1,10 @@
 """Messages to bytes and back, by thrift's compact protocol.
 
-The tuples of ``core/data.py`` and ``runs/messages.py`` stay free of thrift, so each is copied to and from the
-generated struct with the same fields. The copying functions are built once, at import,
-from the annotations of the tuples: a field that is added there and missing in the IDL
-fails at once and in every test, instead of being dropped in silence.
+The tuples of ``core/data.py`` and ``runs/messages.py`` stay free of thrift, so each is
+copied to and from the generated struct with the same fields. The copying functions are
+built once, at import, from the annotations of the tuples: a field that is added there
+and missing in the IDL fails at once and in every test, instead of being dropped in
+silence.
 
 Thrift's C extension does the encoding; without it a process would start and be ten
 times slower, so its absence is an error.
