An unanswered hold is given up in 120 ms and followed at once

Cause: where the worker leaves a few percent of orders unanswered, each unanswered hold kept its sidecar blind to ends for 400 ms. Change: a hold waits 100 ms and 120 ms for its answer, the next one follows at once, and a run that a hold lists as running counts as started though the answer to its start was lost.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -12,6 +12,7 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.platform.names import run_of, task_name
+from gypsumspoke.runs.guard_orders import HOLD_ANSWER_WITHIN
 from gypsumspoke.runs.orders import (
     EndedRun,
     HoldAnswered,
@@ -33,8 +34,8 @@
 _CONNECT_TIMEOUT = timedelta(milliseconds=200)
 _ANSWER_BYTES = 4 * 1024 * 1024
 # The worker is on this instance and answers in about a millisecond. Waiting longer
-# would keep the room of a start in doubt; it is stopped and placed again instead.
-ORDER_WITHIN = timedelta(milliseconds=250)
+# keeps the room of a start in doubt, and ends unseen while a hold is not answered.
+ORDER_WITHIN = HOLD_ANSWER_WITHIN
 
 _CONFLICT = 409
 _OTHER_LIFE = 421
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -43,8 +43,8 @@
 # Several stops without an answer: from then on the lease is not extended, and it ends
 # within the time in which the run must be gone.
 STOP_PATIENCE = timedelta(milliseconds=450)
-# A hold without an answer within its wait and this long is given up by the shell.
-HOLD_ANSWER_WITHIN = timedelta(milliseconds=250)
+# A hold is answered or given up by the shell within its wait and this long.
+HOLD_ANSWER_WITHIN = timedelta(milliseconds=120)
 # A run without progress for this long, or this share of its estimate, stands still. A
 # sound worker shows progress with each hold; one that is eight times slower still shows
 # a percent in a twelfth of the estimate.
@@ -217,6 +217,8 @@
     The stop makes the worker refuse this run from then on, so that what follows is
     certain: either its end is listed, or it never starts.
     """
+    if guarded.phase is Phase.RUNNING:
+        return []
     guarded.in_doubt = True
     _note_failure(state, 1.0)
     return end_run_early(state, guarded, EndReason.START_UNANSWERED, now)
@@ -292,11 +294,17 @@
 def take_failed_hold(
     state: GuardState, event: HoldFailed, now: datetime
 ) -> list[Effect]:
-    """Take a hold without a list; the next tick asks again."""
+    """Take a hold without a list.
+
+    One that was left unanswered is followed at once, since ends wait to be seen; after
+    other failures, which come at once, the next tick asks again.
+    """
     state.hold_sent = None
     _note_clock(state, event.clock, now)
     if event.result is OrderResult.FENCED:
         _raise_token(state, now)
+    if event.result is OrderResult.UNANSWERED:
+        return next_hold(state, now)
     return []
 
 
@@ -344,7 +352,12 @@
 def _note_progress(state: GuardState, event: HoldAnswered, now: datetime) -> None:
     for listed in event.running:
         guarded = state.runs.get(listed.run)
-        if guarded is not None and listed.percent != guarded.percent:
+        if guarded is None:
+            continue
+        if guarded.phase is Phase.STARTING:
+            # The answer to its start is late or lost, but here it is.
+            guarded.phase = Phase.RUNNING
+        if listed.percent != guarded.percent:
             guarded.percent = listed.percent
             guarded.progressed = now
 
