A failing worker is tried with one run; standing runs are found in 220 ms

And runs that stood still were found only after 400 ms. Change: an avoided worker is tried again only where no other takes work, a failing one with one run at a time, and a run without progress over two lists and 220 ms is stopped.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -19,7 +19,7 @@
 )
 from gypsumspoke.runs.fleet import SidecarView, note_placed
 from gypsumspoke.runs.messages import PlaceRun
-from gypsumspoke.runs.placement import Choice, Wanted, choose
+from gypsumspoke.runs.placement import Choice, Wanted, choose, is_open_to
 from gypsumspoke.runs.values import RunId
 
 # Jobs in a row that may find no room before a round ends; each costs a look at every
@@ -101,8 +101,12 @@
     if not task.avoided:
         return choose(views, wanted, now)
     fresh = [view for view in views if view.host not in task.avoided]
-    # Where every worker that answers was tried, a second try beats none.
-    return choose(fresh, wanted, now) or choose(views, wanted, now)
+    # A worker where the task failed or was refused is tried again only where no other
+    # takes work at all. Tried whenever the others were full, one that refuses got, and
+    # sent back, the same tasks a thousand times a second.
+    if any(is_open_to(view, wanted, now) for view in fresh):
+        return choose(fresh, wanted, now)
+    return choose(views, wanted, now)
 
 
 def _allowed_views(
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -111,6 +111,8 @@
         and view.report is not None
         and view.report.takes_work
         and now - view.reported < REPORT_SILENCE
+        # A worker that fails is tried with one run at a time.
+        and not (view.report.failing and view.open_runs)
     )
 
 
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -143,7 +143,6 @@
 @_take.register
 def _(event: Tick, state: GuardState, now: datetime) -> list[Effect]:
     effects = _stop_runs_of_silent_entries(state, now)
-    effects += guard_orders.check_progress(state, now)
     effects += guard_orders.check_lease(state, now)
     effects += guard_orders.repeat_stops(state, now)
     effects += guard_orders.next_hold(state, now)
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -50,8 +50,10 @@
 # A run without progress for this long, or this share of its estimate, stands still. A
 # sound worker shows progress with each hold; one that is eight times slower still shows
 # a percent in a twelfth of the estimate.
-STALL_AT_LEAST = timedelta(milliseconds=400)
-STALL_SHARE = 0.4
+STALL_AT_LEAST = timedelta(milliseconds=220)
+STALL_SHARE = 0.15
+# So many lists must have shown the same progress.
+STALL_LISTS = 2
 # Weight of the newest end in the smoothed pace and share of failures: about the last
 # ten ends decide the pace, the last three whether the worker fails.
 PACE_WEIGHT = 0.1
@@ -329,6 +331,7 @@
         effects += _take_end(state, ended, now)
     _note_progress(state, event, now)
     effects += _take_unlisted(state, event, now)
+    effects += _stop_stalled(state, now)
     return [*effects, *_stop_orphans(state, event, is_first)]
 
 
@@ -362,9 +365,11 @@
         if guarded.phase is Phase.STARTING:
             # The answer to its start is late or lost, but here it is.
             guarded.phase = Phase.RUNNING
+        guarded.lists_since += 1
         if listed.percent != guarded.percent:
             guarded.percent = listed.percent
             guarded.progressed = now
+            guarded.lists_since = 0
 
 
 def _take_unlisted(
@@ -413,14 +418,18 @@
 # Runs that stand still, workers that are gone
 
 
-def check_progress(state: GuardState, now: datetime) -> list[Effect]:
-    """Stop runs that make no progress, so that they are placed elsewhere."""
+def _stop_stalled(state: GuardState, now: datetime) -> list[Effect]:
+    """Stop runs that make no progress, so that they are placed elsewhere.
+
+    Called with each list, and at no other time: while lists fail to come, nothing is
+    known of progress, and sound runs would seem to stand still.
+    """
     effects: list[Effect] = []
     for guarded in list(state.runs.values()):
         if guarded.phase is not Phase.RUNNING or guarded.percent >= 100:
             continue
         limit = max(STALL_AT_LEAST, guarded.estimate * STALL_SHARE)
-        if now - guarded.progressed > limit:
+        if guarded.lists_since >= STALL_LISTS and now - guarded.progressed > limit:
             _note_failure(state, 1.0)
             effects += end_run_early(state, guarded, EndReason.STALLED, now)
     return effects
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -57,6 +57,7 @@
       started: when the worker accepted the start.
       percent: progress as last seen.
       progressed: when the progress last changed.
+      lists_since: how many lists came since then.
       stop_reason: why it is being stopped.
       stop_since: when the first stop was sent.
       stop_accepted: when the worker last accepted the stop.
@@ -87,6 +88,7 @@
         self.started: datetime | None = None
         self.percent = 0
         self.progressed: datetime | None = None
+        self.lists_since = 0
         self.stop_reason = EndReason.WITHDRAWN
         self.stop_since: datetime | None = None
         self.stop_accepted: datetime | None = None
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -67,6 +67,11 @@
     )
 
 
+def is_open_to(view: SidecarView, wanted: Wanted, now: datetime) -> bool:
+    """Return whether a sidecar takes such a task, now or when it has room."""
+    return serves(view, wanted.service, wanted.step) and is_open(view, now)
+
+
 def choose(
     views: Iterable[SidecarView], wanted: Wanted, now: datetime
 ) -> Choice | None:
@@ -84,7 +89,7 @@
     best_rank: tuple[bool, float] | None = None
     may_wait = False
     for view in views:
-        if not serves(view, wanted.service, wanted.step) or not is_open(view, now):
+        if not is_open_to(view, wanted, now):
             continue
         seconds = run_seconds(view, wanted.step)
         in_time = seconds + OVERHEAD_SECONDS <= wanted.seconds_left
