--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,6 +6,7 @@
 
 from gypsumspoke.core.data import Counter, RetryReason
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.runs.values import EndReason, RefusalReason
 from gypsumspoke.shell.metrics import HISTOGRAMS
 from gypsumspoke.shell.runtime import (
     EXIT_DONE,
@@ -18,7 +19,9 @@
 PAGE = (Path(__file__).parents[1] / "docs" / "OPERATIONS.md").read_text()
 
 
-@pytest.mark.parametrize("words", [ErrorKind, RetryReason, Counter])
+@pytest.mark.parametrize(
+    "words", [ErrorKind, RetryReason, Counter, EndReason, RefusalReason]
+)
 def test_every_word_has_its_line(words):
     assert [word.value for word in words if f"`{word.value}`" not in PAGE] == []
 
