--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -141,13 +141,13 @@
             if not is_successful(answer):
                 return answer
             fields = answer.unwrap()
-            page = [_row(each) for each in fields["rows"]]
+            page = _rows(fields)
             rows.update({row.key: row.value for row in page})
             version = fields["ver"] if version is None else version
             if not fields["more_pages"]:
                 return Success((rows, version))
             # The range includes its start; the smallest key after the last one.
-            query["from"] = page[-1].key + "\x00"
+            query["from"] = fields["rows"][-1]["key"] + "\x00"
 
     def _read_changes(
         self, watch: Watch, version: int
@@ -162,7 +162,7 @@
         if not is_successful(answer):
             return answer
         fields = answer.unwrap()
-        return Success(([_row(each) for each in fields["rows"]], fields["ver"]))
+        return Success((_rows(fields), fields["ver"]))
 
     def _call(self, request: Request, within: timedelta) -> Result[dict, str]:
         """Send a call and return the fields of its answer."""
@@ -191,7 +191,20 @@
     return Success(fields) if isinstance(fields, dict) else Failure("no object")
 
 
+def _rows(fields: dict[str, Any]) -> list[StoredRow]:
+    """Return the rows that can be read; one that can't must not hide the others."""
+    rows = []
+    for each in fields["rows"]:
+        try:
+            rows.append(_row(each))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            _log.error(
+                {"message": "unreadable row", "details": {"reason": repr(error)}}
+            )
+    return rows
+
+
 def _row(fields: dict[str, Any]) -> StoredRow:
     if fields.get("removed"):
         return StoredRow(fields["key"], None)
-    return StoredRow(fields["key"], base64.b64decode(fields["value"]))
+    return StoredRow(fields["key"], base64.b64decode(fields["value"], validate=True))
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,149 @@
+"""What the platform sends, decoded into the product's types; spoiled input is named."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, strategies as st
+from returns.pipeline import is_successful
+
+from gypsumspoke.platform.configuration import parse_configuration
+from gypsumspoke.platform.jobs import MOST_TASKS, Unsupported, is_job_id, parse_job
+from gypsumspoke.platform.names import run_of, task_name
+from gypsumspoke.platform.registration import parse_registration
+from gypsumspoke.platform.settings import read_settings
+from gypsumspoke.runs.values import Room, RunId, TaskId, WorkerReady
+from tests.platform.system import configuration, job_body
+from tests.standins.platform_worker import PlatformWorker
+
+JOB_ID = "5c0e7a21d94b36f8"
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+def parse(body):
+    return parse_job(JOB_ID, json.dumps(body).encode())
+
+
+def test_a_job_with_all_that_a_step_may_say():
+    step = {
+        "count": 4,
+        "cpu": 500,
+        "mem_mb": 256,
+        "gpu": 1,
+        "estimate_ms": 900,
+        "constraints": "b",
+        "affinity": "r1-3",
+        "anti_affinity": 2,
+        "checkpointing": True,
+    }
+    later = {"count": 1, "cpu": 1, "after": [0], "unknown": [1]}
+    job = parse(job_body(steps=[step, later])).unwrap()
+    assert job.steps[0].room == Room(500, 256, 1)
+    assert job.steps[0].estimate == timedelta(milliseconds=900)
+    assert (job.steps[0].label, job.steps[0].rack) == ("b", "r1-3")
+    assert job.steps[0].per_worker == 2
+    assert job.steps[1].after == (0,)
+
+
+@pytest.mark.parametrize(
+    "spoiled",
+    [
+        [],
+        None,
+        {"best_effort": True},
+        job_body(steps=[]),
+        job_body(steps=[3]),
+        job_body(spec=7),
+        job_body(spec="x" * 4001),
+        job_body(steps=[{"count": 0}]),
+        job_body(steps=[{"count": "x"}]),
+        job_body(steps=[{"count": True}]),
+        job_body(steps=[{"count": MOST_TASKS + 1}]),
+        job_body(steps=[{"count": 1, "cpu": -1}]),
+        job_body(steps=[{"count": 1, "after": [0]}]),
+        job_body(steps=[{"count": 1, "after": "x"}]),
+        job_body(steps=[{"count": 1, "affinity": 3}]),
+    ],
+)
+def test_a_spoiled_job_is_refused_with_a_sentence(spoiled):
+    error = parse(spoiled).failure()
+    assert str(error) and not isinstance(error, Unsupported)
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"best_effort": False},
+        {"times": 3},
+        {"long_running": True},
+        {"steps": [{"count": 2, "gang": True}]},
+    ],
+)
+def test_a_kind_of_job_that_is_not_served_is_told_apart(more):
+    assert isinstance(parse(job_body(**more)).failure(), Unsupported)
+
+
+@given(ANY_JSON)
+def test_no_json_ends_the_process(value):
+    parse_job(JOB_ID, json.dumps(value).encode())
+    parse_registration("w1", json.dumps(value).encode())
+    parse_configuration(json.dumps(value))
+
+
+@given(st.binary(max_size=50))
+def test_no_bytes_end_the_process(body):
+    parse_job(JOB_ID, body)
+    parse_registration("w1", body)
+
+
+@given(st.sampled_from(sorted(job_body()["steps"][0])), ANY_JSON)
+def test_a_field_of_another_type_is_a_sentence_or_a_job(name, value):
+    step = {**job_body()["steps"][0], name: value}
+    parsed = parse(job_body(steps=[step]))
+    assert is_successful(parsed) or str(parsed.failure())
+
+
+def test_ids_and_names():
+    assert is_job_id(JOB_ID)
+    assert not is_job_id(JOB_ID.upper())
+    assert not is_job_id(JOB_ID + "0")
+    task = TaskId(JOB_ID, 1, 17)
+    assert task_name(task) == JOB_ID + ".0.1.17"
+    assert run_of(task_name(task), 2) == RunId(task, 2)
+
+
+def test_a_configuration():
+    parsed = parse_configuration(json.dumps(configuration(7, "/a/", "/b/"))).unwrap()
+    assert parsed.version == 7
+    assert [route.path_prefix for route in parsed.routes] == ["/a/", "/b/"]
+    assert parsed.routes[0].target_latency == timedelta(milliseconds=60)
+    assert parsed.limits.body_bytes == 262144
+
+
+def test_a_configuration_without_a_field_names_it():
+    spoiled = configuration(7)
+    del spoiled["limits"]["max_body_bytes"]
+    assert "max_body_bytes" in parse_configuration(json.dumps(spoiled)).failure()
+
+
+def test_a_heartbeat():
+    body = json.dumps(PlatformWorker("w1").heartbeat()).encode()
+    registration = parse_registration("w1", body).unwrap()
+    assert registration.id == "w1"
+    assert registration.state is WorkerReady.READY
+    assert registration.capacity == Room(8000, 64000, 0)
+    assert registration.sequence == 1
+
+
+def test_settings_that_can_not_be_read_name_the_reason(tmp_path):
+    path = tmp_path / "settings.json"
+    assert "No such file" in read_settings(path).failure()
+    path.write_text("{")
+    assert str(path) in read_settings(path).failure()
+    path.write_text('{"listen": {}, "serves": []}')
+    assert "node is missing" in read_settings(path).failure()
--- /dev/null
+++ b/tests/runs/test_placement.py
@@ -0,0 +1,97 @@
+"""Which worker a task takes."""
+
+import pytest
+
+from gypsumspoke.runs.fleet import Placement, SidecarView, note_placed, take_report
+from gypsumspoke.runs.messages import WorkerReport
+from gypsumspoke.runs.placement import Wanted, choose, serves
+from gypsumspoke.runs.values import Room, RunId, Step, TaskId
+from tests.runs.world import START, ms
+
+RUN = RunId(TaskId("j1", 0, 0), 1)
+STEP = Step(1, Room(3000, 64, 0), ms(200))
+
+
+def view(name, pace=1.0, free=8000, **more):
+    """Return a view of a worker with eight cores."""
+    made = SidecarView(f"{name}-1", name, START)
+    report = WorkerReport(
+        stamp=ms(0),
+        worker=name,
+        service="estimate",
+        labels=("a", "r1"),
+        takes_work=True,
+        clean=True,
+        capacity=Room(8000, 64000, 0),
+        free=Room(free, 64000, 0),
+        pace=pace,
+        failing=False,
+        taken=0,
+    )
+    take_report(made, report._replace(**more), START)
+    return made
+
+
+def place(views, step=STEP, left=1.0):
+    """Return the name of the chosen worker, or None."""
+    choice = choose(views, Wanted("estimate", step, RUN, left), START + ms(50))
+    return choice.view.host if choice else None
+
+
+def test_an_idle_fast_worker_goes_before_an_idle_slow_one():
+    assert place([view("slow", pace=1.6), view("fast", pace=0.6)]) == "fast"
+
+
+def test_a_nearly_full_fast_worker_leaves_short_tasks_to_idle_ones():
+    assert place([view("slow", pace=1.5), view("fast", pace=0.6, free=3000)]) == "slow"
+
+
+def test_a_task_in_time_on_the_fast_worker_only_goes_there():
+    views = [view("slow", pace=1.6), view("fast", pace=0.6, free=3000)]
+    assert place(views, left=0.25) == "fast"
+
+
+def test_a_task_waits_for_the_only_worker_where_it_is_in_time():
+    views = [view("slow", pace=1.6), view("fast", pace=0.6, free=0)]
+    assert place(views, left=0.25) is None
+
+
+def test_a_task_that_is_late_anyway_takes_what_is_free():
+    views = [view("slow", pace=1.6), view("fast", pace=0.6, free=0)]
+    assert place(views, left=0.01) == "slow"
+
+
+def test_own_placements_count_before_the_next_report():
+    one = view("one")
+    note_placed(one, Placement(RUN, Room(6000, 64, 0)))
+    assert place([one]) is None
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"takes_work": False},
+        {"service": "other"},
+        {"capacity": Room(2000, 64000, 0)},
+    ],
+)
+def test_a_worker_that_can_not_take_it_is_left_out(more):
+    assert place([view("one", **more)]) is None
+
+
+def test_a_silent_sidecar_gets_nothing():
+    choice = choose([view("one")], Wanted("estimate", STEP, RUN, 1.0), START + ms(500))
+    assert choice is None
+
+
+def test_a_label_must_be_there_and_a_rack_is_preferred():
+    assert not serves(view("one"), "estimate", STEP._replace(label="b"))
+    near, far = view("near", labels=("a", "r2")), view("far", labels=("a", "r1"))
+    assert place([far, near], STEP._replace(rack="r2")) == "near"
+
+
+def test_a_failing_worker_gets_one_run_at_a_time():
+    failing = view("one", failing=True)
+    assert place([failing]) == "one"
+    note_placed(failing, Placement(RUN, STEP.room))
+    assert place([failing]) is None
--- /dev/null
+++ b/tests/wire/test_dialler.py
@@ -0,0 +1,78 @@
+"""Connections by address, to whichever process answers there."""
+
+from contextlib import closing
+
+import gevent
+import pytest
+
+from gypsumspoke.core.clock import SteadyClock
+from gypsumspoke.core.data import PeerConnected, Received
+from gypsumspoke.runs.messages import KnownEntries
+from gypsumspoke.wire.dialler import Dialler
+from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
+from gypsumspoke.wire.links import PeerLinks
+
+BOUND = 5
+
+
+class Peer:
+    """Links with the events that they reported."""
+
+    def __init__(self, name: str) -> None:
+        self.events = []
+        self.links = PeerLinks(Hello(PROTOCOL_VERSION, name, name, 4), SteadyClock())
+
+    def start(self) -> None:
+        self.links.start(self.events.append)
+
+    def has(self, event) -> bool:
+        return event in self.events
+
+
+def wait_until(holds) -> None:
+    with gevent.Timeout(BOUND):
+        while not holds():
+            gevent.sleep(0.01)
+
+
+@pytest.fixture
+def dialling():
+    peer = Peer("sidecar")
+    dialler = Dialler(peer.links, SteadyClock())
+    peer.start()
+    dialler.start()
+    with closing(peer.links), closing(dialler):
+        yield peer, dialler
+
+
+def test_a_process_that_starts_again_at_its_address_is_found(dialling):
+    """An entry ends and its next incarnation listens at the same address. Nobody tells
+    the sidecar the new name; it dials the address again and learns it from the hello.
+    """
+    sidecar, dialler = dialling
+    first = Peer("entry-1")
+    port = first.links.listen("127.0.0.1", 0)
+    first.start()
+    dialler.set_addresses([("127.0.0.1", port)])
+    wait_until(lambda: sidecar.has(PeerConnected("entry-1")))
+    first.links.abort()
+    first.links.close()
+    second = Peer("entry-2")
+    second.links.listen("127.0.0.1", port)
+    second.start()
+    wait_until(lambda: sidecar.has(PeerConnected("entry-2")))
+    sidecar.links.send("entry-2", KnownEntries(("a:1",)))
+    wait_until(lambda: second.has(Received("sidecar", KnownEntries(("a:1",)))))
+    second.links.close()
+
+
+def test_an_address_that_is_wanted_no_more_is_not_dialled(dialling):
+    sidecar, dialler = dialling
+    entry = Peer("entry-1")
+    port = entry.links.listen("127.0.0.1", 0)
+    dialler.set_addresses([("127.0.0.1", port)])
+    dialler.set_addresses([])
+    entry.start()
+    gevent.sleep(0.3)
+    assert sidecar.events == []
+    entry.links.close()
