--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -3,7 +3,7 @@
 from gypsumspoke.runs.guard_report import CHANGE_INTERVAL
 from gypsumspoke.runs.values import JobEnd
 from tests.runs.test_path import settled
-from tests.runs.world import job, ms
+from tests.runs.world import World, job, ms
 
 
 def test_a_run_that_finds_no_room_goes_where_there_is_some():
@@ -11,7 +11,14 @@
     other's. What came last does not wait for that worker: it is sent back with a fresh
     report and starts on the other one within a few milliseconds.
     """
-    world = settled()
+    world = World(sidecars=0)
+    for host, pace in (("side0", 0.5), ("side1", 1.0)):
+        world.pace[host] = pace
+        world.start_worker(host)
+        world.start_sidecar(host)
+    world.run(ms(2000))
+    world.submit("entry0", "warm", job("warm", count=4))
+    world.run(ms(1000))
     for number in range(2):
         world.submit(f"entry{number}", f"r{number}", job(f"j{number}", count=2))
     world.run(ms(10))
--- /dev/null
+++ b/tests/runs/test_safeguards.py
@@ -0,0 +1,124 @@
+"""Each safeguard switched off: the history that needs it breaks a promise.
+
+A safeguard whose absence no test notices may be lost without a sign.
+"""
+
+from datetime import timedelta
+
+import pytest
+
+from gypsumspoke.runs import assignment, fleet, guard, guard_orders
+from gypsumspoke.runs.values import JobEnd
+from tests.runs import test_faults, test_path, test_reports
+from tests.runs.test_path import settled
+from tests.runs.world import World, job, ms
+
+LONG = timedelta(seconds=60)
+
+
+def order_held_up() -> World:
+    """A cut holds an order up; it arrives while the task runs elsewhere.
+
+    The entry places the task on the second worker when the time budget of the first is
+    over. The cut heals while that run is at work.
+    """
+    world = settled()
+    test_faults.long_tasks(world)
+    world.cut_off("entry0", "side0")
+    world.submit("entry0", "r1", job("j1", count=3), ms(9000))
+    world.run(ms(2000))
+    world.cut.clear()
+    world.run(ms(500))
+    return world
+
+
+def test_an_order_that_was_held_up_does_not_start_beside_the_new_run():
+    assert not order_held_up().broken
+
+
+def assert_nothing_broken(world: World) -> None:
+    assert not world.broken
+
+
+SAFEGUARDS = [
+    pytest.param(
+        (guard, "ENTRY_SILENCE", LONG),
+        lambda: test_faults.test_an_entry_is_lost_and_its_job_comes_through_another(
+            "power_off"
+        ),
+        id="runs of silent entries are stopped",
+    ),
+    pytest.param(
+        (guard_orders, "LEASE", timedelta(seconds=5)),
+        test_faults.test_an_entry_and_a_sidecar_are_lost_together,
+        id="leases are short",
+    ),
+    pytest.param(
+        (guard, "ORDER_FRESH", LONG),
+        lambda: assert_nothing_broken(order_held_up()),
+        id="old orders are refused",
+    ),
+    pytest.param(
+        (fleet, "RUNS_DEAD_AFTER", timedelta()),
+        test_faults.test_a_cut_moves_the_task_after_the_budget,
+        id="tasks of a silent sidecar wait for the budget",
+    ),
+    pytest.param(
+        (guard_orders, "hold_room", lambda state, guarded: None),
+        test_path.test_jobs_of_two_entries_share_a_worker_within_its_room,
+        id="starts take room",
+    ),
+    pytest.param(
+        (guard_orders, "_take_life", lambda state, born, now: None),
+        test_faults.test_a_worker_that_crashed_is_not_taken_for_full,
+        id="a new life counts anew",
+    ),
+    pytest.param(
+        (guard_orders, "_stop_orphans", lambda state, event, is_first: []),
+        test_faults.test_a_killed_sidecar_is_replaced_and_its_tasks_run_again_soon,
+        id="unknown runs are stopped",
+    ),
+    pytest.param(
+        (guard, "_send_back", lambda state, run, now: []),
+        test_reports.test_a_run_that_finds_no_room_goes_where_there_is_some,
+        id="runs without room are sent back",
+    ),
+]
+
+
+@pytest.mark.parametrize("switched_off, history", SAFEGUARDS)
+def test_its_history_fails_without_it(monkeypatch, switched_off, history):
+    monkeypatch.setattr(*switched_off)
+    with pytest.raises((AssertionError, KeyError)):
+        history()
+
+
+@pytest.mark.parametrize("switched_off, history", SAFEGUARDS)
+def test_its_history_holds_with_it(switched_off, history):
+    history()
+
+
+def test_a_copy_does_not_start_before_the_old_run_is_gone(monkeypatch):
+    """Without the wait for a withdrawn run, the copy of the job runs beside it."""
+
+    def history() -> World:
+        world = settled()
+        test_faults.long_tasks(world)
+        world.submit("entry0", "r1", job("j1", count=1))
+        world.run(ms(50))
+        world.silent_workers.add("side0")
+        world.leave("entry0", "r1")
+        world.submit("entry0", "r2", job("j1", count=1), ms(9000))
+        world.run(ms(5000))
+        assert world.end_of("r2") is JobEnd.COMPLETED
+        return world
+
+    assert not history().broken
+    choose = assignment._choose
+
+    def careless(state, progress, task, now):
+        state.ending.pop(task.id, None)
+        return choose(state, progress, task, now)
+
+    monkeypatch.setattr(assignment, "_choose", careless)
+    assert history().broken
