A new entry lets jobs wait for its first worker, and is not ready before

Change: jobs wait while the entry is younger than 2.5 s and knows no worker; it becomes ready with the first one. Lost addresses are dialled every 0.4 s instead of every second. Tests in tests/runs/test_path.py.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -28,6 +28,11 @@
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 
 
+# Workers register with a sidecar that is new to them within a second or two, and a
+# sidecar finds an entry in about a tenth of one.
+SETTLING = timedelta(seconds=2.5)
+
+
 class Refusal(NamedTuple):
     """Why a job is refused, and when coming back may help."""
 
@@ -35,10 +40,19 @@
     retry_after: timedelta
 
 
-def refuse_unservable(state: CoordinatorState, event: JobArrived) -> Refusal | None:
-    """Return why a job can't be served whatever the load, or None."""
+def refuse_unservable(
+    state: CoordinatorState, event: JobArrived, now: datetime
+) -> Refusal | None:
+    """Return why a job can't be served whatever the load, or None.
+
+    Just after its start an entry does not know its workers yet, and "no worker" would
+    be a guess: where all processes were lost at once, the jobs of a second were refused
+    that could have been done in time. They wait until the workers show.
+    """
     if len(state.jobs) >= MOST_JOBS:
         return Refusal(RefusalReason.TOO_MANY_JOBS, DEFAULT_RETRY_AFTER)
+    if _is_settling(state, event.route.service, now):
+        return None
     views = [
         view
         for view in state.views.values()
@@ -52,10 +66,27 @@
     return None
 
 
+def _is_settling(state: CoordinatorState, service: str, now: datetime) -> bool:
+    """Return whether the entry is new and knows no worker of a service yet."""
+    return now - state.started < SETTLING and not knows_a_worker(state, service)
+
+
+def knows_a_worker(state: CoordinatorState, service: str | None = None) -> bool:
+    """Return whether a worker, of a service or of any, takes work."""
+    return any(
+        view.report is not None
+        and view.report.takes_work
+        and service in (None, view.report.service)
+        for view in state.views.values()
+    )
+
+
 def refuse_hopeless(
     state: CoordinatorState, event: JobArrived, now: datetime
 ) -> Refusal | None:
     """Return a refusal if what waits in front keeps a job beyond its deadline."""
+    if _is_settling(state, event.route.service, now):
+        return None
     wait = expected_wait(state, event.route.service, event.route.priority)
     chain = longest_chain(event.job) * _fastest_pace(state, event.route.service)
     excess = now + wait + chain - event.deadline
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -25,6 +25,8 @@
     Tick,
 )
 from gypsumspoke.runs.admission import (
+    SETTLING,
+    knows_a_worker,
     refuse_hopeless,
     refuse_late,
     refuse_unservable,
@@ -87,9 +89,15 @@
     return _take(event, state, now)
 
 
-def is_ready(state: CoordinatorState) -> bool:
-    """Return whether new connections should come to this entry."""
-    return state.table is not None and state.draining is None
+def is_ready(state: CoordinatorState, now: datetime) -> bool:
+    """Return whether new connections should come to this entry.
+
+    A new one waits for its first worker, so that callers go to entries that have some;
+    but not for ever, since it can also tell callers that there is none.
+    """
+    if state.table is None or state.draining is not None:
+        return False
+    return knows_a_worker(state) or now - state.started >= SETTLING
 
 
 @singledispatch
@@ -106,7 +114,8 @@
     known = state.jobs.get(event.job.id)
     if known is not None:
         return _attach(state, known, event)
-    refusal = refuse_unservable(state, event) or refuse_hopeless(state, event, now)
+    refusal = refuse_unservable(state, event, now)
+    refusal = refusal or refuse_hopeless(state, event, now)
     if refusal is not None:
         return refuse(event.request, event.job.id, refusal)
     progress = JobProgress(event, now)
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -165,14 +165,17 @@
     Args:
       parse_configuration: reads a text that another entry sent.
       directory: whom this entry connects to.
+      now: when it starts.
     """
 
     def __init__(
         self,
         parse_configuration: Callable[[str], Result[Configuration, str]],
         directory: Directory,
+        now: datetime,
     ) -> None:
         self.parse_configuration = parse_configuration
+        self.started = now
         self.views: dict[str, SidecarView] = {}
         self.jobs: dict[str, JobProgress] = {}
         self.by_request: dict[str, str] = {}
--- a/gypsumspoke/runs/directory.py
+++ b/gypsumspoke/runs/directory.py
@@ -10,7 +10,7 @@
 from gypsumspoke.core.data import Effect
 
 # An address is never forgotten while the process lives, but only so many are kept:
-# dialling one that is gone for good costs a packet a second.
+# dialling one that is gone for good costs a few packets a second.
 MOST_ADDRESSES = 64
 
 
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -60,12 +60,14 @@
         side = open_run_side(settings, "entry", clock, stack)
         own_address = address_text(settings.peers)
         state = CoordinatorState(
-            adapter.parse_configuration, Directory(own_address, settings.known_entries)
+            adapter.parse_configuration,
+            Directory(own_address, settings.known_entries),
+            clock.now(),
         )
         runtime = open_runtime(settings, side, coordinator.reduce, state, clock)
         callers = adapter.open_callers(runtime.post, side.metrics.count, clock, state)
         runtime.handle(AnswerJob, callers.deliver)
-        is_ready = partial(coordinator.is_ready, state)
+        is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, side.metrics, is_ready, stack)
         open_small_server(settings.readiness, adapter.readiness(is_ready), stack)
         server = CallerServer(*settings.callers, callers)
@@ -75,3 +77,7 @@
         return run_until_stopped(
             runtime, side, store, state.directory.to_dial, adapter.reload, stack
         )
+
+
+def _is_ready(state: CoordinatorState, clock: Clock) -> bool:
+    return coordinator.is_ready(state, clock.now())
--- a/gypsumspoke/wire/dialler.py
+++ b/gypsumspoke/wire/dialler.py
@@ -23,7 +23,7 @@
 # An address that does not answer is dialled again after the first pause, then ever
 # later up to the last: a process is back in about half a second, a lost one never.
 _FIRST_BACKOFF = timedelta(milliseconds=100)
-_LAST_BACKOFF = timedelta(seconds=1)
+_LAST_BACKOFF = timedelta(milliseconds=400)
 # The first packet on a cut link is lost; a new try beats the kernel's own repetition.
 _CONNECT_SECONDS = 0.4
 
--- a/tests/runs/test_path.py
+++ b/tests/runs/test_path.py
@@ -1,5 +1,7 @@
 """A job's whole path through the reducers, calm and with one fault each."""
 
+from gypsumspoke.runs.admission import SETTLING
+from gypsumspoke.runs.coordinator import is_ready
 from gypsumspoke.runs.values import JobEnd, WorkerReady
 from tests.runs.world import World, job, ms
 
@@ -137,3 +139,36 @@
     big = step._replace(room=step.room._replace(cpu=100_000))
     world.submit("entry0", "r1", wide._replace(steps=(big,)))
     assert world.end_of("r1") is JobEnd.NOT_RUN
+
+
+def test_jobs_wait_for_workers_while_the_entry_is_new():
+    """All processes were lost and are back. Callers are there before the sidecars have
+    heard of their workers; refused now, their jobs would be lost though a worker is
+    ready half a second later.
+    """
+    world = World(sidecars=0)
+    world.submit("entry0", "r1", job("j1"))
+    world.run(ms(500))
+    assert world.end_of("r1") is None
+    world.start_worker("side0")
+    world.start_sidecar("side0")
+    world.run(ms(1000))
+    assert world.end_of("r1") is JobEnd.COMPLETED
+
+
+def test_a_service_without_workers_is_refused_at_once_later():
+    world = World(sidecars=0)
+    world.run(SETTLING)
+    world.submit("entry0", "r1", job("j1"))
+    assert world.end_of("r1") is JobEnd.NOT_RUN
+
+
+def test_an_entry_is_ready_when_it_knows_a_worker_or_has_waited_for_one():
+    with_worker = settled()
+    entry = with_worker.processes["entry0"]
+    assert is_ready(entry.state, with_worker.now)
+    without = World(sidecars=0)
+    entry = without.processes["entry0"]
+    assert not is_ready(entry.state, without.now)
+    without.run(SETTLING)
+    assert is_ready(entry.state, without.now)
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -170,7 +170,9 @@
 
     def start_entry(self, host: str) -> Process:
         """Start an entry, or the next incarnation of one."""
-        state = CoordinatorState(lambda text: Failure("none"), Directory("", ()))
+        state = CoordinatorState(
+            lambda text: Failure("none"), Directory("", ()), self.now
+        )
         process = self._add(host, coordinator.reduce, state)
         table = RoutingTable(CONFIGURATION)
         self.post(process, ConfigurationChanged(table, ""))
