--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -20,6 +20,7 @@
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.shell.log_stream import LogStream
 from gypsumspoke.shell.logs import configure_logs
+from gypsumspoke.shell.settings_file import SettingsFile
 
 # Table of the addresses at which entries listen for peers, by instance.
 ENTRIES_TABLE = "gypsumspoke-entries"
@@ -40,7 +41,11 @@
 
     settings = _start("entry")
     adapter = role.EntryAdapter(
-        parse_configuration, callers.Callers, callers.readiness, _entry_store, _reload
+        parse_configuration,
+        callers.Callers,
+        callers.readiness,
+        _entry_store,
+        SettingsFile(settings_path(), read_settings),
     )
     _exit(role.run(settings, SteadyClock(), adapter))
 
@@ -53,7 +58,10 @@
 
     settings = _start("sidecar")
     adapter = role.SidecarAdapter(
-        WorkerClient, WorkerRegistration, _sidecar_store, _reload
+        WorkerClient,
+        WorkerRegistration,
+        _sidecar_store,
+        SettingsFile(settings_path(), read_settings),
     )
     _exit(role.run(settings, SteadyClock(), adapter))
 
@@ -74,16 +82,6 @@
     os._exit(status)
 
 
-def _reload() -> None:
-    """Check the settings again; what they hold is only used at the start."""
-    read = read_settings(settings_path())
-    if is_successful(read):
-        _log.info({"message": "settings read again"})
-    else:
-        details = {"reason": read.failure()}
-        _log.error({"message": "settings are invalid, kept", "details": details})
-
-
 def _entry_store(settings: RunSettings, post: Callable[[Any], None]) -> Store:
     watches = (
         Watch("op", _CONFIGURATION_WAIT, partial(_take_operator_rows, post)),
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -42,7 +42,7 @@
     JobProgress,
     TaskProgress,
 )
-from gypsumspoke.runs.directory import EntriesRead
+from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.fleet import (
     SidecarView,
     note_ended,
@@ -448,6 +448,11 @@
     return state.directory.take_stored(event.addresses)
 
 
+@_take.register
+def _(event: SettingsRead, state: CoordinatorState, now: datetime) -> list[Effect]:
+    return state.directory.take_given(event.known_entries)
+
+
 @_take_message.register
 def _(
     message: KnownEntries, sender: str, state: CoordinatorState, now: datetime
--- a/gypsumspoke/runs/directory.py
+++ b/gypsumspoke/runs/directory.py
@@ -20,6 +20,12 @@
     addresses: tuple[str, ...]
 
 
+class SettingsRead(NamedTuple):
+    """Event: the settings were read again; these are the addresses that they name."""
+
+    known_entries: tuple[str, ...]
+
+
 class DialEntries(NamedTuple):
     """Effect: keep a connection to each of these, and to no other."""
 
@@ -63,6 +69,12 @@
         self._stored = addresses
         return self._changed(before)
 
+    def take_given(self, addresses: tuple[str, ...]) -> list[Effect]:
+        """Take the addresses of changed settings in place of the former ones."""
+        before = self.to_dial
+        self._given = addresses
+        return self._changed(before)
+
     def take_told(self, addresses: tuple[str, ...]) -> list[Effect]:
         """Take the addresses that a peer knows."""
         before = self.to_dial
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -30,7 +30,7 @@
 )
 from gypsumspoke.runs import guard_orders, guard_report
 from gypsumspoke.runs.budget import ENTRY_SILENCE, ORDER_FRESH
-from gypsumspoke.runs.directory import EntriesRead
+from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.guard_state import (
     GuardedRun,
     GuardState,
@@ -173,6 +173,11 @@
     return state.directory.take_stored(event.addresses)
 
 
+@_take.register
+def _(event: SettingsRead, state: GuardState, now: datetime) -> list[Effect]:
+    return state.directory.take_given(event.known_entries)
+
+
 # ---------------------------------------------------------------------------
 # Messages from entries
 
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -21,6 +21,7 @@
     open_runtime,
     run_until_stopped,
 )
+from gypsumspoke.shell.settings_file import SettingsFile
 
 
 class EntryAdapter(NamedTuple):
@@ -32,14 +33,14 @@
         the functions that post an event and count a refusal, the clock and the state.
       readiness: makes the WSGI application that tells whether this entry is ready.
       open_store: makes the store's client from the settings and the post function.
-      reload: called on SIGHUP.
+      settings_file: the settings, to be read again.
     """
 
     parse_configuration: Callable[[str], Result[Configuration, str]]
     open_callers: Callable[..., Any]
     readiness: Callable[[Callable[[], bool]], Any]
     open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
-    reload: Callable[[], None]
+    settings_file: SettingsFile
 
 
 def run(settings: RunSettings, clock: Clock, adapter: EntryAdapter) -> int:
@@ -75,7 +76,7 @@
         server.start()
         store = adapter.open_store(settings, runtime.post)
         return run_until_stopped(
-            runtime, side, store, state.directory.to_dial, adapter.reload, stack
+            runtime, side, store, state.directory.to_dial, adapter.settings_file, stack
         )
 
 
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -3,7 +3,6 @@
 import logging
 import os
 import signal
-from collections.abc import Callable
 from contextlib import ExitStack, closing
 from datetime import timedelta
 from typing import Any, NamedTuple, Protocol
@@ -18,6 +17,7 @@
 from gypsumspoke.shell.metrics import Metrics
 from gypsumspoke.shell.role import show_links
 from gypsumspoke.shell.runtime import Reduce, Runtime
+from gypsumspoke.shell.settings_file import SettingsFile
 from gypsumspoke.wire.dialler import Dialler
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
 from gypsumspoke.wire.links import PeerLinks
@@ -122,7 +122,7 @@
     side: RunSide,
     store: StorePort,
     to_dial: tuple[str, ...],
-    reload: Callable[[], None],
+    settings_file: SettingsFile,
     stack: ExitStack,
 ) -> int:
     """Start all parts and run the loop.
@@ -132,14 +132,16 @@
       side: peers.
       store: started, and closed with the stack.
       to_dial: entries to connect to at first.
-      reload: called on SIGHUP.
+      settings_file: looked at on SIGHUP and every few seconds.
       stack: closes what is opened.
 
     Returns:
       The exit status; see ``Runtime.run``.
     """
-    on_hangup = gevent.signal_handler(signal.SIGHUP, reload)
+    on_hangup = gevent.signal_handler(signal.SIGHUP, settings_file.read, runtime.post)
     stack.callback(on_hangup.cancel)
+    watching = gevent.spawn(settings_file.watch, runtime.post)
+    stack.callback(watching.kill)
     stack.enter_context(closing(store))
     side.dialler.set_addresses(map(parse_address, to_dial))
     side.dialler.start()
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -19,6 +19,7 @@
     open_runtime,
     run_until_stopped,
 )
+from gypsumspoke.shell.settings_file import SettingsFile
 
 
 class SidecarAdapter(NamedTuple):
@@ -29,13 +30,13 @@
         an event, and the clock.
       registration: makes the WSGI application that takes the worker's heartbeats.
       open_store: makes the store's client from the settings and the post function.
-      reload: called on SIGHUP.
+      settings_file: the settings, to be read again.
     """
 
     open_worker: Callable[..., Any]
     registration: Callable[[Callable[[Any], None]], Any]
     open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
-    reload: Callable[[], None]
+    settings_file: SettingsFile
 
 
 def run(settings: RunSettings, clock: Clock, adapter: SidecarAdapter) -> int:
@@ -70,7 +71,7 @@
         open_small_server(settings.registration, registration, stack)
         store = adapter.open_store(settings, runtime.post)
         return run_until_stopped(
-            runtime, side, store, state.directory.to_dial, adapter.reload, stack
+            runtime, side, store, state.directory.to_dial, adapter.settings_file, stack
         )
 
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,5 +1,6 @@
 """The whole path as processes: stand-ins of the store and of workers, two entries."""
 
+import json
 import signal
 
 import gevent
@@ -172,6 +173,20 @@
     assert system.submit(0, job_id(1))[0] == 200
 
 
+def test_settings_that_change_without_a_signal_are_read(system, tmp_path):
+    """The file is replaced by one that names other entries, then by a spoiled one.
+    The first is taken, the second is named in the log, and jobs go on.
+    """
+    path = tmp_path / "side-0.json"
+    settings = json.loads(path.read_text())
+    path.write_text(json.dumps({**settings, "seeds": ["127.0.0.1:9"]}))
+    line = system.sidecars[0].wait_for_line("settings read again")
+    assert line["details"]["entries"] == ["127.0.0.1:9"]
+    path.write_text("{")
+    system.sidecars[0].wait_for_line("settings are invalid, kept")
+    assert system.submit(0, job_id(1))[0] == 200
+
+
 def test_a_lost_store_is_logged_once_and_jobs_go_on(system):
     system.store.status = 503
     line = system.entries[0].wait_for_line("store lost")
