--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -12,7 +12,7 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.platform.names import run_of, task_name
-from gypsumspoke.runs.guard_orders import HOLD_ANSWER_WITHIN
+from gypsumspoke.runs.guard_holds import HOLD_ANSWER_WITHIN
 from gypsumspoke.runs.orders import (
     EndedRun,
     HoldAnswered,
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -13,7 +13,6 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.data import (
-    Count,
     Drain,
     Effect,
     Exit,
@@ -31,7 +30,7 @@
     refuse_late,
     refuse_unservable,
 )
-from gypsumspoke.runs.assignment import let_wait, open_steps, place_waiting
+from gypsumspoke.runs.assignment import open_steps, place_waiting
 from gypsumspoke.runs.conclusion import finish, give_up, may_have_run, refuse
 from gypsumspoke.runs.coordinator_state import (
     CancelJobArrived,
@@ -40,7 +39,6 @@
     JobArrived,
     JobCallerLeft,
     JobProgress,
-    TaskProgress,
 )
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.fleet import (
@@ -62,7 +60,8 @@
     WorkerReport,
 )
 from gypsumspoke.runs.routing import RoutingTable
-from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd, RunId
+from gypsumspoke.runs.run_ends import take_run_end
+from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd
 
 # A stopping entry goes on taking requests on open connections until the platform's
 # balancer has missed two checks, a second apart, and sends nothing new.
@@ -180,84 +179,6 @@
     return Log(logging.INFO, "job accepted", fields=fields)
 
 
-# ---------------------------------------------------------------------------
-# Ends of runs
-
-# Ends after which the same worker may well be the best place again.
-_MAY_RETRY_THERE = frozenset(
-    {
-        EndReason.NUMBER_TOO_LOW,
-        EndReason.ORDER_STALE,
-        EndReason.NEVER_SEEN,
-        EndReason.COORDINATOR_SILENT,
-        EndReason.ROOM_TAKEN,
-    }
-)
-
-
-def _take_run_end(
-    state: CoordinatorState, message: RunEnded, now: datetime
-) -> list[Effect]:
-    """Go on with the task whose run ended."""
-    _note_gone(state, message.run)
-    progress = state.jobs.get(state.by_run.pop(message.run, ""))
-    if progress is None:
-        return []
-    name = message.run.task
-    task = progress.tasks[name.step][name.index]
-    if message.end is RunEnd.DONE:
-        return _take_done(state, progress, task, now)
-    return _take_not_done(state, progress, task, message, now)
-
-
-def _note_gone(state: CoordinatorState, run: RunId) -> None:
-    """Forget a withdrawn run: its task may run again."""
-    ending = state.ending.get(run.task)
-    if ending is None:
-        return
-    ending.discard(run)
-    if not ending:
-        del state.ending[run.task]
-
-
-def _take_done(
-    state: CoordinatorState, progress: JobProgress, task: TaskProgress, now: datetime
-) -> list[Effect]:
-    task.done = True
-    progress.left[task.id.step] -= 1
-    if not any(progress.left):
-        return finish(state, progress, JobEnd.COMPLETED, None, now)
-    open_steps(state, progress)
-    return []
-
-
-def _take_not_done(
-    state: CoordinatorState,
-    progress: JobProgress,
-    task: TaskProgress,
-    message: RunEnded,
-    now: datetime,
-) -> list[Effect]:
-    host = task.view.host
-    task.run = None
-    task.view = None
-    if message.end is not RunEnd.NOT_RUN:
-        task.has_started = True
-    if message.reason is EndReason.NUMBER_TOO_LOW:
-        task.number = max(task.number, message.highest)
-    if message.end is RunEnd.FAILED:
-        task.failed += 1
-        if task.failed >= progress.route.attempts:
-            reason = RefusalReason.ATTEMPTS_EXHAUSTED
-            return finish(state, progress, JobEnd.FAILED, reason, now)
-    if message.reason is EndReason.SUPERSEDED:
-        return give_up(state, progress, RefusalReason.SUPERSEDED, now)
-    if message.reason not in _MAY_RETRY_THERE:
-        task.avoided.add(host)
-    let_wait(state, progress, task)
-    return [Count(message.reason)]
-
-
 # ---------------------------------------------------------------------------
 # Sidecars and other entries
 
@@ -342,7 +263,7 @@
     view = state.views.get(sender)
     if view is not None:
         note_ended(view, message.run, ran=message.took is not None)
-    effects = _take_run_end(state, message, now)
+    effects = take_run_end(state, message, now)
     return [*effects, *place_waiting(state, now)]
 
 
@@ -374,7 +295,7 @@
     for run in list(view.open_runs):
         note_ended(view, run, ran=False)
         lost = RunEnded(run, RunEnd.LOST, EndReason.SIDECAR_SILENT)
-        effects += _take_run_end(state, lost, now)
+        effects += take_run_end(state, lost, now)
     return effects
 
 
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -28,7 +28,13 @@
     Send,
     Tick,
 )
-from gypsumspoke.runs import guard_orders, guard_report
+from gypsumspoke.runs import (
+    guard_ends,
+    guard_holds,
+    guard_life,
+    guard_orders,
+    guard_report,
+)
 from gypsumspoke.runs.budget import ENTRY_SILENCE, ORDER_FRESH
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.guard_state import (
@@ -111,7 +117,7 @@
 
 @_take.register
 def _(event: HeartbeatArrived, state: GuardState, now: datetime) -> list[Effect]:
-    effects = guard_orders.take_registration(state, event.registration, now)
+    effects = guard_life.take_registration(state, event.registration, now)
     if state.worker and state.worker.state is WorkerReady.DRAINING:
         effects += _refuse_waiting(state, EndReason.WORKER_DRAINING, now)
     return [*effects, *_start_waiting(state, now)]
@@ -134,22 +140,22 @@
 
 @_take.register
 def _(event: HoldAnswered, state: GuardState, now: datetime) -> list[Effect]:
-    effects = guard_orders.take_hold(state, event, now)
+    effects = guard_holds.take_hold(state, event, now)
     effects += _start_waiting(state, now)
-    return [*effects, *guard_orders.next_hold(state, now)]
+    return [*effects, *guard_holds.next_hold(state, now)]
 
 
 @_take.register
 def _(event: HoldFailed, state: GuardState, now: datetime) -> list[Effect]:
-    return guard_orders.take_failed_hold(state, event, now)
+    return guard_holds.take_failed_hold(state, event, now)
 
 
 @_take.register
 def _(event: Tick, state: GuardState, now: datetime) -> list[Effect]:
     effects = _stop_runs_of_silent_entries(state, now)
-    effects += guard_orders.check_lease(state, now)
+    effects += guard_holds.check_lease(state, now)
     effects += guard_orders.repeat_stops(state, now)
-    effects += guard_orders.next_hold(state, now)
+    effects += guard_holds.next_hold(state, now)
     effects += _start_waiting(state, now)
     for peer in sorted(state.peers):
         effects += guard_report.report_to(state, peer, now)
@@ -291,7 +297,7 @@
     highest = state.highest.get(run.task, 0)
     ended = RunEnded(run, RunEnd.NOT_RUN, reason, None, highest)
     keep_end(state, sender, ended)
-    return [Count(reason), Send(sender, ended), guard_orders.log_end(ended, sender)]
+    return [Count(reason), Send(sender, ended), guard_ends.log_end(ended, sender)]
 
 
 def _send_back(state: GuardState, run: RunId, now: datetime) -> list[Effect]:
--- /dev/null
+++ b/gypsumspoke/runs/guard_holds.py
@@ -0,0 +1,231 @@
+"""Holds: they keep the lease alive, and bring what runs and what ended."""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.runs.budget import LEASE, RENEWAL_INTERVAL
+from gypsumspoke.runs.guard_ends import finish, note_failure
+from gypsumspoke.runs.guard_life import (
+    extend_dead_by,
+    note_clock,
+    raise_token,
+    take_life,
+    worker_clock,
+)
+from gypsumspoke.runs.guard_orders import end_run_early
+from gypsumspoke.runs.guard_report import WORKER_SILENCE
+from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
+from gypsumspoke.runs.orders import (
+    EndedRun,
+    HoldAnswered,
+    HoldFailed,
+    HoldOrder,
+    OrderResult,
+    StopOrder,
+)
+from gypsumspoke.runs.values import EndReason, RunEnd
+
+# Several stops without an answer: from then on the lease is not extended, and it ends
+# within the time in which the run must be gone.
+STOP_PATIENCE = timedelta(milliseconds=450)
+# A hold is answered or given up by the shell within its wait and this long.
+HOLD_ANSWER_WITHIN = timedelta(milliseconds=120)
+# A run without progress for this long, or this share of its estimate, stands still. A
+# sound worker shows progress with each hold; one that is eight times slower still shows
+# a percent in a twelfth of the estimate.
+STALL_AT_LEAST = timedelta(milliseconds=220)
+STALL_SHARE = 0.15
+# So many lists must have shown the same progress.
+STALL_LISTS = 2
+
+
+def next_hold(state: GuardState, now: datetime) -> list[Effect]:
+    """Ask the worker again unless an answer is awaited.
+
+    While the worker leaves holds unanswered, they no longer extend the lease: its runs
+    must end by a known time, so that they can be placed elsewhere.
+    """
+    if state.hold_sent is not None:
+        overdue = state.hold_sent + RENEWAL_INTERVAL + 2 * HOLD_ANSWER_WITHIN
+        if now < overdue:
+            return []
+    state.hold_sent = now
+    state.hold_token = state.token
+    lease_end = None
+    if _may_extend(state, now):
+        extend_dead_by(state, now)
+        lease_end = worker_clock(state, now) + LEASE
+    worker = state.worker.id if state.worker else ""
+    return [
+        HoldOrder(worker, lease_end, state.last_seen, RENEWAL_INTERVAL, state.token)
+    ]
+
+
+def _may_extend(state: GuardState, now: datetime) -> bool:
+    if state.token == 0 or state.lease.clock_ahead is None:
+        return False
+    if state.heard_worker is None or _has_overdue_stop(state, now):
+        return False
+    return now - state.heard_worker < WORKER_SILENCE
+
+
+def _has_overdue_stop(state: GuardState, now: datetime) -> bool:
+    """Return whether the worker leaves a stop unanswered for too long.
+
+    Its run may be placed elsewhere soon, by an entry that counts on the time budget.
+    Only the end of the lease stops it then, with all that runs beside it.
+    """
+    return any(
+        guarded.phase is Phase.STOPPING
+        and guarded.stop_accepted is None
+        and now - guarded.stop_since > STOP_PATIENCE
+        for guarded in state.runs.values()
+    )
+
+
+def take_failed_hold(
+    state: GuardState, event: HoldFailed, now: datetime
+) -> list[Effect]:
+    """Take a hold without a list.
+
+    One that was left unanswered is followed at once, since ends wait to be seen; after
+    other failures, which come at once, the next tick asks again.
+    """
+    state.hold_sent = None
+    note_clock(state, event.clock, now)
+    if event.result is OrderResult.FENCED:
+        raise_token(state, now)
+    if event.result is OrderResult.UNANSWERED:
+        return next_hold(state, now)
+    return []
+
+
+def take_hold(state: GuardState, event: HoldAnswered, now: datetime) -> list[Effect]:
+    """Take the worker's list of what runs and what ended."""
+    state.hold_sent = None
+    if event.born is not None and event.born != state.born:
+        if state.born_learnt is not None and event.sent <= state.born_learnt:
+            # An answer of the old life, overtaken by a heartbeat of the new one.
+            return []
+        take_life(state, event.born, now)
+    effects: list[Effect] = []
+    is_first = state.heard_worker is None
+    state.is_fenced = state.is_fenced or state.hold_token > 0
+    state.heard_worker = now
+    note_clock(state, event.clock, now)
+    if state.token == 0:
+        raise_token(state, now)
+    for ended in event.ended:
+        effects += _take_end(state, ended, now)
+    _note_progress(state, event, now)
+    effects += _take_unlisted(state, event, now)
+    effects += _stop_stalled(state, now)
+    return [*effects, *_stop_orphans(state, event, is_first)]
+
+
+def _take_end(state: GuardState, ended: EndedRun, now: datetime) -> list[Effect]:
+    if ended.number <= state.last_seen:
+        return []
+    state.last_seen = ended.number
+    guarded = state.runs.get(ended.run)
+    if guarded is None or guarded.phase is Phase.WAITING:
+        return []
+    return finish(state, guarded, ended.end, _reason(guarded, ended), now)
+
+
+def _reason(guarded: GuardedRun, ended: EndedRun) -> EndReason:
+    if ended.end is RunEnd.DONE:
+        return EndReason.COMPLETED
+    if ended.end is RunEnd.FAILED:
+        return EndReason.TASK_FAILED
+    if ended.lapsed:
+        return EndReason.LEASE_LAPSED
+    if guarded.phase is Phase.STOPPING:
+        return guarded.stop_reason
+    return EndReason.STOPPED_BY_WORKER
+
+
+def _note_progress(state: GuardState, event: HoldAnswered, now: datetime) -> None:
+    for listed in event.running:
+        guarded = state.runs.get(listed.run)
+        if guarded is None:
+            continue
+        if guarded.phase is Phase.STARTING:
+            # The answer to its start is late or lost, but here it is.
+            guarded.phase = Phase.RUNNING
+        guarded.lists_since += 1
+        if listed.percent != guarded.percent:
+            guarded.percent = listed.percent
+            guarded.progressed = now
+            guarded.lists_since = 0
+
+
+def _take_unlisted(
+    state: GuardState, event: HoldAnswered, now: datetime
+) -> list[Effect]:
+    """End runs that the worker neither runs nor lists as ended.
+
+    The list must be asked for after the worker accepted the start, or the stop, since
+    answers on different connections overtake each other.
+    """
+    listed = {running.run for running in event.running}
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        if guarded.run in listed or guarded.phase is Phase.WAITING:
+            continue
+        if guarded.phase is Phase.RUNNING and guarded.started < event.sent:
+            effects += finish(state, guarded, RunEnd.LOST, EndReason.WORKER_GONE, now)
+        elif guarded.stop_accepted is not None and guarded.stop_accepted < event.sent:
+            end = RunEnd.NOT_RUN if guarded.in_doubt else RunEnd.STOPPED
+            effects += finish(state, guarded, end, guarded.stop_reason, now)
+    return effects
+
+
+def _stop_orphans(
+    state: GuardState, event: HoldAnswered, is_first: bool
+) -> list[Effect]:
+    """Stop runs that no entry placed here.
+
+    They were started by an earlier process of this sidecar, and nobody knows what room
+    they take. Nothing is started until they are gone.
+    """
+    unknown = {listed.run for listed in event.running if listed.run not in state.runs}
+    fresh = unknown - state.orphans
+    state.orphans = unknown
+    worker = state.worker.id if state.worker else ""
+    effects: list[Effect] = [
+        StopOrder(run, worker, state.token) for run in sorted(unknown)
+    ]
+    if fresh:
+        fields = (("runs", len(fresh)), ("at_start", is_first))
+        effects.append(Log(logging.WARNING, "unknown runs stopped", fields=fields))
+    return effects
+
+
+def _stop_stalled(state: GuardState, now: datetime) -> list[Effect]:
+    """Stop runs that make no progress, so that they are placed elsewhere.
+
+    Called with each list, and at no other time: while lists fail to come, nothing is
+    known of progress, and sound runs would seem to stand still.
+    """
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        if guarded.phase is not Phase.RUNNING or guarded.percent >= 100:
+            continue
+        limit = max(STALL_AT_LEAST, guarded.estimate * STALL_SHARE)
+        if guarded.lists_since >= STALL_LISTS and now - guarded.progressed > limit:
+            note_failure(state, 1.0)
+            effects += end_run_early(state, guarded, EndReason.STALLED, now)
+    return effects
+
+
+def check_lease(state: GuardState, now: datetime) -> list[Effect]:
+    """Give up the runs of a worker whose lease has certainly ended."""
+    if now <= state.lease.dead_by:
+        return []
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        if guarded.phase is not Phase.WAITING:
+            effects += finish(state, guarded, RunEnd.LOST, EndReason.LEASE_LAPSED, now)
+    return effects
--- /dev/null
+++ b/gypsumspoke/runs/guard_life.py
@@ -0,0 +1,103 @@
+"""The worker's life, clock and lease, as a sidecar knows them."""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.runs.budget import LEASE_AT_MOST, LONGEST_LEASE
+from gypsumspoke.runs.guard_state import GuardState, Lease
+from gypsumspoke.runs.values import Registration
+
+
+def take_registration(
+    state: GuardState, registration: Registration, now: datetime
+) -> list[Effect]:
+    """Take what the worker says of itself, unless it is old or another service's."""
+    if state.service and registration.service != state.service:
+        fields = (("service", registration.service), ("worker", registration.id))
+        return [Log(logging.WARNING, "heartbeat of another service", fields=fields)]
+    known = state.worker
+    if known is not None and _is_older(registration, known):
+        return []
+    effects: list[Effect] = []
+    if known is None or registration.born != known.born:
+        effects += _log_registration(registration)
+        take_life(state, registration.born, now)
+    elif registration.state is not known.state:
+        effects += _log_registration(registration)
+    state.worker = registration
+    return effects
+
+
+def _is_older(registration: Registration, known: Registration) -> bool:
+    """Return whether a heartbeat was overtaken by another.
+
+    One that a cut held up may arrive after its sender has crashed and started again.
+    """
+    if registration.born != known.born:
+        return registration.born < known.born
+    return registration.sequence <= known.sequence
+
+
+def _log_registration(registration: Registration) -> list[Effect]:
+    fields = (
+        ("worker", registration.id),
+        ("born", registration.born),
+        ("sequence", registration.sequence),
+        ("state", registration.state.value),
+        ("cpu", registration.capacity.cpu),
+    )
+    return [Log(logging.INFO, "worker registered", fields=fields)]
+
+
+def take_life(state: GuardState, born: int, now: datetime) -> None:
+    """Go over to a new life of the worker, which knows and runs nothing of before.
+
+    Its ends count from 1 again. Compared with the old count they would all seem taken
+    note of, and the worker would look full for good. Runs are not given up here: one
+    may have been started on the new life before it showed. The next list tells.
+    """
+    if state.born == born:
+        return
+    is_first = state.born is None
+    state.born = born
+    state.born_learnt = now
+    if is_first:
+        return
+    state.last_seen = 0
+    state.orphans.clear()
+    state.failing = 0.0
+    state.pace = 0.0
+    # A start that was meant for the old life named a time of the old clock, which may
+    # be far ahead on the new one; the worker shortens such a lease to its maximum.
+    dead_by = max(state.lease.dead_by, now + LONGEST_LEASE)
+    state.lease = Lease(None, now, dead_by)
+
+
+def extend_dead_by(state: GuardState, now: datetime) -> None:
+    dead_by = max(state.lease.dead_by, now + LEASE_AT_MOST)
+    state.lease = state.lease._replace(dead_by=dead_by)
+
+
+def note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
+    """Learn the worker's clock; what the answer took makes it too low, if at all."""
+    if clock is not None:
+        ahead = clock - (now - state.origin)
+        state.lease = state.lease._replace(clock_ahead=ahead, measured=now)
+
+
+def worker_clock(state: GuardState, now: datetime) -> timedelta:
+    """Return the worker's clock, at most its true value."""
+    return (now - state.origin) + state.lease.clock_ahead
+
+
+def raise_token(state: GuardState, now: datetime) -> None:
+    """Take a fencing token above those of earlier processes of this sidecar.
+
+    The worker's own clock only rises within its life, and its memory of tokens ends
+    with that life too. So orders of an earlier process that are still under way are
+    refused, whatever the clocks of machines do.
+    """
+    if state.lease.clock_ahead is not None:
+        clock = worker_clock(state, now) // timedelta(milliseconds=1)
+        state.token = max(state.token, clock, 1)
--- /dev/null
+++ b/gypsumspoke/runs/run_ends.py
@@ -0,0 +1,88 @@
+"""What the entry does at the end of a run: the task is done, runs again or fails."""
+
+from datetime import datetime
+
+from gypsumspoke.core.data import Count, Effect
+from gypsumspoke.runs.assignment import let_wait, open_steps
+from gypsumspoke.runs.conclusion import finish, give_up
+from gypsumspoke.runs.coordinator_state import (
+    CoordinatorState,
+    JobProgress,
+    TaskProgress,
+)
+from gypsumspoke.runs.messages import RunEnded
+from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd, RunId
+
+# Ends after which the same worker may well be the best place again.
+_MAY_RETRY_THERE = frozenset(
+    {
+        EndReason.NUMBER_TOO_LOW,
+        EndReason.ORDER_STALE,
+        EndReason.NEVER_SEEN,
+        EndReason.COORDINATOR_SILENT,
+        EndReason.ROOM_TAKEN,
+    }
+)
+
+
+def take_run_end(
+    state: CoordinatorState, message: RunEnded, now: datetime
+) -> list[Effect]:
+    """Go on with the task whose run ended."""
+    _note_gone(state, message.run)
+    progress = state.jobs.get(state.by_run.pop(message.run, ""))
+    if progress is None:
+        return []
+    name = message.run.task
+    task = progress.tasks[name.step][name.index]
+    if message.end is RunEnd.DONE:
+        return _take_done(state, progress, task, now)
+    return _take_not_done(state, progress, task, message, now)
+
+
+def _note_gone(state: CoordinatorState, run: RunId) -> None:
+    """Forget a withdrawn run: its task may run again."""
+    ending = state.ending.get(run.task)
+    if ending is None:
+        return
+    ending.discard(run)
+    if not ending:
+        del state.ending[run.task]
+
+
+def _take_done(
+    state: CoordinatorState, progress: JobProgress, task: TaskProgress, now: datetime
+) -> list[Effect]:
+    task.done = True
+    progress.left[task.id.step] -= 1
+    if not any(progress.left):
+        return finish(state, progress, JobEnd.COMPLETED, None, now)
+    open_steps(state, progress)
+    return []
+
+
+def _take_not_done(
+    state: CoordinatorState,
+    progress: JobProgress,
+    task: TaskProgress,
+    message: RunEnded,
+    now: datetime,
+) -> list[Effect]:
+    host = task.view.host
+    task.run = None
+    task.view = None
+    if message.end is not RunEnd.NOT_RUN:
+        task.has_started = True
+    if message.reason is EndReason.NUMBER_TOO_LOW:
+        task.number = max(task.number, message.highest)
+    if message.end is RunEnd.FAILED:
+        task.failed += 1
+        if task.failed >= progress.route.attempts:
+            reason = RefusalReason.ATTEMPTS_EXHAUSTED
+            return finish(state, progress, JobEnd.FAILED, reason, now)
+    if message.reason is EndReason.SUPERSEDED:
+        return give_up(state, progress, RefusalReason.SUPERSEDED, now)
+    if message.reason not in _MAY_RETRY_THERE:
+        task.avoided.add(host)
+    let_wait(state, progress, task)
+    return [Count(message.reason)]
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from gypsumspoke.runs import assignment, fleet, guard, guard_orders
+from gypsumspoke.runs import (
+    assignment,
+    fleet,
+    guard,
+    guard_holds,
+    guard_life,
+    guard_orders,
+)
 from gypsumspoke.runs.values import JobEnd
 from tests.runs import test_faults, test_path, test_reports
 from tests.runs.test_path import settled
@@ -42,44 +49,61 @@
 
 SAFEGUARDS = [
     pytest.param(
-        (guard, "ENTRY_SILENCE", LONG),
+        [
+            (guard, "ENTRY_SILENCE", LONG),
+        ],
         lambda: test_faults.test_an_entry_is_lost_and_its_job_comes_through_another(
             "power_off"
         ),
         id="runs of silent entries are stopped",
     ),
     pytest.param(
-        (guard_orders, "LEASE", timedelta(seconds=5)),
+        [
+            (guard_holds, "LEASE", timedelta(seconds=5)),
+        ],
         test_faults.test_an_entry_and_a_sidecar_are_lost_together,
         id="leases are short",
     ),
     pytest.param(
-        (guard, "ORDER_FRESH", LONG),
+        [
+            (guard, "ORDER_FRESH", LONG),
+        ],
         lambda: assert_nothing_broken(order_held_up()),
         id="old orders are refused",
     ),
     pytest.param(
-        (fleet, "RUNS_DEAD_AFTER", timedelta()),
+        [
+            (fleet, "RUNS_DEAD_AFTER", timedelta()),
+        ],
         test_faults.test_a_cut_moves_the_task_after_the_budget,
         id="tasks of a silent sidecar wait for the budget",
     ),
     pytest.param(
-        (guard_orders, "hold_room", lambda state, guarded: None),
+        [
+            (guard_orders, "hold_room", lambda state, guarded: None),
+        ],
         test_path.test_jobs_of_two_entries_share_a_worker_within_its_room,
         id="starts take room",
     ),
     pytest.param(
-        (guard_orders, "_take_life", lambda state, born, now: None),
+        [
+            (guard_life, "take_life", lambda state, born, now: None),
+            (guard_holds, "take_life", lambda state, born, now: None),
+        ],
         test_faults.test_a_worker_that_crashed_is_not_taken_for_full,
         id="a new life counts anew",
     ),
     pytest.param(
-        (guard_orders, "_stop_orphans", lambda state, event, is_first: []),
+        [
+            (guard_holds, "_stop_orphans", lambda state, event, is_first: []),
+        ],
         test_faults.test_a_killed_sidecar_is_replaced_and_its_tasks_run_again_soon,
         id="unknown runs are stopped",
     ),
     pytest.param(
-        (guard, "_send_back", lambda state, run, now: []),
+        [
+            (guard, "_send_back", lambda state, run, now: []),
+        ],
         test_reports.test_a_run_that_finds_no_room_goes_where_there_is_some,
         id="runs without room are sent back",
     ),
@@ -88,7 +112,8 @@
 
 @pytest.mark.parametrize("switched_off, history", SAFEGUARDS)
 def test_its_history_fails_without_it(monkeypatch, switched_off, history):
-    monkeypatch.setattr(*switched_off)
+    for safeguard in switched_off:
+        monkeypatch.setattr(*safeguard)
     with pytest.raises((AssertionError, KeyError)):
         history()
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -33,7 +33,7 @@
     JobCallerLeft,
 )
 from gypsumspoke.runs.directory import Directory
-from gypsumspoke.runs.guard_orders import HOLD_ANSWER_WITHIN
+from gypsumspoke.runs.guard_holds import HOLD_ANSWER_WITHIN
 from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.orders import (
     HeartbeatArrived,
