The wait for an order follows the worker's answers; a run in doubt is asked for at once

Change: the wait is the smoothed answer time and four deviations, 30 to 120 ms; after an accepted stop the sidecar asks at once what became of the run, and compares the worker's clock in both answers instead of the times of sending; a hold waits 60 ms.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -27,15 +27,13 @@
 )
 from gypsumspoke.runs.settings import Address
 from gypsumspoke.runs.values import RunEnd
+from gypsumspoke.shell.answer_time import AnswerTime
 from gypsumspoke.shell.http_exchange import ExchangeError, HttpAnswer
 from gypsumspoke.shell.keep_alive import KeepAliveClient, Request
 
 _MILLISECOND = timedelta(milliseconds=1)
 _CONNECT_TIMEOUT = timedelta(milliseconds=200)
 _ANSWER_BYTES = 4 * 1024 * 1024
-# The worker is on this instance and answers in about a millisecond. Waiting longer
-# keeps the room of a start in doubt, and ends unseen while a hold is not answered.
-ORDER_WITHIN = HOLD_ANSWER_WITHIN
 
 _CONFLICT = 409
 _OTHER_LIFE = 421
@@ -76,6 +74,7 @@
         self._client = KeepAliveClient(address, _CONNECT_TIMEOUT, _ANSWER_BYTES)
         self._post = post
         self._clock = clock
+        self._answer_time = AnswerTime(HOLD_ANSWER_WITHIN)
 
     def close(self) -> None:
         """Close the connections."""
@@ -111,8 +110,13 @@
         gevent.spawn(self._hold, order)
 
     def _order(self, kind: OrderKind, path: str, run, worker: str, body: dict) -> None:
-        answer = self._send(path, worker, body, ORDER_WITHIN)
+        sent = self._clock.now()
+        answer = self._send(path, worker, body, self._answer_time.wait)
         result = _result(answer)
+        if result is OrderResult.UNANSWERED:
+            self._answer_time.note_missing()
+        elif result is not OrderResult.NOT_SENT:
+            self._answer_time.note(self._clock.now() - sent)
         fields = _fields(answer)
         self._post(OrderAnswered(kind, run, result, _clock_of(fields)))
 
@@ -125,11 +129,14 @@
         if order.lease_end is not None:
             body["deadline_ms"] = order.lease_end // _MILLISECOND
         sent = self._clock.now()
-        answer = self._send("/v1/hold", order.worker, body, order.wait + ORDER_WITHIN)
+        within = order.wait + self._answer_time.wait
+        answer = self._send("/v1/hold", order.worker, body, within)
         result = _result(answer)
         fields = _fields(answer)
-        event = _hold_answered(sent, fields) if result is OrderResult.ACCEPTED else None
-        self._post(event or HoldFailed(result, _clock_of(fields)))
+        event = None
+        if result is OrderResult.ACCEPTED:
+            event = _hold_answered(sent, order.is_extra, fields)
+        self._post(event or HoldFailed(result, _clock_of(fields), order.is_extra))
 
     def _send(
         self, path: str, worker: str, body: dict, within: timedelta
@@ -176,7 +183,9 @@
     return clock * _MILLISECOND if isinstance(clock, (int, float)) else None
 
 
-def _hold_answered(sent: datetime, fields: dict | None) -> HoldAnswered | None:
+def _hold_answered(
+    sent: datetime, is_extra: bool, fields: dict | None
+) -> HoldAnswered | None:
     """Return the event of an answer, or None for one that can't be read."""
     try:
         born = fields.get("born")
@@ -186,6 +195,7 @@
             int(born) if born is not None else None,
             tuple(_running(row) for row in fields["running"]),
             tuple(_ended(row) for row in fields["ended"]),
+            is_extra,
         )
     except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
         _log.error({"message": "unreadable list of runs", "reason": repr(error)})
--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -31,7 +31,7 @@
 # Three renewals may fail before the worker kills what runs. Renewals come each
 # ``RENEWAL_INTERVAL`` at the latest.
 LEASE = timedelta(milliseconds=600)
-RENEWAL_INTERVAL = timedelta(milliseconds=100)
+RENEWAL_INTERVAL = timedelta(milliseconds=60)
 # An order may be this old, by the sidecar's own clock: two report intervals, the way
 # there and back, and some load. An older one was held up or its sender was paused.
 ORDER_FRESH = timedelta(milliseconds=350)
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -29,7 +29,7 @@
 # Several stops without an answer: from then on the lease is not extended, and it ends
 # within the time in which the run must be gone.
 STOP_PATIENCE = timedelta(milliseconds=450)
-# A hold is answered or given up by the shell within its wait and this long.
+# A hold is answered or given up by the shell within its wait and this long at most.
 HOLD_ANSWER_WITHIN = timedelta(milliseconds=120)
 # A run without progress for this long, or this share of its estimate, stands still. A
 # sound worker shows progress with each hold; one that is eight times slower still shows
@@ -78,7 +78,7 @@
     """
     return any(
         guarded.phase is Phase.STOPPING
-        and guarded.stop_accepted is None
+        and guarded.stop_clock is None
         and now - guarded.stop_since > STOP_PATIENCE
         for guarded in state.runs.values()
     )
@@ -92,10 +92,12 @@
     One that was left unanswered is followed at once, since ends wait to be seen; after
     other failures, which come at once, the next tick asks again.
     """
-    state.hold_sent = None
     note_clock(state, event.clock, now)
     if event.result is OrderResult.FENCED:
         raise_token(state, now)
+    if event.is_extra:
+        return []
+    state.hold_sent = None
     if event.result is OrderResult.UNANSWERED:
         return next_hold(state, now)
     return []
@@ -103,7 +105,9 @@
 
 def take_hold(state: GuardState, event: HoldAnswered, now: datetime) -> list[Effect]:
     """Take the worker's list of what runs and what ended."""
-    state.hold_sent = None
+    if not event.is_extra:
+        state.hold_sent = None
+        state.is_fenced = state.is_fenced or state.hold_token > 0
     if event.born is not None and event.born != state.born:
         if state.born_learnt is not None and event.sent <= state.born_learnt:
             # An answer of the old life, overtaken by a heartbeat of the new one.
@@ -111,7 +115,6 @@
         take_life(state, event.born, now)
     effects: list[Effect] = []
     is_first = state.heard_worker is None
-    state.is_fenced = state.is_fenced or state.hold_token > 0
     state.heard_worker = now
     note_clock(state, event.clock, now)
     if state.token == 0:
@@ -166,22 +169,33 @@
 ) -> list[Effect]:
     """End runs that the worker neither runs nor lists as ended.
 
-    The list must be asked for after the worker accepted the start, or the stop, since
-    answers on different connections overtake each other.
+    The list must be younger than the worker's answer to the start, or the stop: answers
+    on different connections overtake each other. Both name the worker's clock.
     """
     listed = {running.run for running in event.running}
     effects: list[Effect] = []
     for guarded in list(state.runs.values()):
         if guarded.run in listed or guarded.phase is Phase.WAITING:
             continue
-        if guarded.phase is Phase.RUNNING and guarded.started < event.sent:
+        if guarded.phase is Phase.RUNNING and _is_after_start(event, guarded):
             effects += finish(state, guarded, RunEnd.LOST, EndReason.WORKER_GONE, now)
-        elif guarded.stop_accepted is not None and guarded.stop_accepted < event.sent:
+        elif _is_after(event, guarded.stop_clock):
             end = RunEnd.NOT_RUN if guarded.in_doubt else RunEnd.STOPPED
             effects += finish(state, guarded, end, guarded.stop_reason, now)
     return effects
 
 
+def _is_after_start(event: HoldAnswered, guarded: GuardedRun) -> bool:
+    if guarded.start_clock is None:
+        # Started on a life that has ended, or on the next one before it showed.
+        return guarded.started < event.sent
+    return event.clock > guarded.start_clock
+
+
+def _is_after(event: HoldAnswered, clock: timedelta | None) -> bool:
+    return clock is not None and event.clock > clock
+
+
 def _stop_orphans(
     state: GuardState, event: HoldAnswered, is_first: bool
 ) -> list[Effect]:
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -68,6 +68,10 @@
     state.orphans.clear()
     state.failing = 0.0
     state.pace = 0.0
+    for guarded in state.runs.values():
+        # Times of the old life's clock say nothing on the new one.
+        guarded.start_clock = None
+        guarded.stop_clock = None
     # A start that was meant for the old life named a time of the old clock, which may
     # be far ahead on the new one; the worker shortens such a lease to its maximum.
     dead_by = max(state.lease.dead_by, now + LONGEST_LEASE)
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -16,6 +16,7 @@
 from gypsumspoke.runs.guard_report import is_failing
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase, hold_room
 from gypsumspoke.runs.orders import (
+    HoldOrder,
     OrderAnswered,
     OrderKind,
     OrderResult,
@@ -67,7 +68,7 @@
     """Send stops again that got no answer."""
     effects: list[Effect] = []
     for guarded in state.runs.values():
-        if guarded.phase is not Phase.STOPPING or guarded.stop_accepted is not None:
+        if guarded.phase is not Phase.STOPPING or guarded.stop_clock is not None:
             continue
         if guarded.stop_sent is None or now - guarded.stop_sent >= STOP_AGAIN:
             effects += _send_stop(state, guarded, now)
@@ -87,12 +88,30 @@
     if guarded is None:
         return []
     if event.kind is OrderKind.STOP:
-        if event.result is OrderResult.ACCEPTED:
-            guarded.stop_accepted = now
-        return []
+        return _take_stop_answer(state, guarded, event, now)
+    if event.result is OrderResult.ACCEPTED:
+        guarded.start_clock = event.clock
     return _START_ANSWERS[event.result](state, guarded, now)
 
 
+def _take_stop_answer(
+    state: GuardState, guarded: GuardedRun, event: OrderAnswered, now: datetime
+) -> list[Effect]:
+    """After an accepted stop ask what became of the run; repeat an unanswered one."""
+    if event.result is OrderResult.ACCEPTED:
+        guarded.stop_clock = event.clock
+        return extra_hold(state) if guarded.in_doubt else []
+    if event.result is OrderResult.UNANSWERED and guarded.stop_clock is None:
+        return _send_stop(state, guarded, now)
+    return []
+
+
+def extra_hold(state: GuardState) -> list[Effect]:
+    """Ask at once, beside the hold under way, what runs and what ended."""
+    worker = state.worker.id if state.worker else ""
+    return [HoldOrder(worker, None, state.last_seen, timedelta(), state.token, True)]
+
+
 def _started(state: GuardState, guarded: GuardedRun, now: datetime) -> list[Effect]:
     if guarded.phase is Phase.STARTING:
         guarded.phase = Phase.RUNNING
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -55,12 +55,12 @@
       order: rises with each placement; the tie-break within a priority.
       phase: see Phase.
       started: when the worker accepted the start.
+      start_clock, stop_clock: the worker's clock when it accepted the start, the stop.
       percent: progress as last seen.
       progressed: when the progress last changed.
       lists_since: how many lists came since then.
       stop_reason: why it is being stopped.
       stop_since: when the first stop was sent.
-      stop_accepted: when the worker last accepted the stop.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
     """
@@ -86,12 +86,13 @@
         self.order = order
         self.phase = Phase.WAITING
         self.started: datetime | None = None
+        self.start_clock: timedelta | None = None
+        self.stop_clock: timedelta | None = None
         self.percent = 0
         self.progressed: datetime | None = None
         self.lists_since = 0
         self.stop_reason = EndReason.WITHDRAWN
         self.stop_since: datetime | None = None
-        self.stop_accepted: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
 
--- a/gypsumspoke/runs/orders.py
+++ b/gypsumspoke/runs/orders.py
@@ -46,6 +46,8 @@
       last_seen: ends up to this number are taken note of.
       wait: how long the worker may wait for a new end.
       token: fencing token of this sidecar; 0 before it has one.
+      is_extra: asked beside the hold that is always under way, to learn at once what
+        became of one run.
     """
 
     worker: str
@@ -53,6 +55,7 @@
     last_seen: int
     wait: timedelta
     token: int
+    is_extra: bool = False
 
 
 class OrderKind(Enum):
@@ -117,6 +120,7 @@
       born: the worker's life; None where it did not say.
       running: all runs at work.
       ended: ends beyond ``last_seen``, oldest first.
+      is_extra: as in the order.
     """
 
     sent: datetime
@@ -124,6 +128,7 @@
     born: int | None
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    is_extra: bool = False
 
 
 class HoldFailed(NamedTuple):
@@ -132,10 +137,12 @@
     Attributes:
       result: why.
       clock: the worker's clock, where a refusal gave it.
+      is_extra: as in the order.
     """
 
     result: OrderResult
     clock: timedelta | None = None
+    is_extra: bool = False
 
 
 class HeartbeatArrived(NamedTuple):
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -410,7 +410,7 @@
 
     def _unanswered(self, process: Process, order: Any) -> None:
         if isinstance(order, HoldOrder):
-            event = HoldFailed(OrderResult.UNANSWERED)
+            event = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
             delay = order.wait + HOLD_ANSWER_WITHIN
         else:
             kind = OrderKind.START if isinstance(order, StartOrder) else OrderKind.STOP
@@ -423,7 +423,7 @@
         worker = self.workers[host]
         result = worker.hold(order, self.worker_clock(host))
         if result is not OrderResult.ACCEPTED:
-            event = HoldFailed(result, self.worker_clock(host))
+            event = HoldFailed(result, self.worker_clock(host), order.is_extra)
             self.at(ONE_WAY, lambda: self.post(process, event))
             return
         self._answer_hold(process, worker, order, sent)
@@ -434,7 +434,8 @@
         """Answer when there is an end, or when the wait is over."""
         host = process.host
         if worker is not self.workers[host]:
-            self.post(process, HoldFailed(OrderResult.UNANSWERED))
+            failed = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
+            self.post(process, failed)
             return
         clock = self.worker_clock(host)
         worker.advance(clock)
@@ -443,7 +444,9 @@
             again = ms(5)
             self.at(again, lambda: self._answer_hold(process, worker, order, sent))
             return
-        event = HoldAnswered(sent, clock, self.lives[host], worker.listed(clock), ended)
+        listed = worker.listed(clock)
+        born = self.lives[host]
+        event = HoldAnswered(sent, clock, born, listed, ended, order.is_extra)
         self.at(ONE_WAY, lambda: self.post(process, event))
 
     # Promises
