A second SIGTERM cuts nothing, a stop answers everybody; a start without an answer is asked for first

The machine was in two planned works at once, a rolling stop and a planned replacement; the runtime ended the loop at a second SIGTERM, as the project's own roles document, and what waited was never answered. Change: the roles on the platform ignore further SIGTERMs, and when the loop has ended all that wait are answered and new requests refused at once. Test: test_a_second_sigterm_cuts_nothing, failed before.

Also: a test that counts starts failed once in five runs. Its log shows start_unanswered after 42 ms for a run that was at work: the stand-in was slow for a moment. Change: the sidecar asks for the list before it stops such a run. Test: test_a_start_that_is_answered_too_late_is_not_stopped.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -74,11 +74,25 @@
         self._clock = clock
         self._state = state
         self._waiters = Waiters()
+        self._has_ended = False
 
     def deliver(self, effect: AnswerJob) -> None:
         """Hand an answer to the request that waits for it."""
         self._waiters.deliver(effect.request, effect)
 
+    def give_up_all(self) -> None:
+        """Answer all who wait, and from now on refuse at once: the loop has ended.
+
+        Without this their connections would stay open without an answer until the
+        process is killed.
+        """
+        self._has_ended = True
+        self._waiters.deliver_all(
+            lambda request: AnswerJob(
+                request, JobEnd.GIVEN_UP, RefusalReason.STOPPING, _RETRY_SOON
+            )
+        )
+
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
         answer = self._answer(environ)
@@ -88,6 +102,9 @@
         return respond(answer, start)
 
     def _answer(self, environ: Environ) -> HttpAnswer:
+        if self._has_ended or self._state.left:
+            reason = RefusalReason.STOPPING
+            return self._refuse(503, reason, "this entry stops", _RETRY_SOON)
         if self._state.table is None:
             reason = RefusalReason.NO_CONFIGURATION
             return self._refuse(503, reason, "no configuration yet", _RETRY_SOON)
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -13,7 +13,7 @@
     take_life,
     worker_clock,
 )
-from gypsumspoke.runs.guard_orders import end_run_early
+from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
 from gypsumspoke.runs.guard_report import WORKER_SILENCE
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
 from gypsumspoke.runs.orders import (
@@ -96,7 +96,7 @@
     if event.result is OrderResult.FENCED:
         raise_token(state, now)
     if event.is_extra:
-        return []
+        return _give_up_starts(state, now, now)
     state.hold_sent = None
     if event.result is OrderResult.UNANSWERED:
         return next_hold(state, now)
@@ -122,6 +122,7 @@
     for ended in event.ended:
         effects += _take_end(state, ended, now)
     _note_progress(state, event, now)
+    effects += _give_up_starts(state, event.sent, now)
     effects += _take_unlisted(state, event, now)
     effects += _stop_stalled(state, now)
     return [*effects, *_stop_orphans(state, event, is_first)]
@@ -164,6 +165,16 @@
             guarded.lists_since = 0
 
 
+def _give_up_starts(state: GuardState, asked: datetime, now: datetime) -> list[Effect]:
+    """Stop runs in doubt that a list, asked for after the doubt, does not show."""
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        if guarded.phase is Phase.STARTING and guarded.in_doubt:
+            if guarded.doubted <= asked:
+                effects += give_up_start(state, guarded, now)
+    return effects
+
+
 def _take_unlisted(
     state: GuardState, event: HoldAnswered, now: datetime
 ) -> list[Effect]:
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -133,14 +133,25 @@
 
 
 def _in_doubt(state: GuardState, guarded: GuardedRun, now: datetime) -> list[Effect]:
-    """A start without an answer may have been carried out: stop the run.
+    """Ask whether a run is at work whose start got no answer.
 
-    The stop makes the worker refuse this run from then on, so that what follows is
-    certain: either its end is listed, or it never starts.
+    A worker that was slow for a moment shows the run, and nothing is lost.
     """
-    if guarded.phase is Phase.RUNNING:
+    if guarded.phase is not Phase.STARTING:
         return []
     guarded.in_doubt = True
+    guarded.doubted = now
+    return extra_hold(state)
+
+
+def give_up_start(
+    state: GuardState, guarded: GuardedRun, now: datetime
+) -> list[Effect]:
+    """Stop a run whose start got no answer and which does not show.
+
+    The stop makes the worker refuse this run from then on, so that what follows is
+    certain: either its end is listed, or it never starts.
+    """
     note_failure(state, 1.0)
     return end_run_early(state, guarded, EndReason.START_UNANSWERED, now)
 
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -63,6 +63,7 @@
       stop_since: when the first stop was sent.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
+      doubted: since when.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         self.stop_since: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
+        self.doubted: datetime | None = None
 
 
 class GuardState:
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -29,8 +29,9 @@
 
     Attributes:
       parse_configuration: reads a configuration's text.
-      open_callers: makes the WSGI application towards callers, with ``deliver``, from
-        the functions that post an event and count a refusal, the clock and the state.
+      open_callers: makes the WSGI application towards callers, with ``deliver`` and
+        ``give_up_all``, from the functions that post an event and count a refusal, the
+        clock and the state.
       readiness: makes the WSGI application that tells whether this entry is ready.
       open_store: makes the store's client from the settings and the post function.
       settings_file: the settings, to be read again.
@@ -74,6 +75,7 @@
         server = CallerServer(*settings.callers, callers)
         stack.enter_context(closing(server))
         server.start()
+        stack.callback(callers.give_up_all)
         store = adapter.open_store(settings, runtime.post)
         return run_until_stopped(
             runtime, side, store, state.directory.to_dial, adapter.settings_file, stack
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -107,6 +107,7 @@
         clock,
         side.links,
         drain_timeout=settings.grace - _BEFORE_KILL,
+        ends_on_second_signal=False,
     )
     role_metrics.install(runtime, side.metrics)
 
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -55,6 +55,8 @@
       drain_timeout: bound on a graceful stop; None for no bound.
       is_draining: whether the reducer has begun a graceful stop, which an operator
         or another process may have asked for; None when only SIGTERM can.
+      ends_on_second_signal: whether a second SIGTERM ends the process at once. Where
+        two planned stops may overlap, it would cut what the first one waits for.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         table: TableClient | None = None,
         drain_timeout: timedelta | None = None,
         is_draining: Callable[[], bool] | None = None,
+        ends_on_second_signal: bool = True,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -78,6 +81,7 @@
         self._draining = False
         self._drain_timeout = drain_timeout
         self._is_draining = is_draining or (lambda: False)
+        self._ends_on_second_signal = ends_on_second_signal
         self._drain_timer: gevent.Greenlet | None = None
         self._status: int | None = None
         self._performers: dict[type, list[Performer]] = {
@@ -114,6 +118,8 @@
 
     def drain(self) -> None:
         """Begin a graceful stop, as SIGTERM does; a second call ends the loop."""
+        if self._draining and not self._ends_on_second_signal:
+            return
         if self._draining:
             self._links.abort()
             self._stop(EXIT_SECOND_SIGNAL)
--- a/gypsumspoke/shell/waiters.py
+++ b/gypsumspoke/shell/waiters.py
@@ -1,6 +1,7 @@
 """Requests that wait for the one answer with their own id."""
 
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 from gevent.event import AsyncResult
@@ -27,6 +28,16 @@
         """Forget a request; a later answer is dropped."""
         del self._waiting[request]
 
+    def deliver_all(self, answer_for: Callable[[str], Any]) -> None:
+        """Hand an answer to every request that still waits for one.
+
+        Args:
+          answer_for: makes the answer to a request.
+        """
+        for request, waiting in self._waiting.items():
+            if not waiting.ready():
+                waiting.set(answer_for(request))
+
     def deliver(self, request: str, answer: Any) -> None:
         """Hand an answer to the request that waits for it, if it still does."""
         waiting = self._waiting.get(request)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -110,6 +110,43 @@
     assert system.entries[0].wait_exit() == 0
 
 
+def test_a_second_sigterm_cuts_nothing(system):
+    """Two planned stops overlap: SIGTERM comes twice while a caller waits. The second
+    one must not end the process before the caller has its answer.
+    """
+    for worker in system.workers:
+        worker._takes = worker._takes * 10
+    waiting = gevent.spawn(system.submit, 0, job_id(1))
+    gevent.sleep(0.1)
+    for _ in range(2):
+        system.entries[0].send_signal(signal.SIGTERM)
+        gevent.sleep(0.1)
+    assert waiting.get()[:2] == (200, {"state": "completed"})
+    assert system.entries[0].wait_exit() == 0
+
+
+def test_a_stop_that_lasts_too_long_answers_everybody(system):
+    """A job runs longer than the time that a stop may take. Its caller is told that it
+    was given up, before the platform would kill the process.
+    """
+    for worker in system.workers:
+        worker._takes = worker._takes * 100
+    waiting = gevent.spawn(
+        system.call,
+        0,
+        "POST",
+        PREFIX + job_id(1),
+        job_body(),
+        {"Gypsumspoke-Deadline-Ms": "20000"},
+    )
+    gevent.sleep(0.1)
+    system.entries[0].send_signal(signal.SIGTERM)
+    status, body, headers = waiting.get()
+    assert (status, body["reason"]) == (504, "stopping")
+    assert "retry-after" in headers
+    assert system.entries[0].wait_exit() == 0
+
+
 def test_a_sidecar_that_is_killed_comes_back_and_serves(system):
     for worker in system.workers:
         worker._takes = worker._takes * 8
--- a/tests/runs/test_faults.py
+++ b/tests/runs/test_faults.py
@@ -205,6 +205,19 @@
     assert not world.broken
 
 
+def test_a_start_that_is_answered_too_late_is_not_stopped():
+    """The worker, or its sidecar, stands still for a moment, and the answer to a start
+    comes after the sidecar has given it up. The run is at work; stopped, its task would
+    have to begin again. The sidecar asks first, sees it, and lets it run.
+    """
+    world = settled(sidecars=1)
+    world.lose_start_answers = 2
+    world.submit("entry0", "r1", job("j1", count=2))
+    world.run(ms(500))
+    assert world.end_of("r1") is JobEnd.COMPLETED
+    assert len(world.starts_of("j1")) == 2
+
+
 def test_orders_that_are_carried_out_late_start_nothing():
     """A share of the orders goes unanswered and is carried out seconds later. By then
     the lease that each start names has ended, and the worker refuses it.
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -137,6 +137,7 @@
         self.cut: set[frozenset[str]] = set()
         self.lost_share = 0.0
         self.late_share = 0.0
+        self.lose_start_answers = 0
         self.fails: Callable[[RunId], bool] = lambda run: False
         self.drained_at: dict[str, datetime] = {}
         self._connected: set[frozenset[str]] = set()
@@ -391,7 +392,9 @@
             return
         worker = self.workers[host]
         result = self._carry_out(host, worker, order)
-        if self.random.random() < self.lost_share:
+        loses = isinstance(order, StartOrder) and self.lose_start_answers > 0
+        self.lose_start_answers -= loses
+        if loses or self.random.random() < self.lost_share:
             self._unanswered(process, order)
             return
         kind = OrderKind.START if isinstance(order, StartOrder) else OrderKind.STOP
