--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -28,7 +28,6 @@
 # what is beyond the store's rates is refused. One second of it is still well inside the
 # time in which a change must be in force.
 RETRY_PAUSE = timedelta(milliseconds=400)
-_GONE_HISTORY = 410
 
 _log = logging.getLogger(__name__)
 
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -75,7 +75,7 @@
     # A start that was meant for the old life named a time of the old clock, which may
     # be far ahead on the new one; the worker shortens such a lease to its maximum.
     dead_by = max(state.lease.dead_by, now + LONGEST_LEASE)
-    state.lease = Lease(None, now, dead_by)
+    state.lease = Lease(None, dead_by)
 
 
 def extend_dead_by(state: GuardState, now: datetime) -> None:
@@ -87,7 +87,7 @@
     """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
         ahead = clock - (now - state.origin)
-        state.lease = state.lease._replace(clock_ahead=ahead, measured=now)
+        state.lease = state.lease._replace(clock_ahead=ahead)
 
 
 def worker_clock(state: GuardState, now: datetime) -> timedelta:
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -35,12 +35,10 @@
 
     Attributes:
       clock_ahead: the worker's clock minus this sidecar's; at most the true value.
-      measured: when that was last learnt.
       dead_by: whatever ran is dead by then unless the lease is extended again.
     """
 
     clock_ahead: timedelta | None
-    measured: datetime
     dead_by: datetime
 
 
@@ -141,7 +139,7 @@
         self.born: int | None = None
         self.born_learnt: datetime | None = None
         self.token = 0
-        self.lease = Lease(None, now, now)
+        self.lease = Lease(None, now)
         self.last_seen = 0
         self.hold_sent: datetime | None = None
         self.hold_token = 0
