A worker that turns slow is told by the progress of its runs

Cause: the smoothed pace of ends follows a worker that turns slow after ten ends, which come late. Change: where three runs or more agree on a pace that differs by two or more from the smoothed one, the sidecar reports it. Test: test_a_worker_that_turns_slow_is_told_by_what_runs. Ruled out: pace from progress at all times, since estimates are off by a factor of 1.5.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -160,6 +160,9 @@
             guarded.phase = Phase.RUNNING
         guarded.lists_since += 1
         if listed.percent != guarded.percent:
+            gained = listed.percent - guarded.percent
+            if guarded.percent > 0 and gained > 0:
+                guarded.whole = (now - guarded.progressed) * 100 / gained
             guarded.percent = listed.percent
             guarded.progressed = now
             guarded.lists_since = 0
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -1,6 +1,7 @@
 """What a sidecar tells entries of its worker, and when it may start runs."""
 
 from datetime import datetime, timedelta
+from statistics import geometric_mean
 
 from gypsumspoke.core.data import Effect, Send
 from gypsumspoke.runs.guard_state import GuardState
@@ -13,6 +14,10 @@
 # A changed room is reported this often at most: some 50 reports a second from a busy
 # worker cost an entry about a percent of a core.
 CHANGE_INTERVAL = timedelta(milliseconds=20)
+# So many runs must show a pace, and so clear a change. Estimates are off by a factor of
+# 1.5; the mean of three is then off by two about once in three hundred.
+RUNS_THAT_AGREE = 3
+CLEAR_CHANGE = 2.0
 # A worker whose smoothed share of failed ends is above this fails nearly everything.
 FAILING_SHARE = 0.5
 
@@ -64,7 +69,7 @@
         clean=state.is_fenced and not state.orphans,
         capacity=capacity,
         free=subtract(capacity, state.held),
-        pace=state.pace,
+        pace=current_pace(state),
         failing=is_failing(state),
         taken=state.taken.get(peer, 0),
     )
@@ -72,6 +77,25 @@
     return [Send(peer, message)]
 
 
+def current_pace(state: GuardState) -> float:
+    """Return run time over estimate, as the worker is now.
+
+    The smoothed pace of ends follows a worker that turns slow only after ten ends,
+    which are slow to come. What runs shows it within two lists. Estimates are far off,
+    so the runs must agree on a clear change before they are believed.
+    """
+    paces = [
+        guarded.whole / guarded.estimate
+        for guarded in state.runs.values()
+        if guarded.whole is not None and guarded.estimate
+    ]
+    if not state.pace or len(paces) < RUNS_THAT_AGREE:
+        return state.pace
+    shown = geometric_mean(paces)
+    is_clear = max(shown / state.pace, state.pace / shown) >= CLEAR_CHANGE
+    return shown if is_clear else state.pace
+
+
 def report_changes(state: GuardState, now: datetime) -> list[Effect]:
     """Return reports for the entries that know an old figure of the room.
 
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -57,6 +57,7 @@
       percent: progress as last seen.
       progressed: when the progress last changed.
       lists_since: how many lists came since then.
+      whole: run time of the whole run at the speed of its latest progress.
       stop_reason: why it is being stopped.
       stop_since: when the first stop was sent.
       stop_sent: when a stop was last sent.
@@ -90,6 +91,7 @@
         self.percent = 0
         self.progressed: datetime | None = None
         self.lists_since = 0
+        self.whole: timedelta | None = None
         self.stop_reason = EndReason.WITHDRAWN
         self.stop_since: datetime | None = None
         self.stop_sent: datetime | None = None
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -51,3 +51,24 @@
     assert not world.broken
     assert world.end_of("r0") is JobEnd.GIVEN_UP
     assert len(world.starts_of("j0")) == 2
+
+
+def test_a_worker_that_turns_slow_is_told_by_what_runs():
+    """A worker turns five times slower. Its next ends are far away; its runs show it in
+    their progress, and entries learn it before they place much more there.
+    """
+    world = World(sidecars=1)
+    world.run(ms(2000))
+    step = job("warm").steps[0]
+    small = step._replace(room=step.room._replace(cpu=1000))
+    for number in range(12):
+        warm = job(f"a{number}", count=2)
+        world.submit("entry0", f"a{number}", warm)
+        world.run(ms(250))
+    worker = world.workers["side0"]
+    worker.takes = lambda task: ms(1000)
+    slow = job("slow")._replace(steps=(small._replace(count=4),))
+    world.submit("entry0", "slow", slow)
+    world.run(ms(300))
+    (view,) = world.processes["entry0"].state.views.values()
+    assert view.pace > 3
