One place each for a known run, the worker's id, the version in force and Retry-After

From a read of the whole change. Placing a run and asking for one looked up in the same way whether it is known; the worker's id and the version in force were derived in four places each; the adapter rounded Retry-After as shell/http_answers.py does. No behaviour changes.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -1,7 +1,6 @@
 """Callers' requests to an entry on the platform."""
 
 import json
-import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
@@ -30,6 +29,7 @@
     json_answer,
     read_body,
     respond,
+    retry_headers,
 )
 from gypsumspoke.shell.waiters import Waiters
 
@@ -201,11 +201,10 @@
 
 
 def _retry_headers(retry_after: timedelta | None) -> tuple[tuple[str, str], ...]:
-    if retry_after is None:
-        return ()
-    # The header knows whole seconds only; rounding down would bring callers too early.
-    seconds = max(1, math.ceil(retry_after.total_seconds()))
-    return (("Retry-After", str(seconds)),)
+    # Zero would bring the caller back before anything has changed.
+    return retry_headers(
+        max(retry_after, _RETRY_SOON) if retry_after is not None else None
+    )
 
 
 def readiness(is_ready: Callable[[], bool]):
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -170,7 +170,7 @@
         ("job", progress.id),
         ("request", progress.requests[0]),
         ("route", progress.route.name),
-        ("version", state.table.configuration.version),
+        ("version", state.version),
         ("tasks", sum(step.count for step in progress.job.steps)),
         ("placed", progress.placed),
         ("jobs_waiting", len(state.waiting)),
@@ -185,10 +185,9 @@
 
 @_take.register
 def _(event: PeerConnected, state: CoordinatorState, now: datetime) -> list[Effect]:
-    version = state.table.configuration.version if state.table else 0
     effects: list[Effect] = [
         Send(event.incarnation, KnownEntries(state.directory.known)),
-        Send(event.incarnation, ConfigurationOffer(version)),
+        Send(event.incarnation, ConfigurationOffer(state.version)),
     ]
     view = state.views.get(event.incarnation)
     if view is not None:
@@ -315,7 +314,7 @@
 ) -> list[Effect]:
     """Put a configuration in force if it is newer than the one that is."""
     version = event.table.configuration.version
-    known = state.table.configuration.version if state.table else 0
+    known = state.version
     if version <= known:
         return []
     state.table = event.table
@@ -332,8 +331,7 @@
     message: ConfigurationOffer, sender: str, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
     state.entries.add(sender)
-    known = state.table.configuration.version if state.table else 0
-    if message.version <= known:
+    if message.version <= state.version:
         return []
     return [Send(sender, ConfigurationRequest())]
 
@@ -344,8 +342,7 @@
 ) -> list[Effect]:
     if state.table is None:
         return []
-    version = state.table.configuration.version
-    return [Send(sender, ConfigurationText(version, state.text))]
+    return [Send(sender, ConfigurationText(state.version, state.text))]
 
 
 @_take_message.register
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -188,3 +188,8 @@
         self.left = False
         self.entries: set[str] = set()
         self.directory = directory
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self.table.configuration.version if self.table else 0
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -206,11 +206,9 @@
     if sender in state.taken:
         state.taken[sender] += 1
     _note_alive(state, sender, message.heard, now)
-    if (sender, message.run) in state.ended:
-        return [Send(sender, state.ended[sender, message.run])]
-    known = state.runs.get(message.run)
-    if known is not None and known.coordinator == sender:
-        return []
+    known = _tell_known(state, message.run, sender)
+    if known is not None:
+        return known
     # An order that was held up by a cut, or lay in the buffers of a process that was
     # paused, may come after its entry has given the run up and placed it elsewhere.
     if state.origin + message.heard < now - ORDER_FRESH:
@@ -248,11 +246,9 @@
 
 @_take_message.register
 def _(message: AskRun, sender: str, state: GuardState, now: datetime) -> list[Effect]:
-    if (sender, message.run) in state.ended:
-        return [Send(sender, state.ended[sender, message.run])]
-    known = state.runs.get(message.run)
-    if known is not None and known.coordinator == sender:
-        return []
+    known = _tell_known(state, message.run, sender)
+    if known is not None:
+        return known
     return _refuse(state, message.run, sender, EndReason.NEVER_SEEN)
 
 
@@ -263,6 +259,19 @@
     return state.directory.take_told(message.addresses)
 
 
+def _tell_known(state: GuardState, run: RunId, sender: str) -> list[Effect] | None:
+    """Tell the end of a run that this entry placed; None for one that it did not.
+
+    Of a run that has not ended there is nothing to tell yet.
+    """
+    if (sender, run) in state.ended:
+        return [Send(sender, state.ended[sender, run])]
+    guarded = state.runs.get(run)
+    if guarded is not None and guarded.coordinator == sender:
+        return []
+    return None
+
+
 def _note_alive(
     state: GuardState, sender: str, heard: timedelta, now: datetime
 ) -> None:
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -59,9 +59,10 @@
     if _may_extend(state, now):
         extend_dead_by(state, now)
         lease_end = worker_clock(state, now) + LEASE
-    worker = state.worker.id if state.worker else ""
     return [
-        HoldOrder(worker, lease_end, state.last_seen, RENEWAL_INTERVAL, state.token)
+        HoldOrder(
+            state.worker_id, lease_end, state.last_seen, RENEWAL_INTERVAL, state.token
+        )
     ]
 
 
@@ -231,9 +232,8 @@
     unknown = {listed.run for listed in event.running if listed.run not in state.runs}
     fresh = unknown - state.orphans
     state.orphans = unknown
-    worker = state.worker.id if state.worker else ""
     effects: list[Effect] = [
-        StopOrder(run, worker, state.token) for run in sorted(unknown)
+        StopOrder(run, state.worker_id, state.token) for run in sorted(unknown)
     ]
     if fresh:
         fields = (("runs", len(fresh)), ("at_start", is_first))
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -77,8 +77,7 @@
 
 def _send_stop(state: GuardState, guarded: GuardedRun, now: datetime) -> list[Effect]:
     guarded.stop_sent = now
-    worker = state.worker.id if state.worker else ""
-    return [StopOrder(guarded.run, worker, state.token)]
+    return [StopOrder(guarded.run, state.worker_id, state.token)]
 
 
 def take_answer(state: GuardState, event: OrderAnswered, now: datetime) -> list[Effect]:
@@ -108,8 +107,11 @@
 
 def extra_hold(state: GuardState) -> list[Effect]:
     """Ask at once, beside the hold under way, what runs and what ended."""
-    worker = state.worker.id if state.worker else ""
-    return [HoldOrder(worker, None, state.last_seen, timedelta(), state.token, True)]
+    return [
+        HoldOrder(
+            state.worker_id, None, state.last_seen, timedelta(), state.token, True
+        )
+    ]
 
 
 def _started(state: GuardState, guarded: GuardedRun, now: datetime) -> list[Effect]:
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -62,7 +62,7 @@
         takes_work = False
     message = WorkerReport(
         stamp=now - state.origin,
-        worker=worker.id if worker else "",
+        worker=state.worker_id,
         service=worker.service if worker else "",
         labels=worker.labels if worker else (),
         takes_work=takes_work,
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -164,6 +164,11 @@
         self.left = False
         self.directory = directory
 
+    @property
+    def worker_id(self) -> str:
+        """The worker's id; empty before it has registered."""
+        return self.worker.id if self.worker else ""
+
 
 def hold_room(state: GuardState, guarded: GuardedRun) -> None:
     """Count a run's room as taken, from just before its start is sent."""
--- a/gypsumspoke/shell/http_answers.py
+++ b/gypsumspoke/shell/http_answers.py
@@ -8,6 +8,7 @@
 import json
 import math
 from collections.abc import Callable, Iterable
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -69,7 +70,7 @@
     if answer.kind is ErrorKind.JOB_RUNNING:
         status = ANSWER_RULES[answer.kind].status
         members = {"team": key.team, "key": key.key, **_members(answer)}
-        return json_answer(members, status, _retry_headers(answer))
+        return json_answer(members, status, retry_headers(answer.retry_after))
     return problem(answer, team=key.team, key=key.key)
 
 
@@ -97,7 +98,9 @@
         **more,
     }
     body = json.dumps(members).encode()
-    return HttpAnswer(rule.status, body, _retry_headers(answer), PROBLEM_TYPE)
+    return HttpAnswer(
+        rule.status, body, retry_headers(answer.retry_after), PROBLEM_TYPE
+    )
 
 
 def read_body(environ: Environ, limit: int) -> bytes:
@@ -147,9 +150,10 @@
     return members
 
 
-def _retry_headers(answer: Answer) -> tuple[tuple[str, str], ...]:
-    if answer.retry_after is None:
+def retry_headers(retry_after: timedelta | None) -> tuple[tuple[str, str], ...]:
+    """Return the Retry-After header, if there is anything to say."""
+    if retry_after is None:
         return ()
     # The header knows whole seconds only; rounding down would bring callers too early.
-    seconds = math.ceil(answer.retry_after.total_seconds())
+    seconds = math.ceil(retry_after.total_seconds())
     return (("Retry-After", str(seconds)),)
