Requests wait a moment for the first configuration of an entry that has just started

A refusal is final for those callers. Change: until 1 s after its start an entry lets requests wait for the first configuration, as jobs already wait for the first worker. Later it refuses at once, as before. Ruled out: to open the port only with a configuration, since connections refused say nothing to a caller; and to wait without a bound, since an entry that the store turns away for good has no word of when it will serve.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -6,15 +6,18 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.data import Count
 from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
+from gypsumspoke.runs.admission import configuration_patience
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
     CancelJobArrived,
     CoordinatorState,
+    FirstConfiguration,
     JobArrived,
     JobCallerLeft,
 )
@@ -74,8 +77,13 @@
         self._clock = clock
         self._state = state
         self._waiters = Waiters()
+        self._configured = Event()
         self._has_ended = False
 
+    def note_configured(self, effect: FirstConfiguration) -> None:
+        """Let the requests go on that wait for the first configuration."""
+        self._configured.set()
+
     def deliver(self, effect: AnswerJob) -> None:
         """Hand an answer to the request that waits for it."""
         self._waiters.deliver(effect.request, effect)
@@ -87,6 +95,7 @@
         process is killed.
         """
         self._has_ended = True
+        self._configured.set()
         self._waiters.deliver_all(
             lambda request: AnswerJob(
                 request, JobEnd.GIVEN_UP, RefusalReason.STOPPING, _RETRY_SOON
@@ -102,6 +111,9 @@
         return respond(answer, start)
 
     def _answer(self, environ: Environ) -> HttpAnswer:
+        if self._state.table is None:
+            patience = configuration_patience(self._state, self._clock.now())
+            self._configured.wait(patience.total_seconds())
         if self._has_ended or self._state.left:
             reason = RefusalReason.STOPPING
             return self._refuse(503, reason, "this entry stops", _RETRY_SOON)
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -31,6 +31,9 @@
 # Workers register with a sidecar that is new to them within a second or two, and a
 # sidecar finds an entry in about a tenth of one.
 SETTLING = timedelta(seconds=2.5)
+# The first configuration comes with one answer of the store, or of another entry: some
+# 10 ms as a rule, and a third of a second from a store that is 85 times slower.
+CONFIGURATION_SETTLING = timedelta(seconds=1)
 
 
 class Refusal(NamedTuple):
@@ -66,6 +69,19 @@
     return None
 
 
+def configuration_patience(state: CoordinatorState, now: datetime) -> timedelta:
+    """Return how long a request waits for the first configuration; zero for not at all.
+
+    An entry that has just started can't tell yet whether a request has a route. Where
+    all entries started at once, after a loss of power beside a slow store, a quarter of
+    the jobs of two seconds were refused for want of a configuration that was there a
+    third of a second later. An entry that is still without one after that has no word
+    of when it comes, and refuses at once.
+    """
+    left = state.started + CONFIGURATION_SETTLING - now
+    return max(left, timedelta())
+
+
 def _is_settling(state: CoordinatorState, service: str, now: datetime) -> bool:
     """Return whether the entry is new and knows no worker of a service yet."""
     return now - state.started < SETTLING and not knows_a_worker(state, service)
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -36,6 +36,7 @@
     CancelJobArrived,
     ConfigurationChanged,
     CoordinatorState,
+    FirstConfiguration,
     JobArrived,
     JobCallerLeft,
     JobProgress,
@@ -321,6 +322,8 @@
     state.text = event.text
     fields = (("version", version), ("replaced", known), ("source", source))
     effects: list[Effect] = [Log(logging.INFO, "configuration in force", fields=fields)]
+    if known == 0:
+        effects.append(FirstConfiguration())
     for entry in sorted(state.entries):
         effects.append(Send(entry, ConfigurationOffer(version)))
     return effects
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -55,6 +55,10 @@
     text: str
 
 
+class FirstConfiguration(NamedTuple):
+    """Effect: requests that wait for the first configuration may go on."""
+
+
 class AnswerJob(NamedTuple):
     """Effect: hand the final answer to the caller.
 
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -9,7 +9,11 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.runs import coordinator
-from gypsumspoke.runs.coordinator_state import AnswerJob, CoordinatorState
+from gypsumspoke.runs.coordinator_state import (
+    AnswerJob,
+    CoordinatorState,
+    FirstConfiguration,
+)
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
@@ -29,9 +33,9 @@
 
     Attributes:
       parse_configuration: reads a configuration's text.
-      open_callers: makes the WSGI application towards callers, with ``deliver`` and
-        ``give_up_all``, from the functions that post an event and count a refusal, the
-        clock and the state.
+      open_callers: makes the WSGI application towards callers, with ``deliver``,
+        ``note_configured`` and ``give_up_all``, from the functions that post an event
+        and count a refusal, the clock and the state.
       readiness: makes the WSGI application that tells whether this entry is ready.
       open_store: makes the store's client from the settings and the post function.
       settings_file: the settings, to be read again.
@@ -69,6 +73,7 @@
         runtime = open_runtime(settings, side, coordinator.reduce, state, clock)
         callers = adapter.open_callers(runtime.post, side.metrics.count, clock, state)
         runtime.handle(AnswerJob, callers.deliver)
+        runtime.handle(FirstConfiguration, callers.note_configured)
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, side.metrics, is_ready, stack)
         open_small_server(settings.readiness, adapter.readiness(is_ready), stack)
