The wait in front of a job counts the workers of its own service only

Cause: seen in a read: admission.expected_wait divided the work in front over the workers of all services. Where a deployment has several, a full service looked free and jobs were taken that could not end in time. Change: only workers of the job's service count.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -16,7 +16,7 @@
     JobProgress,
     longest_chain,
 )
-from gypsumspoke.runs.fleet import UNKNOWN_PACE
+from gypsumspoke.runs.fleet import UNKNOWN_PACE, SidecarView
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.values import RefusalReason
 
@@ -89,11 +89,14 @@
 
 def knows_a_worker(state: CoordinatorState, service: str | None = None) -> bool:
     """Return whether a worker, of a service or of any, takes work."""
-    return any(
+    return any(_takes_work(view, service) for view in state.views.values())
+
+
+def _takes_work(view: SidecarView, service: str | None) -> bool:
+    return (
         view.report is not None
         and view.report.takes_work
         and service in (None, view.report.service)
-        for view in state.views.values()
     )
 
 
@@ -141,7 +144,7 @@
     share = sum(
         view.report.capacity.cpu / view.pace
         for view in state.views.values()
-        if view.connected and view.report is not None and view.report.takes_work
+        if view.connected and _takes_work(view, service)
     ) / (len(state.entries) + 1)
     # That no worker takes work is a matter of moments as a rule, and no reason to
     # refuse jobs whose callers wait for seconds.
--- a/tests/runs/test_overload.py
+++ b/tests/runs/test_overload.py
@@ -1,10 +1,12 @@
 """Load at its worst: how work waits, is refused and placed."""
 
 from gypsumspoke.core.data import Send
+from gypsumspoke.runs.admission import expected_wait
+from gypsumspoke.runs.fleet import SidecarView
 from gypsumspoke.runs.messages import PlaceRun
 from gypsumspoke.runs.values import JobEnd
 from tests.runs.test_path import settled
-from tests.runs.world import World, job, ms
+from tests.runs.world import ROUTE, SERVICE, World, job, ms
 
 
 def placements(world: World) -> int:
@@ -85,3 +87,23 @@
         if getattr(effect, "event", "") == "job answered"
     )
     assert late == 0
+
+
+def test_workers_of_another_service_do_not_shorten_the_wait():
+    """Work for one service waits in front of a new job, and its only worker is full.
+    Nine workers of another service stand idle. Counted in, they made the wait seem a
+    tenth as long, so the job was taken, waited, and was refused when it was too late
+    for its caller to go elsewhere.
+    """
+    world = settled(sidecars=1)
+    state = world.processes["entry0"].state
+    (own,) = state.views.values()
+    for number in range(9):
+        other = SidecarView(f"other{number}-1", f"other{number}", world.now)
+        other.report = own.report._replace(service="another", worker=f"w{number}")
+        state.views[other.incarnation] = other
+    for number in range(12):
+        world.submit("entry0", f"a{number}", job(f"a{number}", count=2), ms(9000))
+    seen = expected_wait(state, SERVICE, ROUTE.priority)
+    state.views = {own.incarnation: own}
+    assert seen == expected_wait(state, SERVICE, ROUTE.priority) > ms(500)
