A header without end is refused in the operators' bound; a deployment whose callers come back too early is refused at the start

Cause: a try on the platform's callers' port: a request whose header never ends kept its connection for 60 s and longer, though the configuration gives a bound of 3 s for it, which nothing used. And seen in a read: the time budget holds only where callers pause longer than it; the settings tell that pause, and nothing looked at it. Change: the header must end within the configuration's bound, 10 s where there is none yet, or is answered 400. Settings whose bounds.resend_ms does not exceed the time by which runs of a lost entry are dead are refused with a sentence. The bound on bodies that could never be used is gone. Ruled out: a budget scaled to the settings; no deployment known so far needs it.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -40,8 +40,6 @@
 _DEFAULT_PATIENCE = timedelta(seconds=30)
 # The reducer answers every request by its deadline; this only guards against a fault.
 _ANSWER_SLACK = timedelta(seconds=2)
-# Before the first configuration the bound on bodies is not known.
-_BODY_BYTES = 262_144
 _RETRY_SOON = timedelta(seconds=1)
 _RETRY_LATER = timedelta(seconds=10)
 
@@ -146,7 +144,7 @@
     def _submit(self, environ: Environ, route: Route, job_id: str) -> HttpAnswer:
         limit = self._state.table.configuration.limits.body_bytes
         try:
-            body = read_body(environ, limit or _BODY_BYTES)
+            body = read_body(environ, limit)
         except TooLarge:
             reason = RefusalReason.BODY_TOO_LARGE
             return self._refuse(413, reason, f"at most {limit} bytes are taken")
--- a/gypsumspoke/platform/settings.py
+++ b/gypsumspoke/platform/settings.py
@@ -8,11 +8,13 @@
 
 from returns.result import Failure, Result, Success
 
+from gypsumspoke.runs.budget import RESEND, RUNS_DEAD_AFTER
 from gypsumspoke.runs.settings import Address, RunSettings, parse_address
 
 PATH_VARIABLE = "GYPSUMSPOKE_SETTINGS"
 # The platform leaves the address of metrics to the deploy file, which names this port.
 METRICS_PORT = 9464
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 def settings_path() -> Path:
@@ -43,10 +45,26 @@
         return Failure(f"{path}: {error}")
 
 
+def _check_budget(bounds: dict[str, Any]) -> None:
+    """Refuse a deployment whose callers come back before their old runs are dead.
+
+    Two runs of one task would then be at work at once, and nothing would show it.
+
+    Raises:
+      ValueError: they do.
+    """
+    resend = timedelta(milliseconds=bounds.get("resend_ms", RESEND / _MILLISECOND))
+    if resend <= RUNS_DEAD_AFTER:
+        raise ValueError(
+            f"bounds.resend_ms is {resend // _MILLISECOND}; the runs of a lost entry "
+            f"end within {RUNS_DEAD_AFTER // _MILLISECOND} ms"
+        )
+
+
 def _decode(fields: dict[str, Any]) -> RunSettings:
     listen = fields["listen"]
     is_entry = "front" in fields["serves"]
-    return RunSettings(
+    settings = RunSettings(
         # "node" is the process's machine, not a member of some cluster.
         instance=fields["node"],
         failure_domain=fields["zone"],
@@ -64,6 +82,8 @@
         store=parse_address(fields["platform"]["address"]),
         grace=timedelta(seconds=fields["bounds"]["grace_s"]),
     )
+    _check_budget(fields["bounds"])
+    return settings
 
 
 def _address(fields: dict[str, Any], name: str) -> Address | None:
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -48,6 +48,9 @@
 SOCKET_KEY = "gypsumspoke.socket"
 MAX_CONNECTIONS = 3_000
 IDLE_TIMEOUT_SECONDS = 60.0
+# From the end of a request's first line to the end of its header, where no
+# configuration says otherwise: a header comes in one packet or two.
+HEADER_TIMEOUT = timedelta(seconds=10)
 DISCARD_LIMIT = 16 * 1024 * 1024
 DISCARD_SECONDS = 5.0
 STOP_SECONDS = 5.0
@@ -162,9 +165,16 @@
     Args:
       host, port: where to listen; port 0 takes any free one.
       application: the WSGI application.
+      header_timeout: returns how long a request's header may take.
     """
 
-    def __init__(self, host: str, port: int, application: EntryHttp) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        application: EntryHttp,
+        header_timeout: Callable[[], timedelta] = lambda: HEADER_TIMEOUT,
+    ) -> None:
         self._server = WSGIServer(
             (host, port),
             application,
@@ -175,6 +185,7 @@
             environ=server_environ(host),
         )
         self._server.busy = _Busy()
+        self._server.header_timeout = header_timeout
 
     @property
     def port(self) -> int:
@@ -218,6 +229,10 @@
         self._idle.wait(seconds)
 
 
+class _HeaderTimeout(Exception):
+    """A request's header did not end in time."""
+
+
 class _Handler(WSGIHandler):
     """Bounds what a client can cost: idle connections and bodies nobody wants."""
 
@@ -225,6 +240,16 @@
         self.socket.settimeout(IDLE_TIMEOUT_SECONDS)
         super().handle()
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the header, within its bound.
+
+        Without it a header that never ends would keep its connection for as long as
+        its sender adds a byte a minute, and the connections are counted.
+        """
+        bound = self.server.header_timeout().total_seconds()
+        with gevent.Timeout(bound, _HeaderTimeout):
+            return super().read_request(raw_requestline)
+
     def get_environ(self) -> Environ:
         """Add the connection, on which an application may notice that a caller left."""
         environ = super().get_environ()
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import ExitStack, closing
+from datetime import timedelta
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -17,7 +18,7 @@
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
-from gypsumspoke.shell.entry_http import CallerServer
+from gypsumspoke.shell.entry_http import HEADER_TIMEOUT, CallerServer
 from gypsumspoke.shell.http_servers import open_metrics, open_small_server
 from gypsumspoke.shell.run_role import (
     StorePort,
@@ -77,7 +78,8 @@
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, side.metrics, is_ready, stack)
         open_small_server(settings.readiness, adapter.readiness(is_ready), stack)
-        server = CallerServer(*settings.callers, callers)
+        header_timeout = partial(_header_timeout, state)
+        server = CallerServer(*settings.callers, callers, header_timeout)
         stack.enter_context(closing(server))
         server.start()
         stack.callback(callers.give_up_all)
@@ -87,5 +89,11 @@
         )
 
 
+def _header_timeout(state: CoordinatorState) -> timedelta:
+    if state.table is None:
+        return HEADER_TIMEOUT
+    return state.table.configuration.limits.header_timeout
+
+
 def _is_ready(state: CoordinatorState, clock: Clock) -> bool:
     return coordinator.is_ready(state, clock.now())
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -157,6 +157,10 @@
         except OSError:
             return None
 
+    def callers_address(self, number: int) -> tuple[str, int]:
+        """Return where an entry takes callers' requests."""
+        return self._ip(10 + number), self._ports[0]
+
     def call(
         self,
         number: int,
@@ -166,7 +170,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, Any, dict]:
         """Call an entry as a caller; return status, JSON body and headers."""
-        address = (self._ip(10 + number), self._ports[0])
+        address = self.callers_address(number)
         if not isinstance(body, bytes):
             body = json.dumps(body).encode() if body is not None else b""
         given = {"Host": HOST, "Gypsumspoke-Deadline-Ms": "5000", **(headers or {})}
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -147,3 +147,26 @@
     assert str(path) in read_settings(path).failure()
     path.write_text('{"listen": {}, "serves": []}')
     assert "node is missing" in read_settings(path).failure()
+
+
+def test_a_deployment_whose_callers_come_back_too_early_is_refused(tmp_path):
+    """Callers send a job again after a second, and runs of a lost entry may last a bit
+    longer. Two runs of a task would be at work at once, so no process starts there.
+    """
+    path = tmp_path / "settings.json"
+    fields = {
+        "node": "side-1",
+        "serves": ["side"],
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "listen": {"control": "127.0.0.1:7001"},
+        "app": "127.0.0.1:7002",
+        "seeds": [],
+        "platform": {"address": "127.0.0.1:7003"},
+        "bounds": {"grace_s": 6, "resend_ms": 1300},
+    }
+    path.write_text(json.dumps(fields))
+    assert is_successful(read_settings(path))
+    fields["bounds"]["resend_ms"] = 1000
+    path.write_text(json.dumps(fields))
+    assert "bounds.resend_ms is 1000" in read_settings(path).failure()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -5,8 +5,15 @@
 
 import gevent
 import pytest
+from gevent.socket import create_connection
 
-from tests.platform.system import PREFIX, PlatformSystem, configuration, job_body
+from tests.platform.system import (
+    BOUND_SECONDS,
+    PREFIX,
+    PlatformSystem,
+    configuration,
+    job_body,
+)
 
 
 @pytest.fixture
@@ -258,3 +265,15 @@
     text = system.metrics(10)
     assert 'gypsumspoke_job_refusals_total{reason="invalid_job"} 1.0' in text
     assert "gypsumspoke_job_seconds_bucket" in text
+
+
+def test_a_header_without_end_is_refused_and_the_entry_lives(system):
+    """A client sends a header and never ends it: 3 s later, as the configuration says,
+    it is told that the request is bad, and the connection is closed. Others are served.
+    """
+    with create_connection(system.callers_address(0)) as client:
+        client.settimeout(BOUND_SECONDS)
+        client.sendall(b"POST /checks/0000000000000001 HTTP/1.1\r\nHost: ")
+        assert system.submit(0, job_id(2))[0] == 200
+        assert client.recv(400).startswith(b"HTTP/1.1 400")
+        assert client.recv(400) == b""
