--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.runs.walk import Walk
+from tests.runs.walk import CutOffWalk, Walk
 
 # 26: a worker was born again between two lists; a run that was started on the new life
 # was given up with those of the old one and placed again beside itself.
@@ -13,3 +13,11 @@
 @pytest.mark.parametrize("seed", [*FAILED_ONCE, *range(1000, 1020)])
 def test_no_promise_is_broken_and_the_system_serves_again(seed):
     assert Walk(seed).play() == []
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_entries_cut_off_from_all_sidecars_break_no_promise(seed):
+    """Entries lose all sidecars for a while and give their jobs up; callers send them
+    again through the other entry, beside the other faults of the walks.
+    """
+    assert CutOffWalk(seed).play() == []
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -9,6 +9,8 @@
 
 import random
 import sys
+from collections.abc import Callable
+from functools import partial
 
 from gypsumspoke.runs.budget import RESEND
 from gypsumspoke.runs.values import JobEnd
@@ -46,7 +48,10 @@
         return self.world.broken
 
     def _step(self) -> None:
-        steps = [self._submit] * 8 + [
+        self.random.choice(self._steps())()
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [self._submit] * 8 + [
             self._leave,
             self._restart,
             self._restart,
@@ -58,7 +63,6 @@
             self._silence_worker,
             self._spoil_orders,
         ]
-        self.random.choice(steps)()
 
     def _submit(self) -> None:
         self.jobs += 1
@@ -197,12 +201,34 @@
                 self.world.broken.append(f"{host} does not serve after the faults")
 
 
+class CutOffWalk(Walk):
+    """A walk on which entries are also cut off from all sidecars.
+
+    A class of its own, so that the seeds of the others go on to mean the same walks.
+    """
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [*super()._steps(), self._cut_off, self._cut_off]
+
+    def _cut_off(self) -> None:
+        """Cut an entry off; callers still reach it."""
+        entry = self.random.choice(ENTRIES)
+        after = ms(self.random.choice((900, 1400, 4000)))
+        for side in SIDES:
+            self.world.cut_off(entry, side)
+            self.world.at(after, partial(self.world.heal, entry, side))
+
+
 def main() -> None:
-    """Play the seeds from the first to the second argument."""
+    """Play the seeds from the first to the second argument.
+
+    A third argument, ``cut-off``, plays the walks of ``CutOffWalk``.
+    """
     first, last = int(sys.argv[1]), int(sys.argv[2])
+    kind = CutOffWalk if sys.argv[3:] == ["cut-off"] else Walk
     failed = 0
     for seed in range(first, last):
-        broken = Walk(seed).play()
+        broken = kind(seed).play()
         if broken:
             failed += 1
             print(f"seed {seed}: {broken[0]} ({len(broken)})", flush=True)
