--- a/gypsumspoke/runs/isolation.py
+++ b/gypsumspoke/runs/isolation.py
@@ -2,10 +2,10 @@
 
 Callers may still reach an entry that reaches no sidecar. Whatever it took would wait
 there until it is too late, though other entries could serve it: with one of four
-entries cut off for eight seconds, 28 % of that time's jobs were lost. So an entry that
-hears no sidecar says that it is not ready, gives up what it has, and what comes, at
-once. It claims nothing of these jobs: their callers send them again through another
-entry, after the old runs are dead by the time budget.
+entries cut off for eight seconds, a fifth of that time's jobs were lost; now a tenth.
+So an entry that hears no sidecar says that it is not ready, gives up what it has, and
+what comes, at once. It claims nothing of these jobs: their callers send them again
+through another entry, after the old runs are dead by the time budget.
 """
 
 import logging
