--- a/tests/runs/test_faults.py
+++ b/tests/runs/test_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumspoke.core.data import Send
+from gypsumspoke.core.data import Send, Tick
 from gypsumspoke.runs.budget import RESEND, RUNS_DEAD_AFTER
 from gypsumspoke.runs.coordinator import is_ready
 from gypsumspoke.runs.messages import PlaceRun
@@ -328,3 +328,18 @@
     world.run(ms(1000))
     assert world.end_of("r1") is JobEnd.COMPLETED
     assert not world.broken
+
+
+def test_a_tick_that_comes_before_the_reports_of_a_pause_isolates_nobody():
+    """An entry stands still for three seconds, and its first event is a tick: what the
+    sidecars sent meanwhile is still unread. It must not give up the jobs that it has.
+    """
+    world = settled()
+    long_tasks(world)
+    world.submit("entry0", "r1", job("j1"), ms(9000))
+    world.run(ms(50))
+    entry = world.processes["entry0"]
+    world.now += ms(3000)
+    world.post(entry, Tick())
+    assert not entry.state.isolated
+    assert world.end_of("r1") is None
