A run that a new sidecar found counts until its stop has taken effect

Cause: a new process of a sidecar has the runs of its predecessor stopped. While a run is being stopped the worker lists it neither as running nor as ended, for up to 50 ms. The first list without it made the sidecar clean: entries placed the task again, and it started beside the old run. Holds that wait 60 ms for an end hid it, unless an end came just then. Change: such a run counts until its end is listed, or a list is younger than the first one that lacked it by what a stop may take.

--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -23,6 +23,9 @@
 WORKER_CLOCK_ERROR = 0.02
 # From the platform's bounds: a stop takes at most this long.
 STOP_TAKES = timedelta(milliseconds=50)
+# An accepted stop has taken effect, and shows, by then: the bound on a stop and
+# a fifth of it for the worker's clock and its whole milliseconds.
+STOP_SHOWS_AFTER = STOP_TAKES * 1.2
 
 # Sidecars report, and entries answer, this often. Three reports may be lost or late
 # before an entry counts as silent.
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -1,10 +1,9 @@
 """Holds: they keep the lease alive, and bring what runs and what ended."""
 
-import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, Log
-from gypsumspoke.runs.budget import LEASE, RENEWAL_INTERVAL, STOP_TAKES
+from gypsumspoke.core.data import Effect
+from gypsumspoke.runs.budget import LEASE, RENEWAL_INTERVAL, STOP_SHOWS_AFTER
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_life import (
     extend_dead_by,
@@ -14,6 +13,7 @@
     worker_clock,
 )
 from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
+from gypsumspoke.runs.guard_orphans import stop_orphans
 from gypsumspoke.runs.guard_report import WORKER_SILENCE
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
 from gypsumspoke.runs.orders import (
@@ -22,16 +22,12 @@
     HoldFailed,
     HoldOrder,
     OrderResult,
-    StopOrder,
 )
 from gypsumspoke.runs.values import EndReason, RunEnd
 
 # Several stops without an answer: from then on the lease is not extended, and it ends
 # within the time in which the run must be gone.
 STOP_PATIENCE = timedelta(milliseconds=450)
-# An accepted stop has taken effect, and shows, by then: the bound on a stop and
-# a fifth of it for the worker's clock and its whole milliseconds.
-STOP_SHOWS_AFTER = STOP_TAKES * 1.2
 # A hold is answered or given up by the shell within its wait and this long at most.
 HOLD_ANSWER_WITHIN = timedelta(milliseconds=120)
 # A run without progress for this long, or this share of its estimate, stands still. A
@@ -129,7 +125,7 @@
     effects += _give_up_starts(state, event.sent, now)
     effects += _take_unlisted(state, event, now)
     effects += _stop_stalled(state, now)
-    return [*effects, *_stop_orphans(state, event, is_first)]
+    return [*effects, *stop_orphans(state, event, is_first)]
 
 
 def _take_end(state: GuardState, ended: EndedRun, now: datetime) -> list[Effect]:
@@ -221,26 +217,6 @@
     return event.clock > guarded.stop_clock + STOP_SHOWS_AFTER
 
 
-def _stop_orphans(
-    state: GuardState, event: HoldAnswered, is_first: bool
-) -> list[Effect]:
-    """Stop runs that no entry placed here.
-
-    They were started by an earlier process of this sidecar, and nobody knows what room
-    they take. Nothing is started until they are gone.
-    """
-    unknown = {listed.run for listed in event.running if listed.run not in state.runs}
-    fresh = unknown - state.orphans
-    state.orphans = unknown
-    effects: list[Effect] = [
-        StopOrder(run, state.worker_id, state.token) for run in sorted(unknown)
-    ]
-    if fresh:
-        fields = (("runs", len(fresh)), ("at_start", is_first))
-        effects.append(Log(logging.WARNING, "unknown runs stopped", fields=fields))
-    return effects
-
-
 def _stop_stalled(state: GuardState, now: datetime) -> list[Effect]:
     """Stop runs that make no progress, so that they are placed elsewhere.
 
--- /dev/null
+++ b/gypsumspoke/runs/guard_orphans.py
@@ -0,0 +1,52 @@
+"""Runs at the worker that nobody here placed.
+
+An earlier process of this sidecar started them, and nobody knows what room they take.
+They are stopped, and nothing is started or called clean until all of them are gone.
+
+A run that is being stopped is at work and in neither of the worker's lists. Taken for
+gone as soon as a list lacked it, its task was placed again and ran beside it. So it
+counts until its end is listed, or until a list is younger than its disappearance by
+what a stop may take.
+"""
+
+import logging
+
+from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.runs.budget import STOP_SHOWS_AFTER
+from gypsumspoke.runs.guard_state import GuardState
+from gypsumspoke.runs.orders import HoldAnswered, StopOrder
+
+
+def stop_orphans(
+    state: GuardState, event: HoldAnswered, is_first: bool
+) -> list[Effect]:
+    """Have the unknown runs of a list stopped, and forget those that are gone.
+
+    Args:
+      state: the guard's state, changed in place.
+      event: the worker's list.
+      is_first: whether it is the first of this process.
+    """
+    unknown = {listed.run for listed in event.running if listed.run not in state.runs}
+    fresh = unknown - state.orphans.keys()
+    _forget_gone(state, event)
+    state.orphans.update(dict.fromkeys(unknown))
+    effects: list[Effect] = [
+        StopOrder(run, state.worker_id, state.token) for run in sorted(unknown)
+    ]
+    if fresh:
+        fields = (("runs", len(fresh)), ("at_start", is_first))
+        effects.append(Log(logging.WARNING, "unknown runs stopped", fields=fields))
+    return effects
+
+
+def _forget_gone(state: GuardState, event: HoldAnswered) -> None:
+    listed = {running.run for running in event.running}
+    ended = {end.run for end in event.ended}
+    for run, vanished in list(state.orphans.items()):
+        if run in listed:
+            continue
+        if vanished is None:
+            state.orphans[run] = vanished = event.clock
+        if run in ended or event.clock > vanished + STOP_SHOWS_AFTER:
+            del state.orphans[run]
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -116,7 +116,8 @@
       is_fenced: whether the worker has seen this sidecar's token, and so refuses
         orders of earlier processes of this sidecar.
       heard_worker: when a hold was last answered.
-      orphans: runs at the worker that nobody here placed; they are being stopped.
+      orphans: runs at the worker that nobody here placed; they are being stopped. With
+        the worker's clock of the first list that lacked one; None while it is listed.
       runs: placed runs that have not ended, in order of placement.
       held: room of all runs that are not waiting.
       ended: the latest ends, by the entry that placed the run; two entries that do
@@ -147,7 +148,7 @@
         self.hold_token = 0
         self.is_fenced = False
         self.heard_worker: datetime | None = None
-        self.orphans: set[RunId] = set()
+        self.orphans: dict[RunId, timedelta | None] = {}
         self.runs: OrderedDict[RunId, GuardedRun] = OrderedDict()
         self.held = NO_ROOM
         self.ended: OrderedDict[tuple[str, RunId], RunEnded] = OrderedDict()
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -14,9 +14,10 @@
     guard_holds,
     guard_life,
     guard_orders,
+    guard_orphans,
 )
 from gypsumspoke.runs.values import JobEnd
-from tests.runs import test_faults, test_path, test_reports
+from tests.runs import test_faults, test_orphans, test_path, test_reports
 from tests.runs.test_path import settled
 from tests.runs.world import World, job, ms
 
@@ -95,11 +96,18 @@
     ),
     pytest.param(
         [
-            (guard_holds, "_stop_orphans", lambda state, event, is_first: []),
+            (guard_holds, "stop_orphans", lambda state, event, is_first: []),
         ],
         test_faults.test_a_killed_sidecar_is_replaced_and_its_tasks_run_again_soon,
         id="unknown runs are stopped",
     ),
+    pytest.param(
+        [
+            (guard_orphans, "STOP_SHOWS_AFTER", timedelta()),
+        ],
+        test_orphans.test_a_run_that_is_being_stopped_for_a_new_sidecar_is_at_work,
+        id="an unknown run counts until its stop has taken effect",
+    ),
     pytest.param(
         [
             (guard, "_send_back", lambda state, run, now: []),
