A role on the platform loads only what it uses, and the metrics library later

Ruled out: learned paces from the store; the first end after a start tells a worker's pace, 0.1 to 0.2 s later.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -22,8 +22,8 @@
     JobCallerLeft,
 )
 from gypsumspoke.runs.values import JobEnd, RefusalReason, Route
+from gypsumspoke.shell.caller_server import SOCKET_KEY
 from gypsumspoke.shell.departure import departure
-from gypsumspoke.shell.entry_http import SOCKET_KEY
 from gypsumspoke.shell.http_answers import (
     Environ,
     HttpAnswer,
--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -8,14 +8,12 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import Any, Protocol
 
 from gevent import Timeout
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from gypsumspoke.shell.metrics import Metrics
-
 MAX_CONNECTIONS = 64
 IDLE_TIMEOUT_SECONDS = 10.0
 REQUEST_TIMEOUT_SECONDS = 30.0
@@ -33,6 +31,13 @@
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+class ShownMetrics(Protocol):
+    """What the administration port asks of the metrics."""
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+
+
 class AdminServer:
     """HTTP server of the administration port.
 
@@ -48,7 +53,7 @@
         self,
         host: str,
         port: int,
-        metrics: Metrics,
+        metrics: ShownMetrics,
         ready: Callable[[], bool],
         extra_routes: Mapping[str, Application] | None = None,
     ) -> None:
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -11,7 +11,8 @@
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
 from gypsumspoke.shell.admin_http import AdminServer
-from gypsumspoke.shell.entry_http import CallerServer, EntryHttp
+from gypsumspoke.shell.caller_server import CallerServer
+from gypsumspoke.shell.entry_http import EntryHttp
 from gypsumspoke.shell.operator_http import OperatorHttp
 from gypsumspoke.shell.operator_table import OperatorTable
 from gypsumspoke.shell.role import (
--- a/gypsumspoke/shell/http_answers.py
+++ b/gypsumspoke/shell/http_answers.py
@@ -1,10 +1,5 @@
-"""Turns answers into HTTP: JSON for good ones, problem details for all others.
+"""HTTP answers as values, and what every HTTP interface reads and sends alike."""
 
-What stands in a problem comes from the one table of kinds, so that the status, the
-claim about the work and the hint to come back are the same wherever a kind arises.
-"""
-
-import base64
 import json
 import math
 from collections.abc import Callable, Iterable
@@ -12,18 +7,10 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
-import msgspec
-
-from gypsumspoke.core.data import Answer, JobKey
-from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind
-
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 JSON_TYPE = "application/json"
-PROBLEM_TYPE = "application/problem+json"
-PROBLEM_URN = "urn:gypsumspoke:error:"
-NOT_JSON = "not_json_base64"
 
 
 class HttpAnswer(NamedTuple):
@@ -63,46 +50,6 @@
     return HttpAnswer(status, json.dumps(value).encode(), tuple(headers))
 
 
-def job_answer(key: JobKey, answer: Answer) -> HttpAnswer:
-    """Return the HTTP form of the answer to a job, a query or a cancellation."""
-    if answer.kind is None:
-        return _complete(key, answer)
-    if answer.kind is ErrorKind.JOB_RUNNING:
-        status = ANSWER_RULES[answer.kind].status
-        members = {"team": key.team, "key": key.key, **_members(answer)}
-        return json_answer(members, status, retry_headers(answer.retry_after))
-    return problem(answer, team=key.team, key=key.key)
-
-
-def cancel_answer(key: JobKey, answer: Answer) -> HttpAnswer:
-    """Return the HTTP form of the answer to a cancellation; being cancelled is good."""
-    if answer.kind is ErrorKind.CANCELLED:
-        return json_answer({"team": key.team, "key": key.key, **_members(answer)})
-    return job_answer(key, answer)
-
-
-def problem(answer: Answer, **more: Any) -> HttpAnswer:
-    """Return the problem details (RFC 9457) of an answer that has a kind.
-
-    Args:
-      answer: what to tell.
-      more: further members of the problem.
-    """
-    rule = ANSWER_RULES[answer.kind]
-    members = {
-        "type": PROBLEM_URN + answer.kind.value,
-        "title": rule.title,
-        "status": rule.status,
-        **({"detail": answer.detail} if answer.detail else {}),
-        **_members(answer),
-        **more,
-    }
-    body = json.dumps(members).encode()
-    return HttpAnswer(
-        rule.status, body, retry_headers(answer.retry_after), PROBLEM_TYPE
-    )
-
-
 def read_body(environ: Environ, limit: int) -> bytes:
     """Read a request body of at most ``limit`` bytes.
 
@@ -122,34 +69,6 @@
     return body
 
 
-def _complete(key: JobKey, answer: Answer) -> HttpAnswer:
-    head = json.dumps(
-        {"team": key.team, "key": key.key, "work": answer.work.value}
-    ).encode()
-    results = b",".join(_result(result) for result in answer.results)
-    # The results are put in as they came, so that no number changes its digits.
-    return HttpAnswer(HTTPStatus.OK, head[:-1] + b', "results": [' + results + b"]}")
-
-
-def _result(body: bytes) -> bytes:
-    try:
-        msgspec.json.decode(body)
-        return body
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return json.dumps({NOT_JSON: base64.b64encode(body).decode()}).encode()
-
-
-def _members(answer: Answer) -> dict[str, Any]:
-    members: dict[str, Any] = {"kind": answer.kind.value, "work": answer.work.value}
-    if answer.next_attempt is not None:
-        members["next_attempt"] = answer.next_attempt
-    if answer.outcomes:
-        members["outcomes"] = [outcome.value for outcome in answer.outcomes]
-    if answer.retry_after is not None:
-        members["retry_after_seconds"] = answer.retry_after.total_seconds()
-    return members
-
-
 def retry_headers(retry_after: timedelta | None) -> tuple[tuple[str, str], ...]:
     """Return the Retry-After header, if there is anything to say."""
     if retry_after is None:
--- a/gypsumspoke/shell/http_exchange.py
+++ b/gypsumspoke/shell/http_exchange.py
@@ -13,9 +13,10 @@
 
 import gevent
 from gevent.socket import AF_INET, IPPROTO_TCP, SOCK_STREAM, TCP_NODELAY, socket
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 from returns.result import Failure, Result, Success
 
+from gypsumspoke.shell.http_parser import HTTPParseError, HTTPSocketResponse
+
 _READ_BYTES = 16 * 1024
 
 
--- a/gypsumspoke/shell/http_servers.py
+++ b/gypsumspoke/shell/http_servers.py
@@ -11,9 +11,9 @@
     AdminServer,
     Application,
     IdleClosingHandler,
+    ShownMetrics,
     server_environ,
 )
-from gypsumspoke.shell.metrics import Metrics
 
 # Readiness checks come once a second, heartbeats each second or two.
 _SMALL_SERVER_CONNECTIONS = 32
@@ -46,7 +46,7 @@
 
 
 def open_metrics(
-    address: Address, metrics: Metrics, is_ready, stack: ExitStack
+    address: Address, metrics: ShownMetrics, is_ready, stack: ExitStack
 ) -> None:
     """Serve metrics and health.
 
--- a/gypsumspoke/shell/keep_alive.py
+++ b/gypsumspoke/shell/keep_alive.py
@@ -13,7 +13,6 @@
 
 import gevent
 from gevent.socket import AF_INET, IPPROTO_TCP, SOCK_STREAM, TCP_NODELAY, socket
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 from returns.result import Failure, Result, Success
 
 from gypsumspoke.shell.http_exchange import (
@@ -22,6 +21,7 @@
     read_response,
     request_bytes,
 )
+from gypsumspoke.shell.http_parser import HTTPParseError, HTTPSocketResponse
 
 # Connections kept open to one address; more requests at once open more and close them.
 KEPT_CONNECTIONS = 8
--- /dev/null
+++ b/gypsumspoke/shell/late_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics whose library is loaded a while after the start.
+
+The metrics library takes a sixth of the processor time that a role needs before it
+listens. After a loss of all processes callers wait for that time, while a scrape some
+seconds later loses nothing: what is counted before is kept and counted then.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import gevent
+
+from gypsumspoke.core.data import Count, Observe
+
+if TYPE_CHECKING:
+    from gypsumspoke.shell.metrics import Metrics
+
+# The first seconds after a loss of all processes are those of the highest load.
+LOAD_AFTER = timedelta(seconds=6)
+# More than that is not kept: the library is loaded instead.
+MOST_KEPT = 20_000
+
+
+class LateMetrics:
+    """Takes counts at once and hands them to ``Metrics`` once that is loaded.
+
+    Args:
+      role, worker: see ``Metrics``.
+    """
+
+    def __init__(self, role: str, worker: str) -> None:
+        self._identity = (role, worker)
+        self._kept: list[Callable[[Metrics], None]] = []
+        self._metrics: Metrics | None = None
+        self._greenlet = gevent.spawn_later(LOAD_AFTER.total_seconds(), self.load)
+
+    def count(self, effect: Count) -> None:
+        """Count one event, refusal or retry."""
+        self._take(lambda metrics: metrics.count(effect))
+
+    def observe(self, effect: Observe) -> None:
+        """Record one measured value."""
+        self._take(lambda metrics: metrics.observe(effect))
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a gauge; see ``Metrics.gauge``."""
+        self._take(lambda metrics: metrics.gauge(name, description, read))
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return self.load().render()
+
+    def load(self) -> "Metrics":
+        """Load the library, if it is not, and count what was kept."""
+        if self._metrics is None:
+            from gypsumspoke.shell.metrics import Metrics
+
+            self._metrics = Metrics(*self._identity)
+            for take in self._kept:
+                take(self._metrics)
+            self._kept.clear()
+        return self._metrics
+
+    def close(self) -> None:
+        """Don't load the library any more."""
+        self._greenlet.kill()
+
+    def _take(self, take: Callable[["Metrics"], None]) -> None:
+        if self._metrics is not None:
+            take(self._metrics)
+            return
+        self._kept.append(take)
+        if len(self._kept) >= MOST_KEPT:
+            self.load()
--- /dev/null
+++ b/gypsumspoke/shell/link_metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of the connections between processes."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+from gypsumspoke.wire.links import PeerLinks
+
+
+class Gauges(Protocol):
+    """Takes gauges that are read when the metrics are."""
+
+    def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a gauge; see ``Metrics.gauge``."""
+
+
+LINK_COUNTS = {
+    "messages_sent": "Messages handed to a connection since the start.",
+    "messages_received": "Messages received since the start.",
+    "messages_dropped": "Messages lost before they left, for want of a connection.",
+    "dropped_too_large": "Messages that exceed the frame bound.",
+    "bytes_sent": "Bytes of the messages sent, with their frames.",
+    "dials_failed": "Connections that could not be made.",
+    "closed_silent": "Connections closed because nothing came any more.",
+    "refused_hellos": "Peers refused: other protocol, partitions or incarnation.",
+    "refused_frames": "Frames that held no valid message.",
+    "refused_too_many_connections": "Connections over the bound.",
+}
+
+
+def show_links(metrics: Gauges, links: PeerLinks) -> None:
+    """Show what the links count.
+
+    Args:
+      metrics: metrics of this process.
+      links: connections to peers.
+    """
+    for name, description in LINK_COUNTS.items():
+        metrics.gauge(
+            f"link_{name}", description, partial(links.counts.__getitem__, name)
+        )
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -38,10 +38,10 @@
     StartResponse,
     TooLarge,
     json_answer,
-    problem,
     read_body,
     respond,
 )
+from gypsumspoke.shell.job_answers import problem
 from gypsumspoke.shell.manifest_history import (
     HISTORY_KEY,
     HISTORY_LENGTH,
--- a/gypsumspoke/shell/role.py
+++ b/gypsumspoke/shell/role.py
@@ -5,31 +5,18 @@
 from collections.abc import Callable
 from contextlib import ExitStack, closing
 from datetime import datetime
-from functools import partial
 from typing import Any, NamedTuple
 
 from gypsumspoke.core import membership
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.data import Effect, Member
 from gypsumspoke.parser.settings import Settings
+from gypsumspoke.shell.link_metrics import show_links
 from gypsumspoke.shell.metrics import Metrics
 from gypsumspoke.shell.runtime import Reduce
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
 from gypsumspoke.wire.links import PeerLinks
 
-LINK_COUNTS = {
-    "messages_sent": "Messages handed to a connection since the start.",
-    "messages_received": "Messages received since the start.",
-    "messages_dropped": "Messages lost before they left, for want of a connection.",
-    "dropped_too_large": "Messages that exceed the frame bound.",
-    "bytes_sent": "Bytes of the messages sent, with their frames.",
-    "dials_failed": "Connections that could not be made.",
-    "closed_silent": "Connections closed because nothing came any more.",
-    "refused_hellos": "Peers refused: other protocol, partitions or incarnation.",
-    "refused_frames": "Frames that held no valid message.",
-    "refused_too_many_connections": "Connections over the bound.",
-}
-
 _INCARNATION_BYTES = 8
 _SEED_BYTES = 8
 
@@ -161,19 +148,6 @@
     return reduce_with_addresses
 
 
-def show_links(metrics: Metrics, links: PeerLinks) -> None:
-    """Show what the links count.
-
-    Args:
-      metrics: metrics of this process.
-      links: connections to peers.
-    """
-    for name, description in LINK_COUNTS.items():
-        metrics.gauge(
-            f"link_{name}", description, partial(links.counts.__getitem__, name)
-        )
-
-
 def log_listening(**ports: int) -> None:
     """Write the log line that names the bound ports; ports may be 0 in settings."""
     _log.info({"message": "listening", "details": ports})
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -18,7 +18,7 @@
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
-from gypsumspoke.shell.entry_http import HEADER_TIMEOUT, CallerServer
+from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
 from gypsumspoke.shell.http_servers import open_metrics, open_small_server
 from gypsumspoke.shell.run_role import (
     StorePort,
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -10,12 +10,12 @@
 import gevent
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.parser.settings import DEFAULT_PARTITION_COUNT
+from gypsumspoke.core.data import Count, Log, Observe
 from gypsumspoke.runs.directory import DialEntries
 from gypsumspoke.runs.settings import RunSettings, parse_address
-from gypsumspoke.shell import metrics as role_metrics
-from gypsumspoke.shell.metrics import Metrics
-from gypsumspoke.shell.role import show_links
+from gypsumspoke.shell.late_metrics import LateMetrics
+from gypsumspoke.shell.link_metrics import show_links
+from gypsumspoke.shell.logs import log
 from gypsumspoke.shell.runtime import Reduce, Runtime
 from gypsumspoke.shell.settings_file import SettingsFile
 from gypsumspoke.wire.dialler import Dialler
@@ -25,6 +25,8 @@
 # Reports and pulses pass several times a second, so a connection without bytes for this
 # long is dead; a new one is made before the entry's runs would be stopped for good.
 SILENCE_LIMIT = timedelta(milliseconds=750)
+# Best-effort jobs have no homes; a process that has some is refused as a peer.
+_PARTITIONS = 0
 # The reducers end a stop by themselves; this bounds one that does not.
 _BEFORE_KILL = timedelta(milliseconds=300)
 
@@ -54,7 +56,7 @@
     incarnation: str
     links: PeerLinks
     dialler: Dialler
-    metrics: Metrics
+    metrics: LateMetrics
 
 
 def open_run_side(
@@ -73,14 +75,12 @@
     """
     incarnation = f"{settings.instance}-{os.urandom(8).hex()}"
     seed = int.from_bytes(os.urandom(8), "big")
-    hello = Hello(
-        PROTOCOL_VERSION, incarnation, settings.instance, DEFAULT_PARTITION_COUNT
-    )
+    hello = Hello(PROTOCOL_VERSION, incarnation, settings.instance, _PARTITIONS)
     links = stack.enter_context(closing(PeerLinks(hello, clock, seed, SILENCE_LIMIT)))
     if settings.peers is not None:
         links.listen(*settings.peers)
     dialler = stack.enter_context(closing(Dialler(links, clock, seed)))
-    metrics = Metrics(role, settings.instance)
+    metrics = stack.enter_context(closing(LateMetrics(role, settings.instance)))
     show_links(metrics, links)
     return RunSide(incarnation, links, dialler, metrics)
 
@@ -109,7 +109,9 @@
         drain_timeout=settings.grace - _BEFORE_KILL,
         ends_on_second_signal=False,
     )
-    role_metrics.install(runtime, side.metrics)
+    runtime.handle(Count, side.metrics.count)
+    runtime.handle(Observe, side.metrics.observe)
+    runtime.handle(Log, log)
 
     def dial(effect: DialEntries) -> None:
         side.dialler.set_addresses(map(parse_address, effect.addresses))
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 from gevent.event import Event
@@ -27,7 +27,6 @@
     Tick,
     WriteRows,
 )
-from gypsumspoke.shell.table_client import TableClient
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
@@ -43,6 +42,16 @@
 _log = logging.getLogger(__name__)
 
 
+class Table(Protocol):
+    """What the loop asks of the platform's table."""
+
+    def start(self, post: Callable[[Any], None]) -> None:
+        """Begin to answer calls by events."""
+
+    def call(self, effect: ReadRows | WriteRows) -> None:
+        """Queue a call; returns at once."""
+
+
 class Runtime:
     """The loop around one reducer.
 
@@ -65,7 +74,7 @@
         state: Any,
         clock: Clock,
         links: PeerLinks,
-        table: TableClient | None = None,
+        table: Table | None = None,
         drain_timeout: timedelta | None = None,
         is_draining: Callable[[], bool] | None = None,
         ends_on_second_signal: bool = True,
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -21,10 +21,10 @@
     StartResponse,
     TooLarge,
     json_answer,
-    problem,
     read_body,
     respond,
 )
+from gypsumspoke.shell.job_answers import problem
 
 UPSTREAM_PATH = "/v1/upstream"
 BODY_LIMIT = 16 * 1024
--- a/tests/fuzz/test_entry_http.py
+++ b/tests/fuzz/test_entry_http.py
@@ -11,7 +11,7 @@
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
 from gypsumspoke.parser.job_request import BODY_LIMIT
 from gypsumspoke.shell.entry_http import EntryHttp
-from gypsumspoke.shell.http_answers import PROBLEM_TYPE
+from gypsumspoke.shell.job_answers import PROBLEM_TYPE
 from tests.fuzz.test_job_request import JOB, bodies
 
 RUNNING = Answer(ErrorKind.JOB_RUNNING, Work.RUNNING)
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -120,7 +120,7 @@
         path.write_text(json.dumps(settings))
         os.environ["GYPSUMSPOKE_SETTINGS"] = str(path)
         try:
-            return self._processes.start("gypsumspoke", "platform", role)
+            return self._processes.start("gypsumspoke.platform", role)
         finally:
             del os.environ["GYPSUMSPOKE_SETTINGS"]
 
