Tests of the administration port wait for the entry's own row

Seen once, beside other work: test_the_first_manifest_replaces_version_0 failed in its fixture (ValueError: no row of entry-a). Trace: an entry is ready once its row is written (membership.is_registered); the status shows the members that it has read, which follows a moment later. The fixture asked once in between. It asks again now, within the same bound.

--- a/tests/standins/entry_process.py
+++ b/tests/standins/entry_process.py
@@ -109,11 +109,18 @@
         with gevent.Timeout(BOUND_SECONDS):
             while request(self.admin_port, "GET", "/readyz")[0] != 200:
                 gevent.sleep(0.02)
-        status = request(self.admin_port, "GET", "/v1/status")[2]
-        [own] = [m for m in status["members"] if m["worker"] == "entry-a"]
-        self.incarnation = own["incarnation"]
+        # Its row is written by then; its view of the members is read a moment later.
+        with gevent.Timeout(BOUND_SECONDS):
+            while not (own := self._own_members()):
+                gevent.sleep(0.02)
+        [member] = own
+        self.incarnation = member["incarnation"]
         return self
 
+    def _own_members(self):
+        status = request(self.admin_port, "GET", "/v1/status")[2]
+        return [m for m in status["members"] if m["worker"] == "entry-a"]
+
     def submit(self, changes=(), headers=None):
         body = json.dumps(job(**dict(changes))).encode()
         return request(self.port, "POST", "/v1/jobs", body, headers)
