Ports listen before the libraries are loaded

Hypothesis: a caller that is refused while a process loads comes back 1.3 s later, with a job that is late by then; with the port open its connection waits for the process. So do readiness checks, heartbeats and peers. Change: the entry point reads the addresses and opens them first; the servers take the open sockets over.

--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -18,6 +18,7 @@
 from gypsumspoke.runs.directory import EntriesRead
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.settings import RunSettings, address_text
+from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.log_stream import LogStream
 from gypsumspoke.shell.logs import configure_logs
 from gypsumspoke.shell.settings_file import SettingsFile
@@ -34,8 +35,12 @@
 _log = logging.getLogger(__name__)
 
 
-def run_entry() -> NoReturn:
-    """Run an entry until it is told to stop, and end the process."""
+def run_entry(listeners: EarlyListeners | None = None) -> NoReturn:
+    """Run an entry until it is told to stop, and end the process.
+
+    Args:
+      listeners: ports that listen already.
+    """
     from gypsumspoke.platform import callers
     from gypsumspoke.shell import run_entry as role
 
@@ -47,11 +52,16 @@
         _entry_store,
         SettingsFile(settings_path(), read_settings),
     )
-    _exit(role.run(settings, SteadyClock(), adapter))
+    listeners = listeners or EarlyListeners()
+    _exit(role.run(settings, SteadyClock(), adapter, listeners))
+
 
+def run_sidecar(listeners: EarlyListeners | None = None) -> NoReturn:
+    """Run a sidecar until it is told to stop, and end the process.
 
-def run_sidecar() -> NoReturn:
-    """Run a sidecar until it is told to stop, and end the process."""
+    Args:
+      listeners: ports that listen already.
+    """
     from gypsumspoke.platform.registration import WorkerRegistration
     from gypsumspoke.platform.worker import WorkerClient
     from gypsumspoke.shell import run_sidecar as role
@@ -63,7 +73,8 @@
         _sidecar_store,
         SettingsFile(settings_path(), read_settings),
     )
-    _exit(role.run(settings, SteadyClock(), adapter))
+    listeners = listeners or EarlyListeners()
+    _exit(role.run(settings, SteadyClock(), adapter, listeners))
 
 
 def _start(role: str) -> RunSettings:
--- a/gypsumspoke/shell/caller_server.py
+++ b/gypsumspoke/shell/caller_server.py
@@ -13,6 +13,7 @@
 from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.socket import socket
 
 from gypsumspoke.shell.admin_http import server_environ
 
@@ -38,6 +39,7 @@
       host, port: where to listen; port 0 takes any free one.
       application: the WSGI application.
       header_timeout: returns how long a request's header may take.
+      listener: a socket that listens there already, if there is one.
     """
 
     def __init__(
@@ -46,9 +48,10 @@
         port: int,
         application: Application,
         header_timeout: Callable[[], timedelta] = lambda: HEADER_TIMEOUT,
+        listener: socket | None = None,
     ) -> None:
         self._server = WSGIServer(
-            (host, port),
+            listener or (host, port),
             application,
             spawn=Pool(MAX_CONNECTIONS),
             handler_class=_Handler,
--- a/gypsumspoke/shell/http_servers.py
+++ b/gypsumspoke/shell/http_servers.py
@@ -14,26 +14,31 @@
     ShownMetrics,
     server_environ,
 )
+from gypsumspoke.shell.early_listeners import EarlyListeners
 
 # Readiness checks come once a second, heartbeats each second or two.
 _SMALL_SERVER_CONNECTIONS = 32
 
 
 def open_small_server(
-    address: Address, application: Application, stack: ExitStack
+    address: Address,
+    application: Application,
+    listeners: EarlyListeners,
+    stack: ExitStack,
 ) -> None:
     """Serve an application that a handful of clients call.
 
     Args:
       address: where to listen.
       application: WSGI application.
+      listeners: ports that listen already.
       stack: closes the server.
 
     Raises:
       OSError: the address can't be bound.
     """
     server = WSGIServer(
-        address,
+        listeners.take(address) or address,
         application,
         spawn=Pool(_SMALL_SERVER_CONNECTIONS),
         handler_class=IdleClosingHandler,
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -19,6 +19,7 @@
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
 from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
+from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_metrics, open_small_server
 from gypsumspoke.shell.run_role import (
     StorePort,
@@ -49,13 +50,19 @@
     settings_file: SettingsFile
 
 
-def run(settings: RunSettings, clock: Clock, adapter: EntryAdapter) -> int:
+def run(
+    settings: RunSettings,
+    clock: Clock,
+    adapter: EntryAdapter,
+    listeners: EarlyListeners,
+) -> int:
     """Run an entry until its graceful stop is complete.
 
     Args:
       settings: settings of this process.
       clock: steady clock.
       adapter: the world around it.
+      listeners: ports that listen already.
 
     Returns:
       The exit status; see ``Runtime.run``.
@@ -64,7 +71,7 @@
       OSError: a port can't be bound.
     """
     with ExitStack() as stack:
-        side = open_run_side(settings, "entry", clock, stack)
+        side = open_run_side(settings, "entry", clock, listeners, stack)
         own_address = address_text(settings.peers)
         state = CoordinatorState(
             adapter.parse_configuration,
@@ -77,9 +84,11 @@
         runtime.handle(FirstConfiguration, callers.note_configured)
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, side.metrics, is_ready, stack)
-        open_small_server(settings.readiness, adapter.readiness(is_ready), stack)
+        readiness = adapter.readiness(is_ready)
+        open_small_server(settings.readiness, readiness, listeners, stack)
         header_timeout = partial(_header_timeout, state)
-        server = CallerServer(*settings.callers, callers, header_timeout)
+        listener = listeners.take(settings.callers)
+        server = CallerServer(*settings.callers, callers, header_timeout, listener)
         stack.enter_context(closing(server))
         server.start()
         stack.callback(callers.give_up_all)
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -13,6 +13,7 @@
 from gypsumspoke.core.data import Count, Log, Observe
 from gypsumspoke.runs.directory import DialEntries
 from gypsumspoke.runs.settings import RunSettings, parse_address
+from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.late_metrics import LateMetrics
 from gypsumspoke.shell.link_metrics import show_links
 from gypsumspoke.shell.logs import log
@@ -60,7 +61,11 @@
 
 
 def open_run_side(
-    settings: RunSettings, role: str, clock: Clock, stack: ExitStack
+    settings: RunSettings,
+    role: str,
+    clock: Clock,
+    listeners: EarlyListeners,
+    stack: ExitStack,
 ) -> RunSide:
     """Draw an identity and listen for peers, if the role does.
 
@@ -68,17 +73,19 @@
       settings: settings of this process.
       role: name of the role, shown in metrics.
       clock: steady clock.
+      listeners: ports that listen already; closed with the stack.
       stack: closes what is opened.
 
     Raises:
       OSError: the port can't be bound.
     """
+    stack.callback(listeners.close)
     incarnation = f"{settings.instance}-{os.urandom(8).hex()}"
     seed = int.from_bytes(os.urandom(8), "big")
     hello = Hello(PROTOCOL_VERSION, incarnation, settings.instance, _PARTITIONS)
     links = stack.enter_context(closing(PeerLinks(hello, clock, seed, SILENCE_LIMIT)))
     if settings.peers is not None:
-        links.listen(*settings.peers)
+        links.listen(*settings.peers, listeners.take(settings.peers))
     dialler = stack.enter_context(closing(Dialler(links, clock, seed)))
     metrics = stack.enter_context(closing(LateMetrics(role, settings.instance)))
     show_links(metrics, links)
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -12,6 +12,7 @@
 from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.orders import HoldOrder, StartOrder, StopOrder
 from gypsumspoke.runs.settings import RunSettings
+from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_metrics, open_small_server
 from gypsumspoke.shell.run_role import (
     StorePort,
@@ -39,13 +40,19 @@
     settings_file: SettingsFile
 
 
-def run(settings: RunSettings, clock: Clock, adapter: SidecarAdapter) -> int:
+def run(
+    settings: RunSettings,
+    clock: Clock,
+    adapter: SidecarAdapter,
+    listeners: EarlyListeners,
+) -> int:
     """Run a sidecar until its graceful stop is complete.
 
     Args:
       settings: settings of this process.
       clock: steady clock.
       adapter: the world around it.
+      listeners: ports that listen already.
 
     Returns:
       The exit status; see ``Runtime.run``.
@@ -54,7 +61,7 @@
       OSError: a port can't be bound.
     """
     with ExitStack() as stack:
-        side = open_run_side(settings, "sidecar", clock, stack)
+        side = open_run_side(settings, "sidecar", clock, listeners, stack)
         state = GuardState(
             settings.service, Directory("", settings.known_entries), clock.now()
         )
@@ -68,7 +75,7 @@
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, side.metrics, is_ready, stack)
         registration = adapter.registration(runtime.post)
-        open_small_server(settings.registration, registration, stack)
+        open_small_server(settings.registration, registration, listeners, stack)
         store = adapter.open_store(settings, runtime.post)
         return run_until_stopped(
             runtime, side, store, state.directory.to_dial, adapter.settings_file, stack
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -128,12 +128,13 @@
         peer = self._peers.get(incarnation)
         return len(peer.connections) if peer else 0
 
-    def listen(self, host: str, port: int) -> int:
+    def listen(self, host: str, port: int, listener: socket | None = None) -> int:
         """Bind the port for peers; connections are accepted after ``start``.
 
         Args:
           host: IP number.
           port: TCP port; 0 for any free one.
+          listener: a socket that listens there already, if there is one.
 
         Returns:
           The bound port.
@@ -141,16 +142,8 @@
         Raises:
           OSError: the address can't be bound.
         """
-        listener = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
-        listener.setsockopt(standard_socket.SOL_SOCKET, standard_socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind((host, port))
-            listener.listen(_BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        return listener.getsockname()[1]
+        self._listener = listener or _listen(host, port)
+        return self._listener.getsockname()[1]
 
     def start(self, on_event: Callable[[LinkEvent], None]) -> None:
         """Begin to accept connections and to watch them.
@@ -425,6 +418,18 @@
             connection.send_heartbeat()
 
 
+def _listen(host: str, port: int) -> socket:
+    listener = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
+    listener.setsockopt(standard_socket.SOL_SOCKET, standard_socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 def _note(level: int, event: str, peer: str | None, reason: str) -> None:
     """Write one log line in the shape of ``shell/logs.py``."""
     _log.log(level, {"message": event, "details": {"peer": peer, "reason": reason}})
