Jobs that can't be in time any more let others go before

Hypothesis: in a surge a waiting job counted as in time until its time was over, though it could not end in time any more once less was left than it runs. It took the room in which a later job would have been in time. Change: a job is in time as long as its longest waiting task, at the pace of the fastest worker, ends before its aim. Test: tests/runs/test_overload.py, failed before.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -16,7 +16,7 @@
     JobProgress,
     longest_chain,
 )
-from gypsumspoke.runs.fleet import UNKNOWN_PACE, SidecarView
+from gypsumspoke.runs.fleet import SidecarView, fastest_pace
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.values import RefusalReason
 
@@ -107,7 +107,9 @@
     if _is_settling(state, event.route.service, now):
         return None
     wait = expected_wait(state, event.route.service, event.route.priority)
-    chain = longest_chain(event.job) * _fastest_pace(state, event.route.service)
+    chain = longest_chain(event.job) * fastest_pace(
+        state.views.values(), event.route.service
+    )
     excess = now + wait + chain - event.deadline
     if excess <= timedelta():
         return None
@@ -118,7 +120,7 @@
     state: CoordinatorState, progress: JobProgress, now: datetime
 ) -> Refusal | None:
     """Return a refusal if a job that has not run can't end before its deadline."""
-    pace = _fastest_pace(state, progress.route.service)
+    pace = fastest_pace(state.views.values(), progress.route.service)
     if now + longest_chain(progress.job) * pace <= progress.deadline:
         return None
     wait = expected_wait(state, progress.route.service, progress.route.priority)
@@ -151,14 +153,5 @@
     return timedelta(seconds=work / share) if share else DEFAULT_RETRY_AFTER
 
 
-def _fastest_pace(state: CoordinatorState, service: str) -> float:
-    paces = [
-        view.pace
-        for view in state.views.values()
-        if view.report is not None and view.report.service == service
-    ]
-    return min(paces, default=UNKNOWN_PACE)
-
-
 def _bounded(wait: timedelta) -> timedelta:
     return min(max(wait, timedelta()), LONGEST_RETRY_AFTER)
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -9,7 +9,7 @@
 """
 
 import logging
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from gypsumspoke.core.data import Effect, Log, Send
 from gypsumspoke.runs.coordinator_state import (
@@ -17,7 +17,7 @@
     JobProgress,
     TaskProgress,
 )
-from gypsumspoke.runs.fleet import SidecarView, note_placed
+from gypsumspoke.runs.fleet import SidecarView, fastest_pace, note_placed
 from gypsumspoke.runs.messages import PlaceRun
 from gypsumspoke.runs.placement import Choice, Wanted, choose, is_open_to
 from gypsumspoke.runs.values import RunId
@@ -61,9 +61,22 @@
 
 
 def _in_order(state: CoordinatorState, now: datetime) -> list[JobProgress]:
-    waiting = [state.jobs[job_id] for job_id in state.waiting]
-    waiting.sort(key=lambda job: (job.route.priority, now >= job.aim, job.arrived))
-    return waiting
+    paces = {
+        service: fastest_pace(state.views.values(), service)
+        for service in {state.jobs[job_id].route.service for job_id in state.waiting}
+    }
+
+    def rank(job: JobProgress) -> tuple[int, bool, datetime]:
+        in_time = now + _time_needed(state, job) * paces[job.route.service] <= job.aim
+        return (job.route.priority, not in_time, job.arrived)
+
+    return sorted((state.jobs[job_id] for job_id in state.waiting), key=rank)
+
+
+def _time_needed(state: CoordinatorState, progress: JobProgress) -> timedelta:
+    """Return the longest estimate of the tasks that wait."""
+    steps = {task.id.step for task in state.waiting[progress.id]}
+    return max(progress.job.steps[number].estimate for number in steps)
 
 
 def _place_job(
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -120,3 +121,13 @@
     for _, placement in view.unreported:
         free = subtract(free, placement.room)
     return free
+
+
+def fastest_pace(views: Iterable[SidecarView], service: str) -> float:
+    """Return the pace of the fastest worker of a service; 1 where none is known."""
+    paces = (
+        view.pace
+        for view in views
+        if view.report is not None and view.report.service == service
+    )
+    return min(paces, default=UNKNOWN_PACE)
--- a/tests/runs/test_overload.py
+++ b/tests/runs/test_overload.py
@@ -107,3 +107,19 @@
     seen = expected_wait(state, SERVICE, ROUTE.priority)
     state.views = {own.incarnation: own}
     assert seen == expected_wait(state, SERVICE, ROUTE.priority) > ms(500)
+
+
+def test_a_job_that_can_not_be_in_time_any_more_lets_others_go_before():
+    """A burst fills the queue. Its last jobs can't end in time any more, though their
+    time is not over. A job that comes then still can; behind them it would be late too.
+    """
+    world = settled(sidecars=1)
+    for number in range(6):
+        world.submit("entry0", f"a{number}", job(f"a{number}", count=2), ms(9000))
+    world.run(ms(190))
+    world.submit("entry0", "r1", job("j1", count=2), ms(9000))
+    world.run(ms(240))
+    assert world.end_of("r1") is JobEnd.COMPLETED
+    world.run(ms(4000))
+    ends = {world.end_of(f"a{number}") for number in range(6)}
+    assert ends == {JobEnd.COMPLETED}
