Callers that come back after a loss are told from new ones

They are late already, look like new ones and took the room in which those would have been in time. Change: a request says how long its caller still waits, and that shrinks with each try. Each entry learns for each route what callers wait at least; one who waits less has waited elsewhere for a pause or longer, and its job's aim lies as much earlier. What was learned is kept in the store, a row for each entry, read once at a start. A row that changes while it is being written is written once, with the newest value. Ruled out: the route's time-out as the bound of what is usual. It needs nothing to be learned, but tells only a fifth of the callers of the most frequent kind. Tests: tests/runs/test_patience.py replays the load (fails without it, see test_safeguards.py), tests/platform/test_kept_patience.py.

--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -12,6 +12,7 @@
 
 from gypsumspoke.core.clock import SteadyClock
 from gypsumspoke.platform.configuration import parse_configuration
+from gypsumspoke.platform.kept_patience import EntryStore
 from gypsumspoke.platform.settings import read_settings, settings_path
 from gypsumspoke.platform.store import Store, Watch
 from gypsumspoke.runs.coordinator_state import ConfigurationChanged
@@ -93,12 +94,12 @@
     os._exit(status)
 
 
-def _entry_store(settings: RunSettings, post: Callable[[Any], None]) -> Store:
+def _entry_store(settings: RunSettings, post: Callable[[Any], None]) -> EntryStore:
     watches = (
         Watch("op", _CONFIGURATION_WAIT, partial(_take_operator_rows, post)),
         Watch(ENTRIES_TABLE, _ENTRIES_WAIT, partial(_take_entries, post)),
     )
-    store = Store(settings.store, watches)
+    store = EntryStore(settings, watches, post)
     own = address_text(settings.peers).encode()
     store.put(ENTRIES_TABLE, settings.instance, own)
     return store
--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -66,6 +66,7 @@
         self._client = KeepAliveClient(address, _CONNECT_TIMEOUT, _ANSWER_BYTES)
         self._watches = watches
         self._greenlets: list[gevent.Greenlet] = []
+        self._unwritten: dict[tuple[str, str], bytes] = {}
         self._is_reached = True
 
     def start(self) -> None:
@@ -82,9 +83,43 @@
 
         Only for rows that no other process writes: repeating is then harmless.
         """
-        self._greenlets.append(gevent.spawn(self._put, table, key, value))
+        row = (table, key)
+        is_being_written = row in self._unwritten
+        self._unwritten[row] = value
+        if not is_being_written:
+            self._greenlets.append(gevent.spawn(self._put, table, key))
+
+    def read_once(
+        self, table: str, on_rows: Callable[[dict[str, bytes]], None]
+    ) -> None:
+        """Read a table until the store answers, and hand it over; returns at once.
+
+        Args:
+          table: name of the table.
+          on_rows: called once with the whole table; must not block.
+        """
+        self._greenlets.append(gevent.spawn(self._read_once, table, on_rows))
 
-    def _put(self, table: str, key: str, value: bytes) -> None:
+    def _read_once(
+        self, table: str, on_rows: Callable[[dict[str, bytes]], None]
+    ) -> None:
+        read = self._read_table(table)
+        while not is_successful(read):
+            gevent.sleep(RETRY_PAUSE.total_seconds())
+            read = self._read_table(table)
+        rows, _ = read.unwrap()
+        on_rows(rows)
+
+    def _put(self, table: str, key: str) -> None:
+        """Write the newest value of a row, and again should it change meanwhile."""
+        while (table, key) in self._unwritten:
+            value = self._unwritten[table, key]
+            if not is_successful(self._write(table, key, value)):
+                gevent.sleep(RETRY_PAUSE.total_seconds())
+            elif self._unwritten[table, key] is value:
+                del self._unwritten[table, key]
+
+    def _write(self, table: str, key: str, value: bytes) -> Result[dict, str]:
         row = {
             "table": table,
             "part": "",
@@ -93,8 +128,7 @@
         }
         body = {"expected_revision": [], "puts": [row], "remove": []}
         request = Request("POST", "/v1/rows-tx", _JSON, json.dumps(body).encode())
-        while not is_successful(self._call(request, CALL_WITHIN)):
-            gevent.sleep(RETRY_PAUSE.total_seconds())
+        return self._call(request, CALL_WITHIN)
 
     def _follow(self, watch: Watch) -> None:
         while True:
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -63,6 +63,7 @@
     WithdrawRun,
     WorkerReport,
 )
+from gypsumspoke.runs.patience import PatienceRead
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.run_ends import take_run_end
 from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd
@@ -74,6 +75,7 @@
 DRAIN_AT_MOST = timedelta(seconds=5.4)
 # Reports on a changed room come more often than proof of being alive is needed.
 PULSE_INTERVAL = timedelta(milliseconds=80)
+_MILLISECOND = timedelta(milliseconds=1)
 # A sidecar that is gone is forgotten after this; its runs are long dead.
 FORGET_AFTER = timedelta(seconds=30)
 
@@ -124,7 +126,7 @@
     refusal = refusal or refuse_hopeless(state, event, now)
     if refusal is not None:
         return refuse(event.request, event.job.id, refusal)
-    progress = JobProgress(event, now)
+    progress = JobProgress(event, now, _waited_elsewhere(state, event, now))
     state.jobs[progress.id] = progress
     state.by_request[event.request] = progress.id
     open_steps(state, progress)
@@ -132,6 +134,15 @@
     return [_log_accepted(state, progress), *effects]
 
 
+def _waited_elsewhere(
+    state: CoordinatorState, event: JobArrived, now: datetime
+) -> timedelta:
+    patience = event.deadline - now
+    waited = state.patience.waited(event.route.name, patience, now)
+    state.patience.note(event.route.name, patience)
+    return waited
+
+
 def _attach(
     state: CoordinatorState, progress: JobProgress, event: JobArrived
 ) -> list[Effect]:
@@ -180,6 +191,8 @@
         ("version", state.version),
         ("tasks", sum(step.count for step in progress.job.steps)),
         ("placed", progress.placed),
+        ("patience_ms", (progress.deadline - progress.arrived) // _MILLISECOND),
+        ("waited_ms", progress.waited // _MILLISECOND),
         ("jobs_waiting", len(state.waiting)),
         ("hosts", ",".join(sorted(hosts))),
     )
@@ -385,6 +398,13 @@
     return state.directory.take_stored(event.addresses)
 
 
+@_take.register
+def _(event: PatienceRead, state: CoordinatorState, now: datetime) -> list[Effect]:
+    state.patience.take_stored(event)
+    fields = (("entries", len(event.kept)),)
+    return [Log(logging.INFO, "usual patience read", fields=fields)]
+
+
 @_take.register
 def _(event: SettingsRead, state: CoordinatorState, now: datetime) -> list[Effect]:
     return state.directory.take_given(event.known_entries)
@@ -410,6 +430,9 @@
         if not view.connected and now >= view.reported + FORGET_AFTER:
             _forget(state, view)
     effects += _give_up_hopeless(state, now)
+    keep = state.patience.to_keep(now)
+    if keep is not None:
+        effects.append(keep)
     effects += place_waiting(state, now)
     return [*effects, *_continue_drain(state, now)]
 
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -6,8 +6,10 @@
 
 from returns.result import Result
 
+from gypsumspoke.runs.budget import RESEND
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.fleet import SidecarView
+from gypsumspoke.runs.patience import Patience
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.values import (
     Configuration,
@@ -107,6 +109,7 @@
       job, route: what was sent, and by which route.
       requests: the requests that wait for the answer; more than one where copies came.
       arrived: when the first copy came.
+      waited: how long its caller had waited elsewhere then.
       aim: when the job is late.
       deadline: when the last caller stops waiting.
       tasks: all tasks, by step.
@@ -115,12 +118,15 @@
       placed: how many runs were placed.
     """
 
-    def __init__(self, event: JobArrived, now: datetime) -> None:
+    def __init__(
+        self, event: JobArrived, now: datetime, waited: timedelta = timedelta()
+    ) -> None:
+        self.waited = waited
         self.job = event.job
         self.route = event.route
         self.requests = [event.request]
         self.arrived = now
-        self.aim = now + time_allowed(event.job, event.route)
+        self.aim = now + time_allowed(event.job, event.route) - waited
         self.deadline = event.deadline
         self.tasks = [
             [TaskProgress(TaskId(event.job.id, number, i)) for i in range(step.count)]
@@ -169,6 +175,7 @@
       draining: when the graceful stop began.
       left: the stop is complete.
       entries: connected entries.
+      patience: how long callers wait as a rule.
 
     Args:
       parse_configuration: reads a text that another entry sent.
@@ -199,6 +206,7 @@
         self.draining: datetime | None = None
         self.left = False
         self.entries: set[str] = set()
+        self.patience = Patience(RESEND, now)
         self.directory = directory
 
     @property
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -4,7 +4,7 @@
 from contextlib import ExitStack, closing
 from datetime import timedelta
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from returns.result import Result
 
@@ -16,6 +16,7 @@
     FirstConfiguration,
 )
 from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.patience import KeepPatience
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
 from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
@@ -30,6 +31,13 @@
 from gypsumspoke.shell.settings_file import SettingsFile
 
 
+class EntryStorePort(StorePort, Protocol):
+    """What an entry asks of the store."""
+
+    def keep_patience(self, effect: KeepPatience) -> None:
+        """Keep what was learned of callers; returns at once."""
+
+
 class EntryAdapter(NamedTuple):
     """How an entry meets the world around it.
 
@@ -46,7 +54,7 @@
     parse_configuration: Callable[[str], Result[Configuration, str]]
     open_callers: Callable[..., Any]
     readiness: Callable[[Callable[[], bool]], Any]
-    open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
+    open_store: Callable[[RunSettings, Callable[[Any], None]], EntryStorePort]
     settings_file: SettingsFile
 
 
@@ -93,6 +101,7 @@
         server.start()
         stack.callback(callers.give_up_all)
         store = adapter.open_store(settings, runtime.post)
+        runtime.handle(KeepPatience, store.keep_patience)
         return run_until_stopped(
             runtime, side, store, state.directory.to_dial, adapter.settings_file, stack
         )
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -15,9 +15,17 @@
     guard_life,
     guard_orders,
     guard_orphans,
+    patience,
 )
 from gypsumspoke.runs.values import JobEnd
-from tests.runs import test_faults, test_orphans, test_path, test_reports
+from tests.runs import (
+    test_faults,
+    test_orphans,
+    test_overload,
+    test_path,
+    test_patience,
+    test_reports,
+)
 from tests.runs.test_path import settled
 from tests.runs.world import World, job, ms
 
@@ -108,6 +116,20 @@
         test_orphans.test_a_run_that_is_being_stopped_for_a_new_sidecar_is_at_work,
         id="an unknown run counts until its stop has taken effect",
     ),
+    pytest.param(
+        [
+            (patience.Patience, "waited", lambda self, route, left, now: ms(0)),
+        ],
+        test_patience.test_a_new_job_goes_before_those_that_come_back,
+        id="callers that come back are told from new ones",
+    ),
+    pytest.param(
+        [
+            (assignment, "_time_needed", lambda state, progress: ms(0)),
+        ],
+        test_overload.test_a_job_that_can_not_be_in_time_any_more_lets_others_go_before,
+        id="jobs that can't be in time any more let others go before",
+    ),
     pytest.param(
         [
             (guard, "_send_back", lambda state, run, now: []),
