A command tells from logs when and why best-effort jobs were late

gypsumspoke losses FILE... counts by span, route and cause: late for want of a place, on a slow run, run again after what, come again, refused and given up by reason.

--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -8,6 +8,7 @@
 import logging
 import sys
 from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 from typing import NoReturn
 
@@ -321,6 +322,17 @@
 # Measuring
 
 
+@main.command()
+@click.argument("paths", metavar="FILE...", type=_FILE, nargs=-1, required=True)
+@click.option("--seconds", type=click.FloatRange(0.1, 3600), default=2.0)
+def losses(paths: tuple[Path, ...], seconds: float) -> None:
+    """Tell from log files when and why best-effort jobs were late or not served."""
+    from gypsumspoke.tools.losses import count_losses, render
+
+    lines = (line for path in paths for line in _read(path).splitlines())
+    click.echo(render(count_losses(lines, timedelta(seconds=seconds))))
+
+
 @main.command(add_help_option=False, context_settings={"ignore_unknown_options": True})
 @click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
 def measure(arguments: tuple[str, ...]) -> None:
