The time budget follows the platform's bounds

Cause: a deployment whose callers come back after 700 ms was not served at all: the times of the budget were fixed, they need 1,162 ms, and each process refused to start. Change: all times are multiples of the tick (silence of an entry 5, lease 6, renewal 0.6, and so on), and the tick is the longest for which silence, a tick, a lease on a slow clock and a stop end before a caller's next copy, at most 100 ms. With the bounds so far every time is what it was. A process refuses to start only where the tick would be below 25 ms, since the platform may keep a process from running for up to a tenth of a second and each such pause would count as the loss of an entry: with stops of 50 ms that is below 354 ms. The factor on tasks away from their data comes from the bounds too.

--- a/gypsumspoke/platform/settings.py
+++ b/gypsumspoke/platform/settings.py
@@ -8,8 +8,9 @@
 
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.runs.budget import RESEND, RUNS_DEAD_AFTER
+from gypsumspoke.runs.budget import DEFAULT_BOUNDS, Bounds, Budget, budget_for
 from gypsumspoke.runs.settings import Address, RunSettings, parse_address
+from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN
 
 PATH_VARIABLE = "GYPSUMSPOKE_SETTINGS"
 # The platform leaves the address of metrics to the deploy file, which names this port.
@@ -45,26 +46,34 @@
         return Failure(f"{path}: {error}")
 
 
-def _check_budget(bounds: dict[str, Any]) -> None:
-    """Refuse a deployment whose callers come back before their old runs are dead.
-
-    Two runs of one task would then be at work at once, and nothing would show it.
+def _budget(fields: dict[str, Any]) -> Budget:
+    """Return the time budget that the platform's bounds leave.
 
     Raises:
-      ValueError: they do.
+      ValueError: callers come back before their old runs can be dead. Two runs of one
+        task would be at work at once, and nothing would show it.
     """
-    resend = timedelta(milliseconds=bounds.get("resend_ms", RESEND / _MILLISECOND))
-    if resend <= RUNS_DEAD_AFTER:
-        raise ValueError(
-            f"bounds.resend_ms is {resend // _MILLISECOND}; the runs of a lost entry "
-            f"end within {RUNS_DEAD_AFTER // _MILLISECOND} ms"
-        )
+    bounds = Bounds(
+        resend=_bound(fields, "resend_ms", DEFAULT_BOUNDS.resend),
+        stop=_bound(fields, "stop_ms", DEFAULT_BOUNDS.stop),
+        longest_lease=_bound(fields, "max_hold_ms", DEFAULT_BOUNDS.longest_lease),
+    )
+    match budget_for(bounds):
+        case Success(budget):
+            return budget
+        case Failure(reason):
+            raise ValueError(f"bounds: {reason}")
+    raise AssertionError("a result is a success or a failure")
+
+
+def _bound(fields: dict[str, Any], name: str, default: timedelta) -> timedelta:
+    return fields[name] * _MILLISECOND if name in fields else default
 
 
 def _decode(fields: dict[str, Any]) -> RunSettings:
     listen = fields["listen"]
     is_entry = "front" in fields["serves"]
-    settings = RunSettings(
+    return RunSettings(
         # "node" is the process's machine, not a member of some cluster.
         instance=fields["node"],
         failure_domain=fields["zone"],
@@ -81,9 +90,11 @@
         known_entries=tuple(fields["seeds"]),
         store=parse_address(fields["platform"]["address"]),
         grace=timedelta(seconds=fields["bounds"]["grace_s"]),
+        budget=_budget(fields["bounds"]),
+        remote_slowdown=float(
+            fields["bounds"].get("remote_slowdown", DEFAULT_REMOTE_SLOWDOWN)
+        ),
     )
-    _check_budget(fields["bounds"])
-    return settings
 
 
 def _address(fields: dict[str, Any], name: str) -> Address | None:
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -108,14 +108,15 @@
         step,
         RunId(task.id, task.number + 1),
         (progress.aim - now).total_seconds(),
+        state.remote_slowdown,
     )
     views = _allowed_views(state, progress, task)
     if not task.avoided:
         return choose(views, wanted, now)
     fresh = [view for view in views if view.host not in task.avoided]
     # A worker where the task failed or was refused is tried again only where no other
-    # takes work at all. Tried whenever the others were full, one that refuses got, and
-    # sent back, the same tasks a thousand times a second.
+    # takes work at all. Tried whenever the others are full, one that refuses would get,
+    # and send back, the same tasks without end.
     if any(is_open_to(view, wanted, now) for view in fresh):
         return choose(fresh, wanted, now)
     return choose(views, wanted, now)
--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -1,45 +1,174 @@
 """The time budget that keeps two runs of one task apart.
 
-A caller whose connection broke sends its job again after ``RESEND`` through any entry,
-and the job may then run from the start, but not beside its old runs. The entry that
-took it may be dead, cut off or frozen, and so may a sidecar. So a run is allowed only
-for a bounded time after its coordinator was last known to live:
+A caller whose connection broke sends its job again after a pause through any entry, and
+the job may then run from the start, but not beside its old runs. The entry that took it
+may be dead, cut off or frozen, and so may a sidecar. So a run is allowed only for a
+bounded time after its coordinator was last known to live:
 
-* a sidecar stops the runs of an entry that it has not heard for ``ENTRY_SILENCE``;
-* a worker kills all runs when its lease ends, which its sidecar extends by ``LEASE`` at
+* a sidecar stops the runs of an entry that it has not heard for ``entry_silence``; it
+  looks at each tick;
+* a worker kills all runs when its lease ends, which its sidecar extends by ``lease`` at
   a time. A sidecar that is dead or frozen does not extend it.
 
-At worst the entry is lost at 0, its sidecar freezes just before ``ENTRY_SILENCE``, and
-the worker's clock is slow: the runs end by ``RUNS_DEAD_AFTER``, which is below
-``RESEND``. An entry that lives waits the same time before it places a run of a silent
-sidecar elsewhere.
+At worst the entry is lost at 0, its sidecar freezes just before the tick that would
+find it silent, and the worker's clock is slow: the runs end by ``runs_dead_after`` and
+a tick, before the caller's next copy. An entry that lives waits as long before it
+places a run of a silent sidecar elsewhere.
+
+The pause is the platform's bound, and all other times follow from it as multiples of
+the tick: with callers that come back sooner, everything is sent more often and believed
+for a shorter time.
 """
 
 from datetime import timedelta
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
 
-# From the platform's bounds: the shortest pause before a caller's second copy.
-RESEND = timedelta(milliseconds=1300)
 # From the platform's pages: a worker's clock may be this much slow.
 WORKER_CLOCK_ERROR = 0.02
-# From the platform's bounds: a stop takes at most this long.
-STOP_TAKES = timedelta(milliseconds=50)
-# An accepted stop has taken effect, and shows, by then: the bound on a stop and
-# a fifth of it for the worker's clock and its whole milliseconds.
-STOP_SHOWS_AFTER = STOP_TAKES * 1.2
-
-# Sidecars report, and entries answer, this often. Three reports may be lost or late
-# before an entry counts as silent.
-REPORT_INTERVAL = timedelta(milliseconds=100)
-ENTRY_SILENCE = timedelta(milliseconds=500)
-# Three renewals may fail before the worker kills what runs. Renewals come each
-# ``RENEWAL_INTERVAL`` at the latest.
-LEASE = timedelta(milliseconds=600)
-RENEWAL_INTERVAL = timedelta(milliseconds=60)
-# An order may be this old, by the sidecar's own clock: two report intervals, the way
-# there and back, and some load. An older one was held up or its sender was paused.
-ORDER_FRESH = timedelta(milliseconds=350)
-
-# From the platform's bounds: a worker shortens longer leases to this.
-LONGEST_LEASE = timedelta(milliseconds=1000) * (1 + WORKER_CLOCK_ERROR)
-LEASE_AT_MOST = LEASE * (1 + WORKER_CLOCK_ERROR)
-RUNS_DEAD_AFTER = ENTRY_SILENCE + LEASE_AT_MOST + STOP_TAKES
+
+# In ticks. Reports and pulses come about once a tick, so four of them may be lost or
+# late before an entry counts as silent, and nine renewals before a lease ends.
+ENTRY_SILENCE_TICKS = 5.0
+LEASE_TICKS = 6.0
+RENEWAL_TICKS = 0.6
+# Two ticks, the way there and back, and some load; an older order was held up, or its
+# sender was paused.
+ORDER_FRESH_TICKS = 3.5
+# A worker that left holds unanswered, and a sidecar that missed reports, for so long
+# get nothing new.
+WORKER_SILENCE_TICKS = 4.0
+REPORT_SILENCE_TICKS = 4.0
+# Several stops without an answer: from then on the lease is not extended.
+STOP_PATIENCE_TICKS = 4.5
+PULSE_TICKS = 0.8
+
+# More often than this costs processor time and brings nothing.
+LONGEST_TICK = timedelta(milliseconds=100)
+# The platform may keep a process from running for the rest of a tenth of a second. With
+# a shorter tick each such pause would count as the loss of an entry.
+SHORTEST_TICK = timedelta(milliseconds=25)
+
+
+class Bounds(NamedTuple):
+    """What the platform promises, and the budget is made of.
+
+    Attributes:
+      resend: the shortest pause before a caller's second copy.
+      stop: a stop takes at most this long.
+      longest_lease: a worker shortens longer leases to this, by its own clock.
+    """
+
+    resend: timedelta
+    stop: timedelta
+    longest_lease: timedelta
+
+
+DEFAULT_BOUNDS = Bounds(
+    resend=timedelta(milliseconds=1300),
+    stop=timedelta(milliseconds=50),
+    longest_lease=timedelta(milliseconds=1000),
+)
+
+
+class Budget(NamedTuple):
+    """Times that hold together; made by ``budget_for``.
+
+    Attributes:
+      bounds: the platform's bounds.
+      tick: how often each process looks at the time, and reports.
+    """
+
+    bounds: Bounds
+    tick: timedelta
+
+    @property
+    def entry_silence(self) -> timedelta:
+        """After this a sidecar stops the runs of an entry that it has not heard."""
+        return self.tick * ENTRY_SILENCE_TICKS
+
+    @property
+    def order_fresh(self) -> timedelta:
+        """An order may be this old, by the sidecar's own clock."""
+        return self.tick * ORDER_FRESH_TICKS
+
+    @property
+    def lease(self) -> timedelta:
+        """A sidecar extends its worker's lease by this at a time."""
+        return min(self.tick * LEASE_TICKS, self.bounds.longest_lease)
+
+    @property
+    def lease_at_most(self) -> timedelta:
+        """How long a lease can last on a worker whose clock is slow."""
+        return self.lease * (1 + WORKER_CLOCK_ERROR)
+
+    @property
+    def longest_lease(self) -> timedelta:
+        """How long any lease can last, whatever end it names."""
+        return self.bounds.longest_lease * (1 + WORKER_CLOCK_ERROR)
+
+    @property
+    def renewal_interval(self) -> timedelta:
+        """A lease is extended this often at the latest."""
+        return self.tick * RENEWAL_TICKS
+
+    @property
+    def worker_silence(self) -> timedelta:
+        """A worker that left holds unanswered for so long is hung or cut off."""
+        return self.tick * WORKER_SILENCE_TICKS
+
+    @property
+    def report_silence(self) -> timedelta:
+        """A sidecar that was not heard for so long may be frozen or cut off."""
+        return self.tick * REPORT_SILENCE_TICKS
+
+    @property
+    def stop_patience(self) -> timedelta:
+        """A stop may stay unanswered this long before the lease is left to end."""
+        return self.tick * STOP_PATIENCE_TICKS
+
+    @property
+    def stop_shows_after(self) -> timedelta:
+        """An accepted stop has taken effect, and shows, by then.
+
+        The bound on a stop, and a fifth of it for the worker's clock and its whole
+        milliseconds.
+        """
+        return self.bounds.stop * 1.2
+
+    @property
+    def pulse_interval(self) -> timedelta:
+        """How often an entry answers reports, which may come more often."""
+        return self.tick * PULSE_TICKS
+
+    @property
+    def runs_dead_after(self) -> timedelta:
+        """All runs of an entry are gone this long after its last proof of life."""
+        return self.entry_silence + self.lease_at_most + self.bounds.stop
+
+
+def budget_for(bounds: Bounds) -> Result[Budget, str]:
+    """Work out the budget for a platform's bounds.
+
+    Args:
+      bounds: what the platform promises.
+
+    Returns:
+      The budget, or a sentence that says why there is none.
+    """
+    lease_ticks = LEASE_TICKS * (1 + WORKER_CLOCK_ERROR)
+    # One more for the tick at which the silence shows.
+    ticks = ENTRY_SILENCE_TICKS + lease_ticks + 1
+    tick = min((bounds.resend - bounds.stop) / ticks, LONGEST_TICK)
+    if tick < SHORTEST_TICK:
+        least = bounds.stop + SHORTEST_TICK * ticks
+        millisecond = timedelta(milliseconds=1)
+        return Failure(
+            f"callers come back after {bounds.resend // millisecond} ms; runs of a "
+            f"lost entry can end within {least // millisecond} ms at the soonest"
+        )
+    return Success(Budget(bounds, tick))
+
+
+DEFAULT_BUDGET = budget_for(DEFAULT_BOUNDS).unwrap()
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -73,8 +73,6 @@
 DRAIN_AT_LEAST = timedelta(seconds=2.6)
 # It ends at the latest then: before the platform kills it, some seconds after SIGTERM.
 DRAIN_AT_MOST = timedelta(seconds=5.4)
-# Reports on a changed room come more often than proof of being alive is needed.
-PULSE_INTERVAL = timedelta(milliseconds=80)
 _MILLISECOND = timedelta(milliseconds=1)
 # A sidecar that is gone is forgotten after this; its runs are long dead.
 FORGET_AFTER = timedelta(seconds=30)
@@ -251,13 +249,13 @@
     view = state.views.get(sender)
     effects = note_heard(state)
     if view is None:
-        view = SidecarView(sender, host_of(sender), now)
+        view = SidecarView(sender, host_of(sender), now, state.budget)
         state.views[sender] = view
         fields = (("sidecar", sender), ("worker", message.worker))
         effects.append(Log(logging.INFO, "sidecar found", fields=fields))
     was_taking = view.report is not None and view.report.takes_work
     take_report(view, message, now)
-    if now - view.last_sent >= PULSE_INTERVAL:
+    if now - view.last_sent >= state.budget.pulse_interval:
         view.last_sent = now
         effects.append(Send(sender, Pulse(message.stamp)))
     if was_taking is not message.takes_work:
@@ -301,8 +299,8 @@
     The new process says that nothing they started runs any more.
     """
     effects: list[Effect] = []
-    # Few are lost at any time; to look at all sidecars at each report of each took a
-    # sixteenth of the processor time of an entry with 54 of them.
+    # Few are lost at any time; to look at all sidecars at each report of each would
+    # cost an entry processor time that grows with the square of their number.
     for incarnation in sorted(state.lost):
         other = state.views[incarnation]
         if other.host == view.host and other is not view:
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -6,12 +6,13 @@
 
 from returns.result import Result
 
-from gypsumspoke.runs.budget import RESEND
+from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.fleet import SidecarView
 from gypsumspoke.runs.patience import Patience
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.values import (
+    DEFAULT_REMOTE_SLOWDOWN,
     Configuration,
     Job,
     JobEnd,
@@ -181,6 +182,8 @@
       parse_configuration: reads a text that another entry sent.
       directory: whom this entry connects to.
       now: when it starts.
+      budget: the time budget of all runs.
+      remote_slowdown: factor on a task's run time away from its data.
     """
 
     def __init__(
@@ -188,7 +191,11 @@
         parse_configuration: Callable[[str], Result[Configuration, str]],
         directory: Directory,
         now: datetime,
+        budget: Budget = DEFAULT_BUDGET,
+        remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN,
     ) -> None:
+        self.budget = budget
+        self.remote_slowdown = remote_slowdown
         self.parse_configuration = parse_configuration
         self.started = now
         self.views: dict[str, SidecarView] = {}
@@ -206,7 +213,7 @@
         self.draining: datetime | None = None
         self.left = False
         self.entries: set[str] = set()
-        self.patience = Patience(RESEND, now)
+        self.patience = Patience(budget.bounds.resend, now)
         self.directory = directory
 
     @property
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -7,15 +7,13 @@
 
 from collections import deque
 from collections.abc import Iterable
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import NamedTuple
 
-from gypsumspoke.runs.budget import RUNS_DEAD_AFTER
+from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, subtract
 
-# A sidecar that missed three reports gets nothing new: it may be frozen or cut off.
-REPORT_SILENCE = timedelta(milliseconds=400)
 # Run time over estimate that is assumed before the first end of a worker.
 UNKNOWN_PACE = 1.0
 # A worker's pace may look extreme after one odd run; beyond these it is not believed.
@@ -33,6 +31,7 @@
     """One connected or lately lost sidecar.
 
     Attributes:
+      budget: the time budget of all runs.
       incarnation, host: the process, and the name of the instance it runs on.
       report: its latest report; None before the first.
       reported: when that came.
@@ -44,7 +43,14 @@
       open_runs: room of the runs placed there that have not ended.
     """
 
-    def __init__(self, incarnation: str, host: str, now: datetime) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        host: str,
+        now: datetime,
+        budget: Budget = DEFAULT_BUDGET,
+    ) -> None:
+        self.budget = budget
         self.incarnation = incarnation
         self.host = host
         self.report: WorkerReport | None = None
@@ -65,7 +71,7 @@
     @property
     def runs_dead_at(self) -> datetime:
         """When all runs placed there are certainly gone if it stays silent."""
-        return self.last_sent + RUNS_DEAD_AFTER
+        return self.last_sent + self.budget.runs_dead_after
 
 
 def take_report(view: SidecarView, report: WorkerReport, now: datetime) -> None:
@@ -109,7 +115,7 @@
         view.connected
         and view.report is not None
         and view.report.takes_work
-        and now - view.reported < REPORT_SILENCE
+        and now - view.reported < view.budget.report_silence
         # A worker that fails is tried with one run at a time.
         and not (view.report.failing and view.open_runs)
     )
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -35,7 +35,6 @@
     guard_orders,
     guard_report,
 )
-from gypsumspoke.runs.budget import ENTRY_SILENCE, ORDER_FRESH
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.guard_state import (
     GuardedRun,
@@ -210,7 +209,7 @@
         return known
     # An order that was held up by a cut, or lay in the buffers of a process that was
     # paused, may come after its entry has given the run up and placed it elsewhere.
-    if state.origin + message.heard < now - ORDER_FRESH:
+    if state.origin + message.heard < now - state.budget.order_fresh:
         return _refuse(state, message.run, sender, EndReason.ORDER_STALE)
     effects = _end_older_runs(state, message.run, sender, now)
     reason = _cannot_take(state, message)
@@ -406,13 +405,13 @@
 
 
 def _stop_runs_of_silent_entries(state: GuardState, now: datetime) -> list[Effect]:
-    """End the runs of entries that were not heard for ``ENTRY_SILENCE``.
+    """End the runs of entries that were not heard for ``entry_silence``.
 
     An entry that died can't stop them, and its caller will send the job again. Without
     this both runs of a task would be at work at once.
     """
     effects: list[Effect] = []
-    limit = now - ENTRY_SILENCE
+    limit = now - state.budget.entry_silence
     for guarded in list(state.runs.values()):
         if state.heard.get(guarded.coordinator, state.origin) < limit:
             effects += guard_orders.end_run_early(
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -3,7 +3,6 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.data import Effect
-from gypsumspoke.runs.budget import LEASE, RENEWAL_INTERVAL, STOP_SHOWS_AFTER
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_life import (
     extend_dead_by,
@@ -14,7 +13,6 @@
 )
 from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
 from gypsumspoke.runs.guard_orphans import stop_orphans
-from gypsumspoke.runs.guard_report import WORKER_SILENCE
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
 from gypsumspoke.runs.orders import (
     EndedRun,
@@ -25,9 +23,6 @@
 )
 from gypsumspoke.runs.values import EndReason, RunEnd
 
-# Several stops without an answer: from then on the lease is not extended, and it ends
-# within the time in which the run must be gone.
-STOP_PATIENCE = timedelta(milliseconds=450)
 # A hold is answered or given up by the shell within its wait and this long at most.
 HOLD_ANSWER_WITHIN = timedelta(milliseconds=120)
 # A run without progress for this long, or this share of its estimate, stands still. A
@@ -47,8 +42,9 @@
     seen this process's token nothing can start, so those holds don't wait for an end:
     after a loss of all processes each wait would keep the worker idle.
     """
+    interval = state.budget.renewal_interval
     if state.hold_sent is not None:
-        overdue = state.hold_sent + RENEWAL_INTERVAL + 2 * HOLD_ANSWER_WITHIN
+        overdue = state.hold_sent + interval + 2 * HOLD_ANSWER_WITHIN
         if now < overdue:
             return []
     state.hold_sent = now
@@ -56,8 +52,8 @@
     lease_end = None
     if _may_extend(state, now):
         extend_dead_by(state, now)
-        lease_end = worker_clock(state, now) + LEASE
-    wait = RENEWAL_INTERVAL if state.is_fenced else timedelta()
+        lease_end = worker_clock(state, now) + state.budget.lease
+    wait = interval if state.is_fenced else timedelta()
     return [HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)]
 
 
@@ -66,7 +62,7 @@
         return False
     if state.heard_worker is None or _has_overdue_stop(state, now):
         return False
-    return now - state.heard_worker < WORKER_SILENCE
+    return now - state.heard_worker < state.budget.worker_silence
 
 
 def _has_overdue_stop(state: GuardState, now: datetime) -> bool:
@@ -78,7 +74,7 @@
     return any(
         guarded.phase is Phase.STOPPING
         and guarded.stop_clock is None
-        and now - guarded.stop_since > STOP_PATIENCE
+        and now - guarded.stop_since > state.budget.stop_patience
         for guarded in state.runs.values()
     )
 
@@ -195,7 +191,7 @@
             continue
         if guarded.phase is Phase.RUNNING and _is_after_start(event, guarded):
             effects += finish(state, guarded, RunEnd.LOST, EndReason.WORKER_GONE, now)
-        elif _is_after_stop(event, guarded):
+        elif _is_after_stop(state, event, guarded):
             end = RunEnd.NOT_RUN if guarded.in_doubt else RunEnd.STOPPED
             effects += finish(state, guarded, end, guarded.stop_reason, now)
     return effects
@@ -208,7 +204,7 @@
     return event.clock > guarded.start_clock
 
 
-def _is_after_stop(event: HoldAnswered, guarded: GuardedRun) -> bool:
+def _is_after_stop(state: GuardState, event: HoldAnswered, guarded: GuardedRun) -> bool:
     """Return whether a stopped run that no list shows is gone for certain.
 
     While it is being stopped a run is at work and in neither list. Taken for gone at
@@ -216,7 +212,7 @@
     """
     if guarded.stop_clock is None:
         return False
-    return event.clock > guarded.stop_clock + STOP_SHOWS_AFTER
+    return event.clock > guarded.stop_clock + state.budget.stop_shows_after
 
 
 def _stop_stalled(state: GuardState, now: datetime) -> list[Effect]:
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -4,7 +4,6 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.data import Effect, Log
-from gypsumspoke.runs.budget import LEASE_AT_MOST, LONGEST_LEASE
 from gypsumspoke.runs.guard_state import GuardState, Lease
 from gypsumspoke.runs.values import Registration
 
@@ -74,12 +73,12 @@
         guarded.stop_clock = None
     # A start that was meant for the old life named a time of the old clock, which may
     # be far ahead on the new one; the worker shortens such a lease to its maximum.
-    dead_by = max(state.lease.dead_by, now + LONGEST_LEASE)
+    dead_by = max(state.lease.dead_by, now + state.budget.longest_lease)
     state.lease = Lease(None, dead_by)
 
 
 def extend_dead_by(state: GuardState, now: datetime) -> None:
-    dead_by = max(state.lease.dead_by, now + LEASE_AT_MOST)
+    dead_by = max(state.lease.dead_by, now + state.budget.lease_at_most)
     state.lease = state.lease._replace(dead_by=dead_by)
 
 
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -5,7 +5,6 @@
 from functools import partial
 
 from gypsumspoke.core.data import Effect, Log
-from gypsumspoke.runs.budget import LEASE
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_life import (
     extend_dead_by,
@@ -44,7 +43,7 @@
         guarded.run,
         guarded.spec,
         state.worker.id,
-        worker_clock(state, now) + LEASE,
+        worker_clock(state, now) + state.budget.lease,
         state.token,
     )
     return [order]
--- a/gypsumspoke/runs/guard_orphans.py
+++ b/gypsumspoke/runs/guard_orphans.py
@@ -12,7 +12,6 @@
 import logging
 
 from gypsumspoke.core.data import Effect, Log
-from gypsumspoke.runs.budget import STOP_SHOWS_AFTER
 from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.orders import HoldAnswered, StopOrder
 
@@ -48,5 +47,5 @@
             continue
         if vanished is None:
             state.orphans[run] = vanished = event.clock
-        if run in ended or event.clock > vanished + STOP_SHOWS_AFTER:
+        if run in ended or event.clock > vanished + state.budget.stop_shows_after:
             del state.orphans[run]
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -8,20 +8,16 @@
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
 
-# A worker that left a hold unanswered for longer than a wait and two ways is taken for
-# hung or cut off: what is started there now would be found out only later.
-WORKER_SILENCE = timedelta(milliseconds=400)
-# A changed room is reported this often at most: some 50 reports a second from a busy
-# worker cost an entry about a percent of a core.
+# A changed room is reported this often at most: each report costs an entry processor
+# time, and a busy worker's room changes with each start and end.
 CHANGE_INTERVAL = timedelta(milliseconds=20)
-# With more entries than this each of them hears of changes less often, so that a
-# sidecar sends no more than 200 such reports a second in all. With nine entries and 54
-# busy sidecars an entry took 1,320 reports a second, most of its processor time.
+# With more entries than this each of them hears of changes less often, so that what
+# a sidecar sends does not grow with the entries, nor what an entry takes.
 ENTRIES_AT_FULL_RATE = 4
-# An entry that was told of a change this short a time ago needs no regular report.
-TOLD_LATELY = timedelta(milliseconds=50)
-# So many runs must show a pace, and so clear a change. Estimates are off by a factor of
-# 1.5; the mean of three is then off by two about once in three hundred.
+# An entry that was told of a change so many ticks ago needs no regular report.
+TOLD_LATELY_TICKS = 0.5
+# So many runs must show a pace, and so clear a change: estimates are far off, but the
+# mean of some seldom is by this much.
 RUNS_THAT_AGREE = 3
 CLEAR_CHANGE = 2.0
 # A worker whose smoothed share of failed ends is above this fails nearly everything.
@@ -44,7 +40,9 @@
 
 def is_answering(state: GuardState, now: datetime) -> bool:
     """Return whether the worker answered a hold a moment ago."""
-    return state.heard_worker is not None and now - state.heard_worker < WORKER_SILENCE
+    if state.heard_worker is None:
+        return False
+    return now - state.heard_worker < state.budget.worker_silence
 
 
 def is_failing(state: GuardState) -> bool:
@@ -109,13 +107,14 @@
 def report_regularly(state: GuardState, now: datetime) -> list[Effect]:
     """Return reports for all entries but those that were told a moment ago.
 
-    Left out of every second tick at most, a report is never older than a tick and
-    ``TOLD_LATELY``, well below the age at which an entry gives a sidecar up.
+    Left out of every second tick at most, a report is never older than a tick and a
+    half, well below the age at which an entry gives a sidecar up.
     """
     effects: list[Effect] = []
+    told_lately = state.budget.tick * TOLD_LATELY_TICKS
     for peer in sorted(state.peers):
         told = state.told.get(peer)
-        if told is None or now - told.at >= TOLD_LATELY:
+        if told is None or now - told.at >= told_lately:
             effects += report_to(state, peer, now)
     return effects
 
@@ -127,8 +126,8 @@
     processes jobs wait for the first worker, and what is placed on one that has just
     begun to drain comes back.
 
-    With reports at the regular interval only, entries placed work on full workers while
-    others had room: in a calm day at 60 % load a twentieth of the tasks waited 0.1 s.
+    With reports at the regular interval only, entries would place work on full workers
+    while others have room, and get it back a tick later.
     """
     effects: list[Effect] = []
     interval = CHANGE_INTERVAL * max(1.0, len(state.peers) / ENTRIES_AT_FULL_RATE)
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.messages import RunEnded
 from gypsumspoke.runs.values import (
@@ -112,6 +113,7 @@
 
     Attributes:
       origin: zero of the stamps in reports.
+      budget: the time budget of all runs.
       service: the service that the settings name; empty for any.
       worker: what the worker last said of itself; None before.
       born: the life of the worker that ``last_seen`` belongs to.
@@ -143,8 +145,15 @@
       directory: whom this sidecar connects to.
     """
 
-    def __init__(self, service: str, directory: Directory, now: datetime) -> None:
+    def __init__(
+        self,
+        service: str,
+        directory: Directory,
+        now: datetime,
+        budget: Budget = DEFAULT_BUDGET,
+    ) -> None:
         self.origin = now
+        self.budget = budget
         self.service = service
         self.worker: Registration | None = None
         self.born: int | None = None
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -14,10 +14,8 @@
 from typing import NamedTuple
 
 from gypsumspoke.runs.fleet import Placement, SidecarView, free_room, is_open
-from gypsumspoke.runs.values import Room, RunId, Step, fits
+from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN, Room, RunId, Step, fits
 
-# From the platform's bounds: a task away from its data takes this much longer.
-REMOTE_SLOWDOWN = 1.5
 # Messages, the start and the answer take some milliseconds of what a job may take.
 OVERHEAD_SECONDS = 0.015
 # Keeps the cost of the last free piece of a worker finite.
@@ -46,12 +44,14 @@
       step: the task's step.
       run: the run to be placed.
       seconds_left: until its job is late.
+      remote_slowdown: factor on a task's run time away from its data.
     """
 
     service: str
     step: Step
     run: RunId
     seconds_left: float
+    remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN
 
 
 def serves(view: SidecarView, service: str, step: Step) -> bool:
@@ -89,7 +89,7 @@
     for view in views:
         if not is_open_to(view, wanted, now):
             continue
-        seconds = run_seconds(view, wanted.step)
+        seconds = run_seconds(view, wanted)
         in_time = seconds + OVERHEAD_SECONDS <= wanted.seconds_left
         free = free_room(view)
         if not fits(wanted.step.room, free):
@@ -110,9 +110,10 @@
     return max(free.cpu / max(view.report.capacity.cpu, 1), LEAST_FREE_SHARE)
 
 
-def run_seconds(view: SidecarView, step: Step) -> float:
-    """Return the expected run time of a task of this step there."""
+def run_seconds(view: SidecarView, wanted: Wanted) -> float:
+    """Return the expected run time of a task there."""
+    step = wanted.step
     seconds = step.estimate.total_seconds() * view.pace
     if step.rack and step.rack not in view.report.labels:
-        seconds *= REMOTE_SLOWDOWN
+        seconds *= wanted.remote_slowdown
     return seconds
--- a/gypsumspoke/runs/settings.py
+++ b/gypsumspoke/runs/settings.py
@@ -3,6 +3,9 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
+from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN
+
 Address = tuple[str, int]
 
 
@@ -23,6 +26,8 @@
       known_entries: addresses of some entries, which may be stale.
       store: address of the store.
       grace: time from SIGTERM until the process is killed.
+      budget: the time budget of all runs, from the platform's bounds.
+      remote_slowdown: factor on a task's run time away from its data.
     """
 
     instance: str
@@ -38,6 +43,8 @@
     known_entries: tuple[str, ...]
     store: Address
     grace: timedelta
+    budget: Budget = DEFAULT_BUDGET
+    remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN
 
 
 def address_text(address: Address) -> str:
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -12,6 +12,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+# Where the platform does not say how much longer a task takes away from its data.
+DEFAULT_REMOTE_SLOWDOWN = 1.5
+
 
 class Room(NamedTuple):
     """What a task needs, or a worker has.
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -85,6 +85,8 @@
             adapter.parse_configuration,
             Directory(own_address, settings.known_entries),
             clock.now(),
+            settings.budget,
+            settings.remote_slowdown,
         )
         runtime = open_runtime(settings, side, coordinator.reduce, state, clock)
         callers = adapter.open_callers(runtime.post, side.metrics.count, clock, state)
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -115,6 +115,7 @@
         side.links,
         drain_timeout=settings.grace - _BEFORE_KILL,
         ends_on_second_signal=False,
+        tick=settings.budget.tick,
     )
     runtime.handle(Count, side.metrics.count)
     runtime.handle(Observe, side.metrics.observe)
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -63,7 +63,10 @@
     with ExitStack() as stack:
         side = open_run_side(settings, "sidecar", clock, listeners, stack)
         state = GuardState(
-            settings.service, Directory("", settings.known_entries), clock.now()
+            settings.service,
+            Directory("", settings.known_entries),
+            clock.now(),
+            settings.budget,
         )
         runtime = open_runtime(settings, side, guard.reduce, state, clock)
         worker = stack.enter_context(
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -66,6 +66,7 @@
         or another process may have asked for; None when only SIGTERM can.
       ends_on_second_signal: whether a second SIGTERM ends the process at once. Where
         two planned stops may overlap, it would cut what the first one waits for.
+      tick: how often the reducer is told that time has passed.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         drain_timeout: timedelta | None = None,
         is_draining: Callable[[], bool] | None = None,
         ends_on_second_signal: bool = True,
+        tick: timedelta = TICK,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -87,6 +89,7 @@
         self._events: deque[Any] = deque()
         self._pending = Event()
         self._tick_waits = False
+        self._tick_interval = tick
         self._draining = False
         self._drain_timeout = drain_timeout
         self._is_draining = is_draining or (lambda: False)
@@ -228,4 +231,4 @@
                 self.post(Tick())
             if self._is_draining():
                 self._bound_drain()
-            gevent.sleep(TICK.total_seconds())
+            gevent.sleep(self._tick_interval.total_seconds())
--- /dev/null
+++ b/tests/runs/test_budget.py
@@ -0,0 +1,64 @@
+"""The time budget: what the platform's bounds leave of it."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, strategies as st
+from returns.pipeline import is_successful
+
+from gypsumspoke.runs.budget import (
+    DEFAULT_BOUNDS,
+    LONGEST_TICK,
+    Bounds,
+    budget_for,
+)
+from gypsumspoke.runs.values import JobEnd
+from tests.runs.walk import CutOffWalk, Walk
+from tests.runs.world import World, job, ms
+
+EARLY = budget_for(DEFAULT_BOUNDS._replace(resend=ms(700))).unwrap()
+EARLIEST = budget_for(DEFAULT_BOUNDS._replace(resend=ms(400))).unwrap()
+
+durations = st.integers(1, 5000).map(ms)
+
+
+@given(resend=durations, stop=durations, longest_lease=durations)
+def test_old_runs_are_gone_before_a_caller_comes_back(resend, stop, longest_lease):
+    """Whatever the bounds: an entry is lost at 0, its sidecar freezes just before the
+    tick that finds it silent, and the worker's clock is slow. Either the runs end
+    before the caller's next copy, or no process starts.
+    """
+    made = budget_for(Bounds(resend, stop, longest_lease))
+    if not is_successful(made):
+        assert resend < ms(500) or stop > resend - ms(500)
+        return
+    budget = made.unwrap()
+    assert budget.runs_dead_after + budget.tick <= resend + timedelta(microseconds=50)
+    assert budget.lease <= longest_lease
+    assert budget.tick <= LONGEST_TICK
+
+
+@given(resend=st.integers(400, 5000).map(ms))
+def test_some_messages_may_be_lost_before_anything_counts_as_silent(resend):
+    budget = budget_for(DEFAULT_BOUNDS._replace(resend=resend)).unwrap()
+    assert budget.entry_silence >= 4 * (budget.tick + budget.pulse_interval) / 2
+    assert budget.lease >= 4 * budget.renewal_interval
+    assert budget.worker_silence < budget.lease
+
+
+@pytest.mark.parametrize("budget", [EARLY, EARLIEST], ids=["700 ms", "400 ms"])
+@pytest.mark.parametrize("seed", range(12))
+def test_walks_break_no_promise_where_callers_come_back_early(seed, budget):
+    """Entries, sidecars and workers are lost, cut off and paused, and callers send
+    their jobs again sooner than elsewhere. No task runs twice at once.
+    """
+    assert Walk(seed, budget).play() == []
+    assert CutOffWalk(seed, budget).play() == []
+
+
+def test_a_deployment_whose_callers_come_back_early_is_served():
+    world = World(budget=EARLY)
+    world.run(ms(2000))
+    world.submit("entry0", "r1", job("j1", count=6), ms(2000))
+    world.run(ms(1500))
+    assert world.end_of("r1") is JobEnd.COMPLETED
--- a/tests/runs/test_placement.py
+++ b/tests/runs/test_placement.py
@@ -95,3 +95,17 @@
     assert place([failing]) == "one"
     note_placed(failing, Placement(RUN, STEP.room))
     assert place([failing]) is None
+
+
+def test_how_much_longer_a_task_takes_away_from_its_data_is_the_platforms_word():
+    """A task's data is on the rack of a busy worker; another rack's worker is free. How
+    late the task would be there depends on the platform's slowdown: with a small one it
+    goes there in time, with a large one it waits for its rack.
+    """
+    step = STEP._replace(rack="r1")
+    near = view("near", free=0, labels=("r1",))
+    far = view("far", labels=("r2",))
+    seconds = step.estimate.total_seconds()
+    wanted = Wanted("estimate", step, RUN, 2 * seconds, remote_slowdown=1.2)
+    assert choose([near, far], wanted, START).view is far
+    assert choose([near, far], wanted._replace(remote_slowdown=3.0), START) is None
