--- a/gypsumspoke/platform/__main__.py
+++ b/gypsumspoke/platform/__main__.py
@@ -1,9 +1,8 @@
 """``python -m gypsumspoke.platform entry|sidecar`` starts a role on the platform.
 
-The same roles as ``gypsumspoke platform``, without the command line's library: its
-import takes a fifth of what a role needs before it listens, and after a loss of all
-processes every caller waits for that. The ports are opened before anything else is
-loaded, for the same reason.
+The same roles as ``gypsumspoke platform``, without the command line's library: after a
+loss of all processes every caller waits until the roles are loaded. The ports are
+opened before anything else is, for the same reason.
 """
 
 import json
--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -22,7 +22,7 @@
 _JSON = {"Content-Type": "application/json"}
 _CONNECT_TIMEOUT = timedelta(milliseconds=500)
 _ANSWER_BYTES = 8 * 1024 * 1024
-# An answer takes some 4 ms; a slow store takes 60 times as long.
+# Many times what an answer takes, since the store may be slow.
 CALL_WITHIN = timedelta(milliseconds=800)
 # Pause after a failed call, so that an outage brings few calls: they are priced, and
 # what is beyond the store's rates is refused. One second of it is still well inside the
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -31,8 +31,8 @@
 # Workers register with a sidecar that is new to them within a second or two, and a
 # sidecar finds an entry in about a tenth of one.
 SETTLING = timedelta(seconds=2.5)
-# The first configuration comes with one answer of the store, or of another entry: some
-# 10 ms as a rule, and a third of a second from a store that is 85 times slower.
+# The first configuration comes with one answer of the store, which may be slow, or of
+# another entry.
 CONFIGURATION_SETTLING = timedelta(seconds=1)
 
 
@@ -49,8 +49,8 @@
     """Return why a job can't be served whatever the load, or None.
 
     Just after its start an entry does not know its workers yet, and "no worker" would
-    be a guess: where all processes were lost at once, the jobs of a second were refused
-    that could have been done in time. They wait until the workers show.
+    be a guess: after a loss of all processes it would refuse jobs that can still be
+    done in time. They wait until the workers show.
     """
     if len(state.jobs) >= MOST_JOBS:
         return Refusal(RefusalReason.TOO_MANY_JOBS, DEFAULT_RETRY_AFTER)
@@ -72,11 +72,10 @@
 def configuration_patience(state: CoordinatorState, now: datetime) -> timedelta:
     """Return how long a request waits for the first configuration; zero for not at all.
 
-    An entry that has just started can't tell yet whether a request has a route. Where
-    all entries started at once, after a loss of power beside a slow store, a quarter of
-    the jobs of two seconds were refused for want of a configuration that was there a
-    third of a second later. An entry that is still without one after that has no word
-    of when it comes, and refuses at once.
+    An entry that has just started can't tell yet whether a request has a route, and a
+    refusal is final for many callers; after a loss of all entries beside a slow store
+    they would be refused for want of a moment. An entry that is still without a
+    configuration after that has no word of when one comes, and refuses at once.
     """
     left = state.started + CONFIGURATION_SETTLING - now
     return max(left, timedelta())
--- a/gypsumspoke/runs/isolation.py
+++ b/gypsumspoke/runs/isolation.py
@@ -1,11 +1,10 @@
 """Whether an entry is cut off from all sidecars.
 
 Callers may still reach an entry that reaches no sidecar. Whatever it took would wait
-there until it is too late, though other entries could serve it: with one of four
-entries cut off for eight seconds, a fifth of that time's jobs were lost; now a tenth.
-So an entry that hears no sidecar says that it is not ready, gives up what it has, and
-what comes, at once. It claims nothing of these jobs: their callers send them again
-through another entry, after the old runs are dead by the time budget.
+there until it is too late, though other entries could serve it. So an entry that hears
+no sidecar says that it is not ready, gives up what it has, and what comes, at once. It
+claims nothing of these jobs: their callers send them again through another entry, after
+the old runs are dead by the time budget.
 """
 
 import logging
@@ -16,11 +15,11 @@
 from gypsumspoke.runs.coordinator_state import CoordinatorState
 from gypsumspoke.runs.values import JobEnd, RefusalReason
 
-# Connections that went silent are closed after 750 ms and made anew within about 100:
-# no sidecar at all is heard then, and yet none is out of reach.
+# Longer than it takes to close connections that went silent and to make new ones: no
+# sidecar at all is heard then, and yet none is out of reach.
 ISOLATED_AFTER = timedelta(milliseconds=1250)
-# Ticks come each 100 ms. After a longer pause of this process what the sidecars sent
-# meanwhile is still unread, and their silence says nothing.
+# Several ticks. After a longer pause of this process what the sidecars sent meanwhile
+# is still unread, and their silence says nothing.
 PAUSED_AFTER = timedelta(milliseconds=500)
 
 
--- a/gypsumspoke/shell/answer_time.py
+++ b/gypsumspoke/shell/answer_time.py
@@ -1,9 +1,9 @@
 """How long to wait for an answer from a service that usually answers at once.
 
-The worker beside a sidecar answers in a millisecond or two. Where it leaves a few
-percent of the orders unanswered, each of them costs the whole wait; with a fixed wait
-of 120 ms a third of the wide jobs were late. A fixed short one would give up sound
-answers on an instance that is slow. So the wait follows the answers, as TCP's does
+The worker beside a sidecar answers in a millisecond or two. Where it leaves some of the
+orders unanswered, each of them costs the whole wait, and a wide job waits for one of
+them as a rule. A fixed short wait would give up sound answers on an instance that is
+slow. So the wait follows the answers, as TCP's does
 (RFC 6298): the smoothed time and four times its deviation, within bounds.
 """
 
--- a/gypsumspoke/shell/http_parser.py
+++ b/gypsumspoke/shell/http_parser.py
@@ -1,10 +1,10 @@
 """geventhttpclient's response parser, without its clients.
 
 Importing anything of the package runs its ``__init__``, which loads sessions, cookies
-and form uploads. A role uses none of them, and their modules take a tenth of the
-processor time that it needs before it listens; where all processes are lost at once,
-that is time in which no caller is served. So the parser is imported beside an empty
-package, which gives way to the whole one for whoever imports that later.
+and form uploads. A role uses none of them, and loading them delays its start; where all
+processes are lost at once, that is time in which no caller is served. So the parser is
+imported beside an empty package, which gives way to the whole one for whoever imports
+that later.
 """
 
 import importlib
--- a/gypsumspoke/shell/late_metrics.py
+++ b/gypsumspoke/shell/late_metrics.py
@@ -1,8 +1,8 @@
 """Metrics whose library is loaded a while after the start.
 
-The metrics library takes a sixth of the processor time that a role needs before it
-listens. After a loss of all processes callers wait for that time, while a scrape some
-seconds later loses nothing: what is counted before is kept and counted then.
+Loading the metrics library takes a good part of the processor time that a role needs
+before it serves. After a loss of all processes callers wait for that, while a scrape
+some seconds later loses nothing: what is counted before is kept and counted then.
 """
 
 from collections.abc import Callable
--- a/gypsumspoke/shell/log_stream.py
+++ b/gypsumspoke/shell/log_stream.py
@@ -14,7 +14,7 @@
 
 # About two seconds of a busy process.
 BUFFER_BYTES = 256 * 1024
-# A busy entry writes about 150 lines a second, a worker's sidecar about 150.
+# Several times what a busy process writes.
 LINES_PER_SECOND = 500
 BURST_LINES = 1000
 
