--- a/gypsumspoke/core/admission.py
+++ b/gypsumspoke/core/admission.py
@@ -7,10 +7,10 @@
 from datetime import datetime
 
 from gypsumspoke.core import quota
-from gypsumspoke.core.data import Answer, Submission
 from gypsumspoke.core.entry_state import EntryState
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
+from gypsumspoke.core.values import Answer, Submission
 
 WAITING_LIMIT = 2_000
 WAITING_BYTES_LIMIT = 8_000_000
--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -10,24 +10,9 @@
 from datetime import datetime
 
 from gypsumspoke.core.chunks import cut
-from gypsumspoke.core.data import (
-    Answer,
-    ClosedRecord,
-    Count,
-    Counter,
-    Effect,
-    FinishedRecord,
-    Handoff,
-    JobKey,
-    PartitionRow,
-    RefusedRecord,
-    RememberAck,
-    Send,
-    StartRecord,
-    Submission,
-    TaskState,
-)
+from gypsumspoke.core.counted import Counter
 from gypsumspoke.core.dispatch import adopt_running, enqueue, release
+from gypsumspoke.core.effects import Count, Effect, Send
 from gypsumspoke.core.endings import begin_ending, complete
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.handoffs import begin_handoff
@@ -39,6 +24,7 @@
     reply,
 )
 from gypsumspoke.core.jobs import Job, SlotState, Waiter
+from gypsumspoke.core.messages import Handoff, RememberAck
 from gypsumspoke.core.ownership import (
     AdoptedJob,
     HandedLedger,
@@ -49,6 +35,17 @@
     is_running,
 )
 from gypsumspoke.core.start_records import expiry_bound, remember_messages
+from gypsumspoke.core.values import (
+    Answer,
+    ClosedRecord,
+    FinishedRecord,
+    JobKey,
+    PartitionRow,
+    RefusedRecord,
+    StartRecord,
+    Submission,
+    TaskState,
+)
 
 # ---------------------------------------------------------------------------
 # Taking over
--- a/gypsumspoke/core/claims.py
+++ b/gypsumspoke/core/claims.py
@@ -6,24 +6,17 @@
 
 from datetime import datetime
 
-from gypsumspoke.core.data import (
-    Count,
-    Counter,
-    Effect,
-    HandoffAck,
-    Local,
-    PartitionRow,
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Effect, Local, ReadRows, Send, WriteRows
+from gypsumspoke.core.events import (
     PartitionsChanged,
-    ReadRows,
-    RetryReason,
     RowsRead,
     RowsWritten,
-    Send,
     WriteOutcome,
-    WriteRows,
 )
 from gypsumspoke.core.fences import read_members, serve
 from gypsumspoke.core.ledger import Floor
+from gypsumspoke.core.messages import HandoffAck
 from gypsumspoke.core.ownership import HandedLedger, Ownership, Phase
 from gypsumspoke.core.rows import partition_from_row, partition_key, partition_value
 from gypsumspoke.core.takeover_view import (
@@ -36,6 +29,7 @@
     preferred,
     request_of,
 )
+from gypsumspoke.core.values import PartitionRow
 
 CLAIM = REQUEST_PREFIX + "claim"
 CHECK = REQUEST_PREFIX + "check"
--- a/gypsumspoke/core/copies.py
+++ b/gypsumspoke/core/copies.py
@@ -7,22 +7,14 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    Answer,
-    Count,
-    Deliver,
-    Effect,
-    Local,
-    Log,
-    Observe,
-    RetryReason,
-    Send,
-    SubmitJob,
-)
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Count, Deliver, Effect, Local, Log, Observe, Send
 from gypsumspoke.core.entry_state import EntryState, Waiting
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.membership import ViewDoubted
+from gypsumspoke.core.messages import SubmitJob
 from gypsumspoke.core.refusals import refusal_of
+from gypsumspoke.core.values import Answer
 
 SEND_AGAIN_AFTER = timedelta(milliseconds=200)
 TURNED_AWAY_PATIENCE = timedelta(seconds=2)
--- /dev/null
+++ b/gypsumspoke/core/counted.py
@@ -0,0 +1,56 @@
+"""What is counted: why things were done again, and that a safeguard acted."""
+
+from enum import Enum
+
+
+class RetryReason(Enum):
+    """Why a message or a placement was made again; one counter for each."""
+
+    EXECUTOR_QUEUE_FULL = "executor_queue_full"
+    EXECUTOR_LEAVING = "executor_leaving"
+    EXECUTOR_JOINING = "executor_joining"
+    EXECUTOR_PAUSED = "executor_paused"
+    STALE_EPOCH = "stale_epoch"
+    ALREADY_STARTED = "already_started"
+    REFUSED_FOR_GOOD = "refused_for_good"
+    DEADLINE_PASSED = "deadline_passed"
+    WRONG_SERVICE = "wrong_service"
+    JOB_CLOSED = "job_closed"
+    TASK_CANCELLED = "task_cancelled"
+    UPSTREAM_REFUSED_CONNECTION = "upstream_refused_connection"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    UPSTREAM_BROKEN = "upstream_broken"
+    NEVER_SEEN = "never_seen"
+    CONNECTION_LOST = "connection_lost"
+    SILENT_EXECUTOR = "silent_executor"
+    SILENT_HOME = "silent_home"
+    HOME_MOVED = "home_moved"
+    TAKEOVER_IN_PROGRESS = "takeover_in_progress"
+    TABLE_ANSWER_LOST = "table_answer_lost"
+    TABLE_CONFLICT = "table_conflict"
+    OTHER = "other"
+
+
+class Counter(Enum):
+    """Counted events that show that a safeguard acted; one metric for each."""
+
+    REFUSED_BY_EPOCH = "refused_by_epoch"
+    REFUSED_AS_DUPLICATE = "refused_as_duplicate"
+    ATTACHED_TO_RUNNING = "attached_to_running"
+    ANSWERED_FROM_KEPT = "answered_from_kept"
+    UNKNOWN_BY_DOUBT = "unknown_by_doubt"
+    FENCE_SENT = "fence_sent"
+    FENCE_ACKNOWLEDGED = "fence_acknowledged"
+    TAKEOVER_STARTED = "takeover_started"
+    TAKEOVER_FINISHED = "takeover_finished"
+    HANDOFF_SENT = "handoff_sent"
+    HANDOFF_TAKEN = "handoff_taken"
+    JOB_RESUMED = "job_resumed"
+    JOB_COMPLETE = "job_complete"
+    TASK_STARTED = "task_started"
+    TASK_PLACED = "task_placed"
+    LATE_ANSWER_DROPPED = "late_answer_dropped"
+    MANIFEST_APPLIED = "manifest_applied"
+    PEER_LOST = "peer_lost"
+    WORKER_EJECTED = "worker_ejected"
--- a/gypsumspoke/core/dispatch.py
+++ b/gypsumspoke/core/dispatch.py
@@ -9,19 +9,8 @@
 import heapq
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    AskAttempt,
-    AttemptId,
-    Count,
-    Counter,
-    Effect,
-    Outcome,
-    RetryReason,
-    Send,
-    StartTask,
-    TaskOutcome,
-    TaskRunning,
-)
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Effect, Send
 from gypsumspoke.core.endings import begin_ending, complete, note_ending_progress
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.fair_queue import (
@@ -34,6 +23,7 @@
 )
 from gypsumspoke.core.home_state import HomeState, Placed
 from gypsumspoke.core.jobs import Job, SlotState, TaskSlot
+from gypsumspoke.core.messages import AskAttempt, StartTask, TaskOutcome, TaskRunning
 from gypsumspoke.core.placement import (
     choose,
     expected_run,
@@ -41,6 +31,7 @@
     note_outcome,
     note_placed,
 )
+from gypsumspoke.core.values import AttemptId, Outcome
 
 STILL_RUNNING = "still_running"
 ASK_AFTER = timedelta(seconds=4)
--- /dev/null
+++ b/gypsumspoke/core/effects.py
@@ -0,0 +1,127 @@
+"""What a reducer wants done; the shell carries it out."""
+
+from datetime import datetime
+from typing import NamedTuple
+
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.events import LocalEvent
+from gypsumspoke.core.messages import Message
+from gypsumspoke.core.values import Answer, AttemptId, JobKey
+
+
+class Send(NamedTuple):
+    """Send a message to a peer, over any live connection; lost if there is none."""
+
+    to: str
+    message: Message
+
+
+class StartUpstream(NamedTuple):
+    """Post the task's body to the upstream beside this executor.
+
+    The shell answers with UpstreamAnswered.
+    """
+
+    attempt: AttemptId
+    service: str
+    not_repeatable: bool
+    deadline: datetime
+    body: bytes
+
+
+class ReadRows(NamedTuple):
+    """Read all rows whose key starts with ``prefix``; answered by RowsRead."""
+
+    request: str
+    prefix: str
+
+
+class WriteRows(NamedTuple):
+    """Write rows in one transaction if no checked row has changed.
+
+    Attributes:
+      request: echoed in RowsWritten.
+      checks: rows with the version they must still have (0 = absent).
+      writes: (key, new value or None to delete).
+    """
+
+    request: str
+    checks: tuple[tuple[str, int], ...]
+    writes: tuple[tuple[str, str | None], ...]
+
+
+class Count(NamedTuple):
+    """Count one event; the shell maps each enum to a metric."""
+
+    what: Counter | RetryReason | ErrorKind
+    amount: int = 1
+
+
+class Observe(NamedTuple):
+    """Record one measured value in the histogram of this name.
+
+    ``name`` is one of: takeover_seconds, queue_wait_seconds, response_seconds,
+    response_over_ideal, messages_per_task, wasted_messages.
+    """
+
+    name: str
+    value: float
+    label: str = ""
+
+
+class Log(NamedTuple):
+    """Write one log line.
+
+    Attributes:
+      level: as in ``logging``.
+      event: fixed sentence without values.
+      key, task, attempt: what it is about, where known.
+      fields: further (name, value) pairs.
+    """
+
+    level: int
+    event: str
+    key: JobKey | None = None
+    task: int | None = None
+    attempt: int | None = None
+    fields: tuple[tuple[str, str | int | float], ...] = ()
+
+
+class Deliver(NamedTuple):
+    """Entry only: hand this answer to the waiting caller of ``request``."""
+
+    request: str
+    answer: Answer
+
+
+class ApplyManifest(NamedTuple):
+    """This version of the manifest is in force in this process from now on."""
+
+    version: int
+    text: str
+
+
+class Exit(NamedTuple):
+    """The graceful stop is complete; end the process with status 0."""
+
+
+class Local(NamedTuple):
+    """Hand this event to the sibling reducers of the same process."""
+
+    event: LocalEvent
+
+
+Effect = (
+    Local
+    | Send
+    | StartUpstream
+    | ReadRows
+    | WriteRows
+    | Count
+    | Observe
+    | Log
+    | Deliver
+    | ApplyManifest
+    | Exit
+)
--- a/gypsumspoke/core/ejection.py
+++ b/gypsumspoke/core/ejection.py
@@ -7,7 +7,7 @@
 
 import heapq
 
-from gypsumspoke.core.data import Outcome, RetryReason
+from gypsumspoke.core.counted import RetryReason
 from gypsumspoke.core.placement_state import (
     FIRST_PROBE,
     SMOOTHING,
@@ -17,6 +17,7 @@
     service_pool,
     smooth,
 )
+from gypsumspoke.core.values import Outcome
 
 _FAILURE_SMOOTHING = 0.3
 _EJECT_ABOVE = 0.6
--- a/gypsumspoke/core/endings.py
+++ b/gypsumspoke/core/endings.py
@@ -11,22 +11,8 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    Answer,
-    CancelTask,
-    CloseAck,
-    ClosedRecord,
-    CloseJob,
-    Count,
-    Counter,
-    Effect,
-    FinishedRecord,
-    Log,
-    Observe,
-    RefusedRecord,
-    Send,
-    Submission,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect, Log, Observe, Send
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
 from gypsumspoke.core.home_state import (
     Confirmation,
@@ -50,7 +36,15 @@
     needs_new_generation,
     next_attempt,
 )
+from gypsumspoke.core.messages import CancelTask, CloseAck, CloseJob
 from gypsumspoke.core.ownership import Ownership
+from gypsumspoke.core.values import (
+    Answer,
+    ClosedRecord,
+    FinishedRecord,
+    RefusedRecord,
+    Submission,
+)
 
 CONFIRM_LIMIT = timedelta(milliseconds=500)
 CONFIRM_TRIES = 2
--- a/gypsumspoke/core/entry.py
+++ b/gypsumspoke/core/entry.py
@@ -23,37 +23,31 @@
     pass_on_held,
     take_answer,
 )
-from gypsumspoke.core.data import (
-    Answer,
-    CancelJob,
-    Count,
-    Counter,
-    Deliver,
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Deliver, Effect, Send
+from gypsumspoke.core.entry_state import EntryState, Waiting
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.events import (
     Drain,
-    Effect,
-    JobAnswer,
-    JobKey,
     ManifestChanged,
-    Member,
     MembersChanged,
     PartitionsChanged,
     PeerConnected,
     PeerLost,
-    QueryJob,
     ReachabilityChanged,
     Received,
-    RetryReason,
-    Role,
-    Send,
-    Submission,
+    Tick,
+)
+from gypsumspoke.core.messages import (
+    CancelJob,
+    JobAnswer,
+    QueryJob,
     SubmitJob,
     TeamUsage,
-    Tick,
 )
-from gypsumspoke.core.entry_state import EntryState, Waiting
-from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.partitions import partition_of
 from gypsumspoke.core.refusals import refusal_of
+from gypsumspoke.core.values import Answer, JobKey, Member, Role, Submission
 
 QUERY_PATIENCE = timedelta(seconds=5)
 
@@ -108,7 +102,7 @@
 
     Args:
       state: changed in place.
-      event: an event of this module or of ``core.data``.
+      event: an event of this module or of ``core.events``.
       now: the time of the event.
 
     Returns:
--- a/gypsumspoke/core/entry_role.py
+++ b/gypsumspoke/core/entry_role.py
@@ -9,7 +9,9 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core import entry, membership
-from gypsumspoke.core.data import Drain, Effect, Exit, Local, Member
+from gypsumspoke.core.effects import Effect, Exit, Local
+from gypsumspoke.core.events import Drain
+from gypsumspoke.core.values import Member
 
 # The balancer looks at the readiness every second or so and sends callers until then;
 # the port stays open and answers them for as long.
--- a/gypsumspoke/core/entry_state.py
+++ b/gypsumspoke/core/entry_state.py
@@ -4,19 +4,10 @@
 from datetime import datetime
 
 from gypsumspoke.core import quota
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Answer,
-    CancelJob,
-    JobKey,
-    Manifest,
-    Member,
-    PartitionRow,
-    Policy,
-    QueryJob,
-    RetryReason,
-    SubmitJob,
-)
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.messages import CancelJob, QueryJob, SubmitJob
+from gypsumspoke.core.policy import DEFAULT_POLICY, Manifest, Policy
+from gypsumspoke.core.values import Answer, JobKey, Member, PartitionRow
 
 
 class Waiting:
--- a/gypsumspoke/core/epochs.py
+++ b/gypsumspoke/core/epochs.py
@@ -6,19 +6,11 @@
 
 from datetime import datetime
 
-from gypsumspoke.core.data import (
-    CloseAck,
-    CloseJob,
-    Count,
-    Counter,
-    Effect,
-    Fence,
-    FenceRefused,
-    PartitionsChanged,
-    RetryReason,
-    Send,
-)
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Effect, Send
+from gypsumspoke.core.events import PartitionsChanged
 from gypsumspoke.core.executor_state import ExecutorState
+from gypsumspoke.core.messages import CloseAck, CloseJob, Fence, FenceRefused
 from gypsumspoke.core.start_records import fence_acks
 from gypsumspoke.core.task_starts import drop_waiting, raise_epoch
 
--- a/gypsumspoke/core/executor.py
+++ b/gypsumspoke/core/executor.py
@@ -11,30 +11,32 @@
 from functools import singledispatch
 
 from gypsumspoke.core import epochs, task_starts, told_records
-from gypsumspoke.core.data import (
-    AskAttempt,
-    CancelTask,
-    CloseJob,
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.core.events import (
     Drain,
-    Effect,
-    Fence,
     ManifestChanged,
     MembersChanged,
     PartitionsChanged,
     ReachabilityChanged,
     Received,
-    Remember,
-    RememberAck,
-    RetryReason,
-    Role,
     RowsRead,
-    StartTask,
     Tick,
     UpstreamAnnounced,
     UpstreamAnswered,
 )
 from gypsumspoke.core.executor_state import ExecutorState
+from gypsumspoke.core.messages import (
+    AskAttempt,
+    CancelTask,
+    CloseJob,
+    Fence,
+    Remember,
+    RememberAck,
+    StartTask,
+)
 from gypsumspoke.core.start_records import expiry_bound
+from gypsumspoke.core.values import Role
 
 
 def new_executor(incarnation: str, service: str, slots: int) -> ExecutorState:
@@ -56,7 +58,7 @@
 
     Args:
       state: changed in place.
-      event: a Received message or another event of ``core.data``.
+      event: a Received message or another event of ``core.events``.
       now: the current time.
 
     Returns:
--- a/gypsumspoke/core/executor_state.py
+++ b/gypsumspoke/core/executor_state.py
@@ -8,17 +8,12 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    AttemptId,
-    Load,
-    Policy,
-    Remember,
-    StartTask,
-)
+from gypsumspoke.core.messages import Remember, StartTask
+from gypsumspoke.core.policy import DEFAULT_POLICY, Policy
 from gypsumspoke.core.refused_marks import RefusedMarks
 from gypsumspoke.core.self_check import SelfCheck
 from gypsumspoke.core.start_records import StartRecords
+from gypsumspoke.core.values import AttemptId, Load
 
 DEFAULT_QUEUE_LIMIT = 8
 
--- a/gypsumspoke/core/fences.py
+++ b/gypsumspoke/core/fences.py
@@ -10,26 +10,10 @@
 
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    NOTHING_FORGOTTEN,
-    AttemptId,
-    ClosedRecord,
-    Count,
-    Counter,
-    Effect,
-    Fence,
-    FenceAck,
-    FenceRefused,
-    JobKey,
-    Member,
-    Observe,
-    ReadRows,
-    RememberAck,
-    Role,
-    Send,
-    StartRecord,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect, Observe, ReadRows, Send
 from gypsumspoke.core.ledger import Floor, floor_birth
+from gypsumspoke.core.messages import Fence, FenceAck, FenceRefused, RememberAck
 from gypsumspoke.core.ownership import AdoptedJob, Ownership, Phase, Serving
 from gypsumspoke.core.partitions import partition_of
 from gypsumspoke.core.rows import MEMBERS_PREFIX
@@ -42,6 +26,15 @@
     lose,
     request_of,
 )
+from gypsumspoke.core.values import (
+    NOTHING_FORGOTTEN,
+    AttemptId,
+    ClosedRecord,
+    JobKey,
+    Member,
+    Role,
+    StartRecord,
+)
 
 FENCE_RESEND = timedelta(milliseconds=500)
 MEMBERS = REQUEST_PREFIX + "members"
--- a/gypsumspoke/core/handoffs.py
+++ b/gypsumspoke/core/handoffs.py
@@ -8,17 +8,10 @@
 from datetime import datetime
 
 from gypsumspoke.core.claims import claim
-from gypsumspoke.core.data import (
-    Count,
-    Counter,
-    Effect,
-    Handoff,
-    HandoffAck,
-    PartitionRow,
-    ReadRows,
-    RowsRead,
-    Send,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect, ReadRows, Send
+from gypsumspoke.core.events import RowsRead
+from gypsumspoke.core.messages import Handoff, HandoffAck
 from gypsumspoke.core.ownership import HandedLedger, HandoffWanted, Phase
 from gypsumspoke.core.rows import partition_key
 from gypsumspoke.core.takeover_view import (
@@ -27,6 +20,7 @@
     lose,
     preferred,
 )
+from gypsumspoke.core.values import PartitionRow
 
 HANDOFFS_AT_ONCE = 8
 PROBE = REQUEST_PREFIX + "probe"
--- a/gypsumspoke/core/heartbeats.py
+++ b/gypsumspoke/core/heartbeats.py
@@ -3,18 +3,11 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    Count,
-    Counter,
-    Effect,
-    Heartbeat,
-    Local,
-    Log,
-    ManifestRequest,
-    ReachabilityChanged,
-    Send,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect, Local, Log, Send
+from gypsumspoke.core.events import ReachabilityChanged
 from gypsumspoke.core.membership_state import MembershipState, Phase
+from gypsumspoke.core.messages import Heartbeat, ManifestRequest
 from gypsumspoke.core.rows import MEMBERS_PREFIX, PARTITIONS_PREFIX
 from gypsumspoke.core.table_reads import issue_reads, want_spaced
 
--- a/gypsumspoke/core/home.py
+++ b/gypsumspoke/core/home.py
@@ -21,35 +21,36 @@
     takeover,
     takeover_view,
 )
-from gypsumspoke.core.data import (
-    CancelJob,
-    CloseAck,
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.core.events import (
     Drain,
-    Effect,
-    FenceAck,
-    FenceRefused,
-    Handoff,
-    HandoffAck,
-    Heartbeat,
     ManifestChanged,
-    Member,
     MembersChanged,
     PartitionsChanged,
     PeerConnected,
     PeerLost,
-    QueryJob,
     ReachabilityChanged,
     Received,
-    RememberAck,
-    RetryReason,
     RowsRead,
     RowsWritten,
+    Tick,
+)
+from gypsumspoke.core.home_state import HomeState
+from gypsumspoke.core.messages import (
+    CancelJob,
+    CloseAck,
+    FenceAck,
+    FenceRefused,
+    Handoff,
+    HandoffAck,
+    Heartbeat,
+    QueryJob,
+    RememberAck,
     SubmitJob,
     TaskOutcome,
     TaskRunning,
-    Tick,
 )
-from gypsumspoke.core.home_state import HomeState
 from gypsumspoke.core.ownership import HandoffWanted, Lost, Serving
 from gypsumspoke.core.placement import (
     note_load,
@@ -57,6 +58,7 @@
     set_policy,
 )
 from gypsumspoke.core.takeover_view import REQUEST_PREFIX, take_notices
+from gypsumspoke.core.values import Member
 
 DRAIN_LIMIT = timedelta(seconds=10)
 
@@ -77,7 +79,7 @@
 
     Args:
       state: changed in place.
-      event: a Received message or another event of ``core.data``.
+      event: a Received message or another event of ``core.events``.
       now: the current time.
 
     Returns:
--- a/gypsumspoke/core/home_state.py
+++ b/gypsumspoke/core/home_state.py
@@ -9,27 +9,17 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Answer,
-    AttemptId,
-    CancelJob,
-    Effect,
-    JobAnswer,
-    JobKey,
-    Member,
-    Policy,
-    QueryJob,
-    Send,
-    SubmitJob,
-)
+from gypsumspoke.core.effects import Effect, Send
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind
 from gypsumspoke.core.fair_queue import FairQueue
 from gypsumspoke.core.jobs import Job, Waiter
 from gypsumspoke.core.ledger import Ledger
+from gypsumspoke.core.messages import CancelJob, JobAnswer, QueryJob, SubmitJob
 from gypsumspoke.core.ownership import AdoptedJob, Ownership, Phase
 from gypsumspoke.core.placement import PlacementState, new_placement
+from gypsumspoke.core.policy import DEFAULT_POLICY, Policy
 from gypsumspoke.core.takeover_view import TakeoverState
+from gypsumspoke.core.values import Answer, AttemptId, JobKey, Member
 
 Request = SubmitJob | QueryJob | CancelJob
 
--- a/gypsumspoke/core/intake.py
+++ b/gypsumspoke/core/intake.py
@@ -10,22 +10,15 @@
 from typing import NamedTuple
 
 from gypsumspoke.core import adoption, dispatch, endings
-from gypsumspoke.core.data import (
-    Answer,
-    CancelJob,
-    Count,
-    Counter,
-    Effect,
-    JobKey,
-    QueryJob,
-    Submission,
-    SubmitJob,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.home_state import HomeState, Parked, answer_of, reply
 from gypsumspoke.core.jobs import Job, Waiter
+from gypsumspoke.core.messages import CancelJob, QueryJob, SubmitJob
 from gypsumspoke.core.ownership import Ownership
 from gypsumspoke.core.placement import expected_run, expected_wait, serves
+from gypsumspoke.core.values import Answer, JobKey, Submission
 
 PARK_LIMIT = timedelta(seconds=2)
 PARKED_LIMIT = 1_000
--- a/gypsumspoke/core/jobs.py
+++ b/gypsumspoke/core/jobs.py
@@ -10,8 +10,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gypsumspoke.core.data import Answer, AttemptId, Outcome, Submission
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.values import Answer, AttemptId, Outcome, Submission
 
 # A whole answer goes to the entry in one frame, bounded by ``wire`` at 4 MiB. The rest
 # is for the lengths of up to 130 results and the fields around them.
--- a/gypsumspoke/core/ledger.py
+++ b/gypsumspoke/core/ledger.py
@@ -16,14 +16,14 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.values import (
     NOTHING_FORGOTTEN,
     Answer,
     FinishedRecord,
     JobKey,
     RefusedRecord,
 )
-from gypsumspoke.core.errors import ErrorKind, Work
 
 REFUSED_LIMIT = 20_000
 GENERATION_BITS = 20
--- a/gypsumspoke/core/membership.py
+++ b/gypsumspoke/core/membership.py
@@ -14,24 +14,15 @@
 from functools import singledispatch
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
+from gypsumspoke.core.effects import Effect, Send
+from gypsumspoke.core.events import (
     Drain,
-    Effect,
-    Heartbeat,
-    Load,
-    Manifest,
-    ManifestRequest,
-    ManifestUpdate,
-    Member,
-    PartitionRow,
     PartitionsChanged,
     PeerConnected,
     PeerLost,
     Received,
-    Row,
     RowsRead,
     RowsWritten,
-    Send,
     Tick,
     WriteOutcome,
 )
@@ -59,6 +50,8 @@
     read_partitions,
     take_manifest,
 )
+from gypsumspoke.core.messages import Heartbeat, ManifestRequest, ManifestUpdate
+from gypsumspoke.core.policy import Manifest
 from gypsumspoke.core.registration import (
     abandon_overdue,
     begin_leaving,
@@ -69,6 +62,7 @@
 )
 from gypsumspoke.core.rows import MEMBERS_PREFIX, PARTITIONS_PREFIX
 from gypsumspoke.core.table_reads import issue_reads, retry_later, want, want_spaced
+from gypsumspoke.core.values import Load, Member, PartitionRow, Row
 
 
 class Leave(NamedTuple):
@@ -98,7 +92,7 @@
 
     Args:
       state: changed in place.
-      event: a message wrapped in Received, or another event of ``core.data``.
+      event: a message wrapped in Received, or another event of ``core.events``.
       now: the time of the event.
 
     Returns:
--- a/gypsumspoke/core/membership_state.py
+++ b/gypsumspoke/core/membership_state.py
@@ -9,16 +9,9 @@
 from returns.result import Result
 
 from gypsumspoke.core.clock_check import ClockCheck
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Heartbeat,
-    Load,
-    Manifest,
-    Member,
-    PartitionRow,
-    Policy,
-    Row,
-)
+from gypsumspoke.core.messages import Heartbeat
+from gypsumspoke.core.policy import DEFAULT_POLICY, Manifest, Policy
+from gypsumspoke.core.values import Load, Member, PartitionRow, Row
 
 ParseManifest = Callable[[str], Result[Manifest, tuple[str, ...]]]
 
--- a/gypsumspoke/core/membership_view.py
+++ b/gypsumspoke/core/membership_view.py
@@ -9,20 +9,13 @@
 
 from returns.result import Success
 
-from gypsumspoke.core.data import (
-    ApplyManifest,
-    Count,
-    Counter,
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import ApplyManifest, Count, Effect, Local, Log
+from gypsumspoke.core.events import (
     Drain,
-    Effect,
-    Local,
-    Log,
     ManifestChanged,
-    Member,
     MembersChanged,
-    PartitionRow,
     PartitionsChanged,
-    Row,
 )
 from gypsumspoke.core.heartbeats import drop_ended_peers, heartbeat_soon
 from gypsumspoke.core.membership_state import MembershipState, Phase
@@ -39,6 +32,7 @@
     partition_from_row,
 )
 from gypsumspoke.core.table_reads import issue_reads, read_again, want
+from gypsumspoke.core.values import Member, PartitionRow, Row
 
 
 def read_members(
--- a/gypsumspoke/core/ownership.py
+++ b/gypsumspoke/core/ownership.py
@@ -8,18 +8,18 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
+from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.ledger import Floor
+from gypsumspoke.core.messages import FenceAck
+from gypsumspoke.core.values import (
     NOTHING_FORGOTTEN,
     ClosedRecord,
-    FenceAck,
     FinishedRecord,
     JobKey,
     PartitionRow,
     RefusedRecord,
     StartRecord,
 )
-from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.core.ledger import Floor
 
 
 class Phase(Enum):
--- a/gypsumspoke/core/partitions.py
+++ b/gypsumspoke/core/partitions.py
@@ -9,7 +9,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from gypsumspoke.core.data import JobKey, Member
+from gypsumspoke.core.values import JobKey, Member
 
 _HASH_BYTES = 8
 
--- a/gypsumspoke/core/placement.py
+++ b/gypsumspoke/core/placement.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Load, Member, Outcome, Policy, Role
 from gypsumspoke.core.ejection import (
     due_probe,
     learn_health,
@@ -35,6 +34,8 @@
     service_pool,
     smooth,
 )
+from gypsumspoke.core.policy import Policy
+from gypsumspoke.core.values import Load, Member, Outcome, Role
 
 _ASSUMED_RUN = 0.3
 _REFERENCES = 3
--- a/gypsumspoke/core/placement_state.py
+++ b/gypsumspoke/core/placement_state.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gypsumspoke.core.data import Member
+from gypsumspoke.core.values import Member
 
 ALL = 0
 FIRST_PROBE = 5.0
--- a/gypsumspoke/core/quota.py
+++ b/gypsumspoke/core/quota.py
@@ -24,7 +24,8 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.core.data import TeamPolicy, TeamUsage
+from gypsumspoke.core.messages import TeamUsage
+from gypsumspoke.core.policy import TeamPolicy
 
 REPORT_INTERVAL = timedelta(seconds=1)
 SILENT_AFTER = timedelta(seconds=2.5)
--- a/gypsumspoke/core/refusals.py
+++ b/gypsumspoke/core/refusals.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from gypsumspoke.core.data import Answer
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.values import Answer
 
 
 def refusal_of(
--- a/gypsumspoke/core/refused_marks.py
+++ b/gypsumspoke/core/refused_marks.py
@@ -10,7 +10,7 @@
 from datetime import datetime
 from typing import NamedTuple
 
-from gypsumspoke.core.data import AttemptId, JobKey
+from gypsumspoke.core.values import AttemptId, JobKey
 
 
 class _Mark(NamedTuple):
--- a/gypsumspoke/core/registration.py
+++ b/gypsumspoke/core/registration.py
@@ -7,18 +7,13 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    MAX_RETENTION,
-    Count,
-    Effect,
-    Log,
-    RetryReason,
-    WriteOutcome,
-    WriteRows,
-)
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Count, Effect, Log, WriteRows
+from gypsumspoke.core.events import WriteOutcome
 from gypsumspoke.core.membership_state import MembershipState, Phase
 from gypsumspoke.core.rows import MEMBERS_PREFIX, member_key, member_value
 from gypsumspoke.core.table_reads import issue_reads, new_request, retry_later, want
+from gypsumspoke.core.values import MAX_RETENTION
 
 TABLE_ANSWER_WITHIN = timedelta(seconds=15)
 CLEANING_INTERVAL = timedelta(seconds=10)
--- a/gypsumspoke/core/rows.py
+++ b/gypsumspoke/core/rows.py
@@ -8,7 +8,7 @@
 import json
 from datetime import datetime
 
-from gypsumspoke.core.data import Member, PartitionRow, Role, Row
+from gypsumspoke.core.values import Member, PartitionRow, Role, Row
 
 MEMBERS_PREFIX = "members/"
 PARTITIONS_PREFIX = "partitions/"
--- a/gypsumspoke/core/self_check.py
+++ b/gypsumspoke/core/self_check.py
@@ -10,7 +10,8 @@
 
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, ReadRows, RowsRead
+from gypsumspoke.core.effects import Effect, ReadRows
+from gypsumspoke.core.events import RowsRead
 from gypsumspoke.core.rows import member_from_row, member_key
 
 OWN_PAUSE = timedelta(seconds=2)
--- a/gypsumspoke/core/sidecar.py
+++ b/gypsumspoke/core/sidecar.py
@@ -17,18 +17,10 @@
 from returns.result import Result
 
 from gypsumspoke.core import executor, executor_state, home, membership
-from gypsumspoke.core.data import (
-    Drain,
-    Effect,
-    Exit,
-    Local,
-    Manifest,
-    Member,
-    Received,
-    Send,
-    Tick,
-    UpstreamAnnounced,
-)
+from gypsumspoke.core.effects import Effect, Exit, Local, Send
+from gypsumspoke.core.events import Drain, Received, Tick, UpstreamAnnounced
+from gypsumspoke.core.policy import Manifest
+from gypsumspoke.core.values import Member
 
 DEPART_LIMIT = timedelta(seconds=20)
 
@@ -112,7 +104,7 @@
 
     Args:
       state: changed in place.
-      event: a Received message or another event of ``core.data``.
+      event: a Received message or another event of ``core.events``.
       now: the current time.
 
     Returns:
--- a/gypsumspoke/core/start_records.py
+++ b/gypsumspoke/core/start_records.py
@@ -18,13 +18,12 @@
 from typing import NamedTuple
 
 from gypsumspoke.core.chunks import cut
-from gypsumspoke.core.data import (
+from gypsumspoke.core.messages import FenceAck, Remember
+from gypsumspoke.core.values import (
     NOTHING_FORGOTTEN,
     AttemptId,
     ClosedRecord,
-    FenceAck,
     JobKey,
-    Remember,
     StartRecord,
     TaskState,
 )
--- a/gypsumspoke/core/table_reads.py
+++ b/gypsumspoke/core/table_reads.py
@@ -6,9 +6,10 @@
 
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, ReadRows, Role
+from gypsumspoke.core.effects import Effect, ReadRows
 from gypsumspoke.core.membership_state import MembershipState, Pending
 from gypsumspoke.core.rows import MEMBERS_PREFIX
+from gypsumspoke.core.values import Role
 
 NAME = "membership"
 ENTRY_READ_INTERVAL = timedelta(seconds=3)
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -13,7 +13,8 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.claims import CHECK, check_claim, claim_due, claim_read
-from gypsumspoke.core.data import Effect, Member, RowsRead
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.core.events import RowsRead
 from gypsumspoke.core.fences import (
     fence_all,
     finish_if_fenced,
@@ -25,6 +26,7 @@
 from gypsumspoke.core.ownership import Ownership, Phase
 from gypsumspoke.core.rows import member_from_row
 from gypsumspoke.core.takeover_view import TakeoverState, note_unreachable, of_request
+from gypsumspoke.core.values import Member
 
 CLAIM_INTERVAL = timedelta(milliseconds=500)
 READ_RETRY = timedelta(seconds=1)
--- a/gypsumspoke/core/takeover_view.py
+++ b/gypsumspoke/core/takeover_view.py
@@ -8,17 +8,12 @@
 from collections.abc import Iterable
 from datetime import datetime
 
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Handoff,
-    Log,
-    Member,
-    PartitionRow,
-    Policy,
-    Role,
-)
+from gypsumspoke.core.effects import Log
+from gypsumspoke.core.messages import Handoff
 from gypsumspoke.core.ownership import Lost, Notice, Ownership
 from gypsumspoke.core.partitions import preferred_owner
+from gypsumspoke.core.policy import DEFAULT_POLICY, Policy
+from gypsumspoke.core.values import Member, PartitionRow, Role
 
 REQUEST_PREFIX = "home:"
 
--- a/gypsumspoke/core/task_starts.py
+++ b/gypsumspoke/core/task_starts.py
@@ -8,27 +8,18 @@
 from collections import deque
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Effect, Log, Observe, Send, StartUpstream
+from gypsumspoke.core.events import UpstreamAnswered
+from gypsumspoke.core.executor_state import ExecutorState, Running, Waiting, load
+from gypsumspoke.core.messages import (
     AskAttempt,
-    AttemptId,
     CancelTask,
-    Count,
-    Counter,
-    Effect,
-    Log,
-    Observe,
-    Outcome,
-    RetryReason,
-    Send,
-    StartRecord,
     StartTask,
-    StartUpstream,
     TaskOutcome,
     TaskRunning,
-    TaskState,
-    UpstreamAnswered,
 )
-from gypsumspoke.core.executor_state import ExecutorState, Running, Waiting, load
+from gypsumspoke.core.values import AttemptId, Outcome, StartRecord, TaskState
 
 RECORD_LIMIT = 200_000
 _MEAN_WEIGHT = 0.1
--- a/gypsumspoke/core/told_records.py
+++ b/gypsumspoke/core/told_records.py
@@ -6,17 +6,12 @@
 
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import (
-    Count,
-    Counter,
-    Effect,
-    Remember,
-    RememberAck,
-    Send,
-    TaskState,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Effect, Send
 from gypsumspoke.core.executor_state import ExecutorState
+from gypsumspoke.core.messages import Remember, RememberAck
 from gypsumspoke.core.start_records import remember_messages
+from gypsumspoke.core.values import TaskState
 
 OWN_RECORDS = 0
 REMEMBER_RESEND = timedelta(seconds=1)
--- a/gypsumspoke/parser/job_request.py
+++ b/gypsumspoke/parser/job_request.py
@@ -16,7 +16,7 @@
 from msgspec import Meta, Raw
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.core.data import MAX_TASKS, JobKey, Submission, Task
+from gypsumspoke.core.values import MAX_TASKS, JobKey, Submission, Task
 
 BODY_LIMIT = 1024 * 1024
 MAX_KEY_LENGTH = 200
--- a/gypsumspoke/parser/manifest.py
+++ b/gypsumspoke/parser/manifest.py
@@ -11,15 +11,15 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.core.data import (
+from gypsumspoke.core.placement import STRATEGIES
+from gypsumspoke.core.policy import (
     DEFAULT_POLICY,
-    MAX_RETENTION,
     Manifest,
     Policy,
     ServicePolicy,
     TeamPolicy,
 )
-from gypsumspoke.core.placement import STRATEGIES
+from gypsumspoke.core.values import MAX_RETENTION
 from gypsumspoke.parser.documents import (
     DocumentError,
     Fields,
--- a/gypsumspoke/parser/settings.py
+++ b/gypsumspoke/parser/settings.py
@@ -14,7 +14,7 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.core.data import Role
+from gypsumspoke.core.values import Role
 from gypsumspoke.parser.documents import (
     DocumentError,
     Fields,
--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -10,7 +10,7 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Count
+from gypsumspoke.core.effects import Count
 from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
 from gypsumspoke.runs.admission import configuration_patience
 from gypsumspoke.runs.coordinator_state import (
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -11,7 +11,7 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, Log, Send
+from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.runs.coordinator_state import (
     CoordinatorState,
     JobProgress,
--- a/gypsumspoke/runs/conclusion.py
+++ b/gypsumspoke/runs/conclusion.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Count, Effect, Log, Observe, Send
+from gypsumspoke.core.effects import Count, Effect, Log, Observe, Send
 from gypsumspoke.runs.admission import DEFAULT_RETRY_AFTER, Refusal
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -12,17 +12,8 @@
 
 from returns.pipeline import is_successful
 
-from gypsumspoke.core.data import (
-    Drain,
-    Effect,
-    Exit,
-    Log,
-    PeerConnected,
-    PeerLost,
-    Received,
-    Send,
-    Tick,
-)
+from gypsumspoke.core.effects import Effect, Exit, Log, Send
+from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
 from gypsumspoke.runs.admission import (
     DEFAULT_RETRY_AFTER,
     SETTLING,
@@ -83,7 +74,7 @@
 
     Args:
       state: the coordinator's state, changed in place.
-      event: an event of ``coordinator_state.py`` or ``core/data.py``.
+      event: an event of ``coordinator_state.py`` or ``core/events.py``.
       now: the current time of a steady clock.
 
     Returns:
--- a/gypsumspoke/runs/directory.py
+++ b/gypsumspoke/runs/directory.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from gypsumspoke.core.data import Effect
+from gypsumspoke.core.effects import Effect
 
 # An address is never forgotten while the process lives, but only so many are kept:
 # dialling one that is gone for good costs a few packets a second.
--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -16,18 +16,8 @@
 from functools import singledispatch
 from typing import Any
 
-from gypsumspoke.core.data import (
-    Count,
-    Drain,
-    Effect,
-    Exit,
-    Log,
-    PeerConnected,
-    PeerLost,
-    Received,
-    Send,
-    Tick,
-)
+from gypsumspoke.core.effects import Count, Effect, Exit, Log, Send
+from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
 from gypsumspoke.runs import (
     guard_ends,
     guard_holds,
@@ -78,7 +68,7 @@
 
     Args:
       state: the guard's state, changed in place.
-      event: an event of ``runs/orders.py`` or ``core/data.py``.
+      event: an event of ``runs/orders.py`` or ``core/events.py``.
       now: the current time of a steady clock.
 
     Returns:
--- a/gypsumspoke/runs/guard_ends.py
+++ b/gypsumspoke/runs/guard_ends.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Count, Effect, Log, Send
+from gypsumspoke.core.effects import Count, Effect, Log, Send
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase, keep_end
 from gypsumspoke.runs.messages import RunEnded
 from gypsumspoke.runs.values import EndReason, RunEnd, subtract
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect
+from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_life import (
     extend_dead_by,
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_state import GuardState, Lease
 from gypsumspoke.runs.values import Registration
 
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -4,7 +4,7 @@
 from datetime import datetime, timedelta
 from functools import partial
 
-from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_life import (
     extend_dead_by,
--- a/gypsumspoke/runs/guard_orphans.py
+++ b/gypsumspoke/runs/guard_orphans.py
@@ -11,7 +11,7 @@
 
 import logging
 
-from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.orders import HoldAnswered, StopOrder
 
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -3,7 +3,7 @@
 from datetime import datetime, timedelta
 from statistics import geometric_mean
 
-from gypsumspoke.core.data import Effect, Send
+from gypsumspoke.core.effects import Effect, Send
 from gypsumspoke.runs.guard_state import GuardState, Told
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
--- a/gypsumspoke/runs/isolation.py
+++ b/gypsumspoke/runs/isolation.py
@@ -10,7 +10,7 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.data import Effect, Log
+from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.conclusion import finish
 from gypsumspoke.runs.coordinator_state import CoordinatorState
 from gypsumspoke.runs.values import JobEnd, RefusalReason
--- a/gypsumspoke/runs/run_ends.py
+++ b/gypsumspoke/runs/run_ends.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime
 
-from gypsumspoke.core.data import Count, Effect
+from gypsumspoke.core.effects import Count, Effect
 from gypsumspoke.runs.assignment import let_wait, open_steps
 from gypsumspoke.runs.conclusion import finish, give_up
 from gypsumspoke.runs.coordinator_state import (
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -6,7 +6,7 @@
 
 from gypsumspoke.core import entry_role, membership
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Count, Deliver
+from gypsumspoke.core.effects import Count, Deliver
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -16,7 +16,7 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.copies import DEADLINE_GRACE
-from gypsumspoke.core.data import Answer, Count, Deliver, JobKey
+from gypsumspoke.core.effects import Count, Deliver
 from gypsumspoke.core.entry import (
     QUERY_PATIENCE,
     CallerArrived,
@@ -26,6 +26,7 @@
 )
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.core.refusals import refusal_of
+from gypsumspoke.core.values import Answer, JobKey
 from gypsumspoke.parser.job_request import BODY_LIMIT, RequestError, parse_job_request
 from gypsumspoke.shell.http_answers import (
     Environ,
--- a/gypsumspoke/shell/job_answers.py
+++ b/gypsumspoke/shell/job_answers.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from gypsumspoke.core.data import Answer, JobKey
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind
+from gypsumspoke.core.values import Answer, JobKey
 from gypsumspoke.shell.http_answers import HttpAnswer, json_answer, retry_headers
 
 PROBLEM_TYPE = "application/problem+json"
--- a/gypsumspoke/shell/late_metrics.py
+++ b/gypsumspoke/shell/late_metrics.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from gypsumspoke.core.data import Count, Observe
+from gypsumspoke.core.effects import Count, Observe
 
 if TYPE_CHECKING:
     from gypsumspoke.shell.metrics import Metrics
--- a/gypsumspoke/shell/logs.py
+++ b/gypsumspoke/shell/logs.py
@@ -13,7 +13,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-from gypsumspoke.core.data import Log
+from gypsumspoke.core.effects import Log
 
 LOGGER_NAME = "gypsumspoke"
 
--- a/gypsumspoke/shell/manifest_history.py
+++ b/gypsumspoke/shell/manifest_history.py
@@ -8,7 +8,7 @@
 import json
 from typing import NamedTuple
 
-from gypsumspoke.core.data import Row
+from gypsumspoke.core.values import Row
 
 HISTORY_KEY = "changes/manifest"
 HISTORY_LENGTH = 50
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -19,7 +19,8 @@
 )
 
 from gypsumspoke import __version__
-from gypsumspoke.core.data import Count, Counter, Log, Observe, RetryReason
+from gypsumspoke.core.counted import Counter, RetryReason
+from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.runs.values import EndReason, RefusalReason
 from gypsumspoke.shell.logs import log
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -15,15 +15,10 @@
 
 from gypsumspoke.core import membership
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import (
-    Count,
-    ManifestUpdate,
-    Member,
-    Received,
-    Row,
-    WriteOutcome,
-)
+from gypsumspoke.core.effects import Count
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.events import Received, WriteOutcome
+from gypsumspoke.core.messages import ManifestUpdate
 from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.core.rows import (
     MANIFEST_KEY,
@@ -31,6 +26,7 @@
     member_from_row,
     member_value,
 )
+from gypsumspoke.core.values import Member, Row
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.shell.http_answers import (
     Environ,
--- a/gypsumspoke/shell/operator_table.py
+++ b/gypsumspoke/shell/operator_table.py
@@ -6,14 +6,9 @@
 import gevent
 from gevent.event import AsyncResult
 
-from gypsumspoke.core.data import (
-    ReadRows,
-    Row,
-    RowsRead,
-    RowsWritten,
-    WriteOutcome,
-    WriteRows,
-)
+from gypsumspoke.core.effects import ReadRows, WriteRows
+from gypsumspoke.core.events import RowsRead, RowsWritten, WriteOutcome
+from gypsumspoke.core.values import Row
 from gypsumspoke.shell.table_client import TableClient
 
 WRITE_TRIES = 3
--- a/gypsumspoke/shell/role.py
+++ b/gypsumspoke/shell/role.py
@@ -9,7 +9,8 @@
 
 from gypsumspoke.core import membership
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Effect, Member
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.core.values import Member
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell.link_metrics import show_links
 from gypsumspoke.shell.metrics import Metrics
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -10,7 +10,7 @@
 import gevent
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import Count, Log, Observe
+from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.runs.directory import DialEntries
 from gypsumspoke.runs.settings import RunSettings, parse_address
 from gypsumspoke.shell.early_listeners import EarlyListeners
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -17,16 +17,8 @@
 from gevent.event import Event
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import (
-    TICK,
-    Drain,
-    Effect,
-    Exit,
-    ReadRows,
-    Send,
-    Tick,
-    WriteRows,
-)
+from gypsumspoke.core.effects import Effect, Exit, ReadRows, Send, WriteRows
+from gypsumspoke.core.events import TICK, Drain, Tick
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
--- a/gypsumspoke/shell/sidecar.py
+++ b/gypsumspoke/shell/sidecar.py
@@ -4,7 +4,7 @@
 
 from gypsumspoke.core import membership, sidecar
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import ApplyManifest, StartUpstream
+from gypsumspoke.core.effects import ApplyManifest, StartUpstream
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
--- a/gypsumspoke/shell/table_client.py
+++ b/gypsumspoke/shell/table_client.py
@@ -16,14 +16,9 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.core.data import (
-    ReadRows,
-    Row,
-    RowsRead,
-    RowsWritten,
-    WriteOutcome,
-    WriteRows,
-)
+from gypsumspoke.core.effects import ReadRows, WriteRows
+from gypsumspoke.core.events import RowsRead, RowsWritten, WriteOutcome
+from gypsumspoke.core.values import Row
 from gypsumspoke.shell.http_exchange import ExchangeLimits, HttpAnswer, post
 
 READ_PATH = "/v1/read"
--- a/gypsumspoke/shell/upstream_client.py
+++ b/gypsumspoke/shell/upstream_client.py
@@ -12,13 +12,11 @@
 import gevent
 from returns.pipeline import is_successful
 
-from gypsumspoke.core.data import (
-    Outcome,
-    RetryReason,
-    ServicePolicy,
-    StartUpstream,
-    UpstreamAnswered,
-)
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import StartUpstream
+from gypsumspoke.core.events import UpstreamAnswered
+from gypsumspoke.core.policy import ServicePolicy
+from gypsumspoke.core.values import Outcome
 from gypsumspoke.shell.http_exchange import (
     ExchangeError,
     ExchangeLimits,
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -10,8 +10,9 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core import executor_state
-from gypsumspoke.core.data import Count, UpstreamAnnounced
+from gypsumspoke.core.effects import Count
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.events import UpstreamAnnounced
 from gypsumspoke.core.refusals import refusal_of
 from gypsumspoke.core.sidecar import SidecarState
 from gypsumspoke.parser.announcement import Announcement, parse_announcement
--- a/gypsumspoke/tools/command_line.py
+++ b/gypsumspoke/tools/command_line.py
@@ -17,7 +17,7 @@
 
 from gypsumspoke import __version__
 from gypsumspoke.core.clock import Clock, SystemClock
-from gypsumspoke.core.data import Role
+from gypsumspoke.core.values import Role
 from gypsumspoke.parser.settings import Settings, read_settings
 from gypsumspoke.tools.exit_codes import ExitCode
 
--- a/gypsumspoke/tools/measure_model.py
+++ b/gypsumspoke/tools/measure_model.py
@@ -13,14 +13,7 @@
 from datetime import datetime, timedelta, timezone
 from typing import NamedTuple
 
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Load,
-    Member,
-    Outcome,
-    RetryReason,
-    Role,
-)
+from gypsumspoke.core.counted import RetryReason
 from gypsumspoke.core.fair_queue import discard, new_fair_queue, pop, push
 from gypsumspoke.core.placement import (
     DEFAULT_STRATEGY,
@@ -36,6 +29,8 @@
     set_members,
     set_policy,
 )
+from gypsumspoke.core.policy import DEFAULT_POLICY
+from gypsumspoke.core.values import Load, Member, Outcome, Role
 from gypsumspoke.tools.measure_report import Tally
 from gypsumspoke.tools.measure_workload import (
     FAILS_AFTER,
--- a/gypsumspoke/tools/measure_reducers.py
+++ b/gypsumspoke/tools/measure_reducers.py
@@ -15,29 +15,18 @@
 from typing import NamedTuple
 
 from gypsumspoke.core import membership, sidecar
-from gypsumspoke.core.data import (
+from gypsumspoke.core.effects import Effect, ReadRows, Send, StartUpstream, WriteRows
+from gypsumspoke.core.events import (
     TICK,
-    Effect,
-    JobKey,
-    Member,
-    Outcome,
     PeerConnected,
-    ReadRows,
     Received,
-    Role,
-    Row,
     RowsRead,
     RowsWritten,
-    Send,
-    StartUpstream,
-    Submission,
-    SubmitJob,
-    Task,
     Tick,
     UpstreamAnswered,
     WriteOutcome,
-    WriteRows,
 )
+from gypsumspoke.core.messages import SubmitJob
 from gypsumspoke.core.partitions import partition_of
 from gypsumspoke.core.rows import (
     MANIFEST_KEY,
@@ -45,6 +34,7 @@
     partition_from_row,
     partition_key,
 )
+from gypsumspoke.core.values import JobKey, Member, Outcome, Role, Row, Submission, Task
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.wire.codec import encode
 
--- a/gypsumspoke/tools/measure_wire.py
+++ b/gypsumspoke/tools/measure_wire.py
@@ -15,25 +15,27 @@
 import gevent
 
 from gypsumspoke.core.clock import SystemClock
-from gypsumspoke.core.data import (
-    Answer,
-    AttemptId,
+from gypsumspoke.core.errors import Work
+from gypsumspoke.core.events import Received
+from gypsumspoke.core.messages import (
     Heartbeat,
     JobAnswer,
+    Message,
+    StartTask,
+    SubmitJob,
+    TaskOutcome,
+)
+from gypsumspoke.core.values import (
+    Answer,
+    AttemptId,
     JobKey,
     Load,
     Member,
-    Message,
     Outcome,
-    Received,
     Role,
-    StartTask,
     Submission,
-    SubmitJob,
     Task,
-    TaskOutcome,
 )
-from gypsumspoke.core.errors import Work
 from gypsumspoke.wire.codec import decode, encode
 from gypsumspoke.wire.frames import frame
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
--- a/gypsumspoke/wire/codec.py
+++ b/gypsumspoke/wire/codec.py
@@ -1,6 +1,6 @@
 """Messages to bytes and back, by thrift's compact protocol.
 
-The tuples of ``core/data.py`` and ``runs/messages.py`` stay free of thrift, so each is
+The tuples of ``core`` and of ``runs/messages.py`` stay free of thrift, so each is
 copied to and from the generated struct with the same fields. The copying functions are
 built once, at import, from the annotations of the tuples: a field that is added there
 and missing in the IDL fails at once and in every test, instead of being dropped in
@@ -24,18 +24,18 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from gypsumspoke.core import data
+from gypsumspoke.core.messages import Message
 from gypsumspoke.runs import messages
 from gypsumspoke.wire.generated import ttypes
 from gypsumspoke.wire.hello import Hello
 
-WireMessage = data.Message | messages.RunMessage | Hello
+WireMessage = Message | messages.RunMessage | Hello
 
 _EPOCH = datetime(1970, 1, 1, tzinfo=timezone.utc)
 _MICROSECOND = timedelta(microseconds=1)
 _RESERVED_WORDS = {"service": "service_name"}
 
-# The only tuple type in data.py that has no name of its own.
+# The only tuple type in a message that has no name of its own.
 _TEAM_RATES = tuple[str, float, float]
 
 _Convert = Callable[[Any], Any]
@@ -172,7 +172,7 @@
 
 
 def _converter(annotation: Any) -> _Converter:
-    """Return the converter of an annotation of data.py, building it when new."""
+    """Return the converter of an annotation of a message, building it when new."""
     if annotation in _LEAVES:
         return _LEAVES[annotation]
     if typing.get_origin(annotation) is tuple:
@@ -218,7 +218,7 @@
     """Return the bytes of a message.
 
     Args:
-      message: any message of ``core/data.py`` or ``runs/messages.py``, or a Hello.
+      message: any message of ``core/messages.py`` or ``runs/messages.py``, or a Hello.
 
     Returns:
       The payload of one frame, without its length.
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -19,13 +19,9 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.core.data import (
-    Member,
-    Message,
-    PeerConnected,
-    PeerLost,
-    Received,
-)
+from gypsumspoke.core.events import PeerConnected, PeerLost, Received
+from gypsumspoke.core.messages import Message
+from gypsumspoke.core.values import Member
 from gypsumspoke.wire.codec import decode, encode
 from gypsumspoke.wire.connection import (
     MAX_QUEUED_BYTES,
@@ -198,7 +194,7 @@
 
         Args:
           to: incarnation of the peer.
-          message: any message of ``core/data.py``.
+          message: any message of ``core/messages.py``.
 
         Returns:
           False when it is lost already: no address, a full queue, a failed dial a
--- a/tests/core/entry_reducer.py
+++ b/tests/core/entry_reducer.py
@@ -3,29 +3,26 @@
 from datetime import datetime, timedelta, timezone
 
 from gypsumspoke.core import entry
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Answer,
-    Count,
-    Deliver,
-    JobAnswer,
-    JobKey,
-    Manifest,
+from gypsumspoke.core.effects import Count, Deliver, Send
+from gypsumspoke.core.errors import Work
+from gypsumspoke.core.events import (
     ManifestChanged,
-    Member,
-    PartitionRow,
     PartitionsChanged,
     ReachabilityChanged,
     Received,
+)
+from gypsumspoke.core.messages import JobAnswer
+from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.core.policy import DEFAULT_POLICY, Manifest, ServicePolicy, TeamPolicy
+from gypsumspoke.core.values import (
+    Answer,
+    JobKey,
+    Member,
+    PartitionRow,
     Role,
-    Send,
-    ServicePolicy,
     Submission,
     Task,
-    TeamPolicy,
 )
-from gypsumspoke.core.errors import Work
-from gypsumspoke.core.partitions import partition_of
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 SECOND = timedelta(seconds=1)
--- a/tests/core/membership_process.py
+++ b/tests/core/membership_process.py
@@ -5,25 +5,19 @@
 from returns.result import Failure, Success
 
 from gypsumspoke.core import membership
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
+from gypsumspoke.core.effects import Local, ReadRows, Send, WriteRows
+from gypsumspoke.core.events import (
     TICK,
-    Heartbeat,
-    Local,
-    Manifest,
-    Member,
-    ReadRows,
     Received,
-    Role,
-    Row,
     RowsRead,
     RowsWritten,
-    Send,
     Tick,
     WriteOutcome,
-    WriteRows,
 )
+from gypsumspoke.core.messages import Heartbeat
+from gypsumspoke.core.policy import DEFAULT_POLICY, Manifest
 from gypsumspoke.core.rows import member_key, member_value
+from gypsumspoke.core.values import Member, Role, Row
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 SECOND = timedelta(seconds=1)
--- a/tests/core/system.py
+++ b/tests/core/system.py
@@ -13,40 +13,39 @@
 from returns.result import Success
 
 from gypsumspoke.core import sidecar
-from gypsumspoke.core.data import (
-    DEFAULT_POLICY,
-    Answer,
-    CancelJob,
+from gypsumspoke.core.effects import (
     Count,
-    Drain,
     Exit,
-    JobAnswer,
-    JobKey,
-    Manifest,
-    Member,
-    Outcome,
+    ReadRows,
+    Send,
+    StartUpstream,
+    WriteRows,
+)
+from gypsumspoke.core.events import (
+    Drain,
     PeerConnected,
     PeerLost,
-    ReadRows,
     Received,
-    Role,
-    Row,
     RowsRead,
     RowsWritten,
-    Send,
-    ServicePolicy,
-    StartUpstream,
-    Submission,
-    SubmitJob,
-    Task,
-    TeamPolicy,
     Tick,
     UpstreamAnswered,
     WriteOutcome,
-    WriteRows,
 )
+from gypsumspoke.core.messages import CancelJob, JobAnswer, SubmitJob
 from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.core.policy import DEFAULT_POLICY, Manifest, ServicePolicy, TeamPolicy
 from gypsumspoke.core.rows import MANIFEST_KEY
+from gypsumspoke.core.values import (
+    Answer,
+    JobKey,
+    Member,
+    Outcome,
+    Role,
+    Row,
+    Submission,
+    Task,
+)
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 STEP = timedelta(milliseconds=100)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -5,8 +5,8 @@
 import pytest
 
 from gypsumspoke.core import admission, entry
-from gypsumspoke.core.data import JobKey, Task
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.values import JobKey, Task
 from tests.core.entry_reducer import (
     ENTRY,
     MILLISECOND,
--- a/tests/core/test_copies.py
+++ b/tests/core/test_copies.py
@@ -1,8 +1,10 @@
 """A copy on its way: homes that are lost, move, are silent, or are not ready."""
 
 from gypsumspoke.core import copies
-from gypsumspoke.core.data import Local, PeerLost, RetryReason, Tick
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Local
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.events import PeerLost, Tick
 from gypsumspoke.core.membership import ViewDoubted
 from tests.core.entry_reducer import DONE, MILLISECOND, SECOND, START, Entry, refused
 
--- a/tests/core/test_endings.py
+++ b/tests/core/test_endings.py
@@ -1,8 +1,9 @@
 """Ends of jobs."""
 
 from gypsumspoke.core import endings, jobs
-from gypsumspoke.core.data import Observe, Outcome
+from gypsumspoke.core.effects import Observe
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.values import Outcome
 from tests.core.system import System, settled_system
 
 
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -1,8 +1,11 @@
 """What an entry passes on, sends again, answers and refuses."""
 
 from gypsumspoke.core import entry
-from gypsumspoke.core.data import Answer, Counter, Drain, JobKey, QueryJob, SubmitJob
+from gypsumspoke.core.counted import Counter
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.events import Drain
+from gypsumspoke.core.messages import QueryJob, SubmitJob
+from gypsumspoke.core.values import Answer, JobKey
 from tests.core.entry_reducer import (
     DONE,
     KEY,
--- a/tests/core/test_entry_role.py
+++ b/tests/core/test_entry_role.py
@@ -5,25 +5,20 @@
 from returns.result import Success
 
 from gypsumspoke.core import entry_role
-from gypsumspoke.core.data import (
-    Deliver,
+from gypsumspoke.core.effects import Deliver, Exit, ReadRows, Send, WriteRows
+from gypsumspoke.core.entry import CallerArrived
+from gypsumspoke.core.events import (
     Drain,
-    Exit,
-    JobAnswer,
     PeerConnected,
-    ReadRows,
     Received,
-    Row,
     RowsRead,
     RowsWritten,
-    Send,
-    SubmitJob,
     Tick,
     WriteOutcome,
-    WriteRows,
 )
-from gypsumspoke.core.entry import CallerArrived
+from gypsumspoke.core.messages import JobAnswer, SubmitJob
 from gypsumspoke.core.rows import partition_key, partition_value
+from gypsumspoke.core.values import Row
 from tests.core.entry_reducer import (
     DONE,
     ENTRY,
--- a/tests/core/test_executor.py
+++ b/tests/core/test_executor.py
@@ -3,21 +3,16 @@
 from datetime import datetime, timedelta, timezone
 
 from gypsumspoke.core import executor, executor_state
-from gypsumspoke.core.data import (
-    AttemptId,
-    CloseJob,
-    JobKey,
-    Outcome,
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Send, StartUpstream
+from gypsumspoke.core.events import (
     PartitionsChanged,
     Received,
-    RetryReason,
-    Send,
-    StartTask,
-    StartUpstream,
-    TaskOutcome,
     UpstreamAnnounced,
     UpstreamAnswered,
 )
+from gypsumspoke.core.messages import CloseJob, StartTask, TaskOutcome
+from gypsumspoke.core.values import AttemptId, JobKey, Outcome
 
 NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
 HOME = "home-1"
--- a/tests/core/test_executor_starts.py
+++ b/tests/core/test_executor_starts.py
@@ -3,24 +3,19 @@
 from datetime import datetime, timedelta, timezone
 
 from gypsumspoke.core import executor, executor_state
-from gypsumspoke.core.data import (
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Send, StartUpstream
+from gypsumspoke.core.events import PartitionsChanged, Received, UpstreamAnswered
+from gypsumspoke.core.messages import (
     AskAttempt,
-    AttemptId,
     CloseJob,
     Fence,
     FenceAck,
     FenceRefused,
-    JobKey,
-    Outcome,
-    PartitionsChanged,
-    Received,
-    RetryReason,
-    Send,
     StartTask,
-    StartUpstream,
     TaskOutcome,
-    UpstreamAnswered,
 )
+from gypsumspoke.core.values import AttemptId, JobKey, Outcome
 
 NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
 PARTITION = 3
--- a/tests/core/test_heartbeats.py
+++ b/tests/core/test_heartbeats.py
@@ -3,17 +3,15 @@
 import pytest
 
 from gypsumspoke.core import heartbeats, membership
-from gypsumspoke.core.data import (
-    Heartbeat,
-    ManifestRequest,
-    ManifestUpdate,
+from gypsumspoke.core.effects import Send
+from gypsumspoke.core.events import (
     PartitionsChanged,
     PeerConnected,
     PeerLost,
     ReachabilityChanged,
     Received,
-    Send,
 )
+from gypsumspoke.core.messages import Heartbeat, ManifestRequest, ManifestUpdate
 from tests.core.membership_process import SECOND, Process, heartbeat, row_of, sidecar
 
 
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -2,8 +2,9 @@
 
 from datetime import timedelta
 
-from gypsumspoke.core.data import Counter, Outcome
+from gypsumspoke.core.counted import Counter
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.values import Outcome
 from tests.core.system import settled_system
 
 
--- a/tests/core/test_jobs.py
+++ b/tests/core/test_jobs.py
@@ -3,8 +3,8 @@
 from datetime import datetime, timedelta, timezone
 
 from gypsumspoke.core import jobs
-from gypsumspoke.core.data import JobKey, Submission, Task
 from gypsumspoke.core.jobs import Job
+from gypsumspoke.core.values import JobKey, Submission, Task
 
 NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
 
--- a/tests/core/test_membership_view.py
+++ b/tests/core/test_membership_view.py
@@ -1,16 +1,11 @@
 """What a process takes from the table, and what it ignores."""
 
 from gypsumspoke.core import membership
-from gypsumspoke.core.data import (
-    ApplyManifest,
-    Drain,
-    ManifestRequest,
-    ManifestUpdate,
-    MembersChanged,
-    Received,
-    Row,
-)
+from gypsumspoke.core.effects import ApplyManifest
+from gypsumspoke.core.events import Drain, MembersChanged, Received
+from gypsumspoke.core.messages import ManifestRequest, ManifestUpdate
 from gypsumspoke.core.rows import member_value
+from gypsumspoke.core.values import Row
 from tests.core.membership_process import SECOND, START, Process, heartbeat, sidecar
 
 
--- a/tests/core/test_partitions.py
+++ b/tests/core/test_partitions.py
@@ -2,8 +2,8 @@
 
 from datetime import datetime, timezone
 
-from gypsumspoke.core.data import JobKey, Member, Role
 from gypsumspoke.core.partitions import partition_of, preferred_owner
+from gypsumspoke.core.values import JobKey, Member, Role
 
 REGISTERED = datetime(2026, 1, 1, tzinfo=timezone.utc)
 PARTITIONS = 64
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from gypsumspoke.core.data import DEFAULT_POLICY, Load, Member, Outcome, Role
 from gypsumspoke.core.placement import (
     STRATEGIES,
     choose,
@@ -20,6 +19,8 @@
     set_members,
     set_policy,
 )
+from gypsumspoke.core.policy import DEFAULT_POLICY
+from gypsumspoke.core.values import Load, Member, Outcome, Role
 
 NOW = datetime(2026, 1, 1, tzinfo=timezone.utc)
 SERVICE = "estimate"
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -21,8 +21,9 @@
 )
 
 from gypsumspoke.core import membership
-from gypsumspoke.core.data import JobAnswer, Outcome
 from gypsumspoke.core.errors import Work
+from gypsumspoke.core.messages import JobAnswer
+from gypsumspoke.core.values import Outcome
 from tests.core.system import System
 
 WORKERS = 4
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -6,7 +6,8 @@
 import pytest
 
 from gypsumspoke.core import quota
-from gypsumspoke.core.data import MAX_TASKS, TeamPolicy
+from gypsumspoke.core.policy import TeamPolicy
+from gypsumspoke.core.values import MAX_TASKS
 
 START = datetime(2026, 1, 1, tzinfo=timezone.utc)
 STEP = timedelta(milliseconds=20)
--- a/tests/core/test_registration.py
+++ b/tests/core/test_registration.py
@@ -3,8 +3,9 @@
 from datetime import timedelta
 
 from gypsumspoke.core import membership, registration
-from gypsumspoke.core.data import MAX_RETENTION, ReadRows, WriteRows
+from gypsumspoke.core.effects import ReadRows, WriteRows
 from gypsumspoke.core.rows import member_from_row
+from gypsumspoke.core.values import MAX_RETENTION
 from tests.core.membership_process import SECOND, START, Process, row_of, sidecar
 
 
--- a/tests/core/test_safeguards.py
+++ b/tests/core/test_safeguards.py
@@ -21,7 +21,7 @@
     task_starts,
     told_records,
 )
-from gypsumspoke.core.data import RetryReason
+from gypsumspoke.core.counted import RetryReason
 from tests.core import test_executor_starts as starts, test_takeover as histories
 
 LONG_AGO = datetime(2000, 1, 1, tzinfo=timezone.utc)
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -1,8 +1,10 @@
 """The sidecar as a whole: waiting for its upstream, leaving, and told to leave."""
 
 from gypsumspoke.core import sidecar
-from gypsumspoke.core.data import Drain, Exit, RetryReason, Tick, UpstreamAnnounced
+from gypsumspoke.core.counted import RetryReason
+from gypsumspoke.core.effects import Exit
 from gypsumspoke.core.errors import ErrorKind
+from gypsumspoke.core.events import Drain, Tick, UpstreamAnnounced
 from tests.core.system import SERVICE, START, System, parse_manifest, settled_system
 
 COMES = UpstreamAnnounced(SERVICE, 2, leaving=False)
--- a/tests/core/test_table_reads.py
+++ b/tests/core/test_table_reads.py
@@ -1,7 +1,8 @@
 """When the table is read."""
 
 from gypsumspoke.core import membership
-from gypsumspoke.core.data import ReadRows, Role
+from gypsumspoke.core.effects import ReadRows
+from gypsumspoke.core.values import Role
 from tests.core.membership_process import SECOND, Process, heartbeat, sidecar
 
 
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -6,16 +6,11 @@
 
 from datetime import timedelta
 
-from gypsumspoke.core.data import (
-    AttemptId,
-    Counter,
-    Handoff,
-    ManifestChanged,
-    Received,
-    Remember,
-    StartTask,
-)
+from gypsumspoke.core.counted import Counter
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.events import ManifestChanged, Received
+from gypsumspoke.core.messages import Handoff, Remember, StartTask
+from gypsumspoke.core.values import AttemptId
 from tests.core.system import MANIFEST, POLICY, System, settled_system
 
 TAKEN_OVER = 3.0
--- a/tests/core/walk.py
+++ b/tests/core/walk.py
@@ -8,7 +8,7 @@
 import random
 import sys
 
-from gypsumspoke.core.data import Outcome
+from gypsumspoke.core.values import Outcome
 from tests.core.test_promises import WORKERS, Histories
 
 STEPS = 120
--- a/tests/failures/system.py
+++ b/tests/failures/system.py
@@ -12,8 +12,8 @@
 from returns.result import Success
 
 from gypsumspoke.core.clock import SystemClock
-from gypsumspoke.core.data import JobKey
 from gypsumspoke.core.partitions import partition_of
+from gypsumspoke.core.values import JobKey
 from gypsumspoke.tools.caller_client import JOBS_PATH, new_key
 from gypsumspoke.tools.http_client import Address, Request, exchange
 from gypsumspoke.tools.operator_client import apply_manifest
--- a/tests/failures/test_refusals.py
+++ b/tests/failures/test_refusals.py
@@ -4,7 +4,8 @@
 import pytest
 from gevent.socket import create_connection
 
-from gypsumspoke.core.data import JobKey, QueryJob
+from gypsumspoke.core.messages import QueryJob
+from gypsumspoke.core.values import JobKey
 from gypsumspoke.wire.codec import encode
 from gypsumspoke.wire.frames import MAX_FRAME_BYTES, frame
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
--- a/tests/fuzz/test_documents.py
+++ b/tests/fuzz/test_documents.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
-from gypsumspoke.core.data import Manifest
+from gypsumspoke.core.policy import Manifest
 from gypsumspoke.parser.announcement import Announcement, parse_announcement
 from gypsumspoke.parser.documents import plain_json, read_document
 from gypsumspoke.parser.manifest import parse_manifest
--- a/tests/fuzz/test_entry_http.py
+++ b/tests/fuzz/test_entry_http.py
@@ -7,8 +7,9 @@
 from hypothesis import assume, given, strategies as st
 
 from gypsumspoke.core.clock import SystemClock
-from gypsumspoke.core.data import Answer, Deliver
+from gypsumspoke.core.effects import Deliver
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.values import Answer
 from gypsumspoke.parser.job_request import BODY_LIMIT
 from gypsumspoke.shell.entry_http import EntryHttp
 from gypsumspoke.shell.job_answers import PROBLEM_TYPE
--- a/tests/fuzz/test_job_request.py
+++ b/tests/fuzz/test_job_request.py
@@ -6,7 +6,7 @@
 from hypothesis import given, strategies as st
 from returns.pipeline import is_successful
 
-from gypsumspoke.core.data import SubmitJob
+from gypsumspoke.core.messages import SubmitJob
 from gypsumspoke.parser.job_request import parse_job_request
 from gypsumspoke.wire.codec import decode, encode
 from tests.fuzz.texts import spoiled_documents
--- a/tests/parser/test_manifest.py
+++ b/tests/parser/test_manifest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gypsumspoke.core.data import DEFAULT_POLICY
+from gypsumspoke.core.policy import DEFAULT_POLICY
 from gypsumspoke.parser.manifest import parse_manifest
 
 SERVICE = {"name": "estimate"}
--- a/tests/parser/test_settings.py
+++ b/tests/parser/test_settings.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure
 
-from gypsumspoke.core.data import Role
+from gypsumspoke.core.values import Role
 from gypsumspoke.parser.settings import SettingsError, parse_settings, read_settings
 
 SIDECAR = read_settings("examples/sidecar.json").unwrap()
--- a/tests/runs/test_faults.py
+++ b/tests/runs/test_faults.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from gypsumspoke.core.data import Send, Tick
+from gypsumspoke.core.effects import Send
+from gypsumspoke.core.events import Tick
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS, DEFAULT_BUDGET
 from gypsumspoke.runs.coordinator import is_ready
 from gypsumspoke.runs.messages import PlaceRun
--- a/tests/runs/test_orphans.py
+++ b/tests/runs/test_orphans.py
@@ -2,7 +2,8 @@
 
 from datetime import timedelta
 
-from gypsumspoke.core.data import PeerConnected, Send
+from gypsumspoke.core.effects import Send
+from gypsumspoke.core.events import PeerConnected
 from gypsumspoke.runs import guard
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.guard_state import GuardState
--- a/tests/runs/test_overload.py
+++ b/tests/runs/test_overload.py
@@ -1,6 +1,6 @@
 """Load at its worst: how work waits, is refused and placed."""
 
-from gypsumspoke.core.data import Send
+from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.admission import expected_wait
 from gypsumspoke.runs.fleet import SidecarView
 from gypsumspoke.runs.messages import PlaceRun
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -1,6 +1,6 @@
 """What entries know of a worker's room, and what becomes of a run that finds none."""
 
-from gypsumspoke.core.data import Send
+from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.guard_report import CHANGE_INTERVAL
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import JobEnd
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -15,15 +15,8 @@
 
 from returns.result import Failure
 
-from gypsumspoke.core.data import (
-    Drain,
-    Exit,
-    PeerConnected,
-    PeerLost,
-    Received,
-    Send,
-    Tick,
-)
+from gypsumspoke.core.effects import Exit, Send
+from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
 from gypsumspoke.runs import coordinator, guard
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.coordinator_state import (
--- a/tests/shell/test_entry.py
+++ b/tests/shell/test_entry.py
@@ -8,16 +8,10 @@
 import pytest
 from gevent import socket
 
-from gypsumspoke.core.data import (
-    Answer,
-    CancelJob,
-    JobAnswer,
-    Outcome,
-    QueryJob,
-    SubmitJob,
-)
 from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.messages import CancelJob, JobAnswer, QueryJob, SubmitJob
 from gypsumspoke.core.rows import member_key
+from gypsumspoke.core.values import Answer, Outcome
 from tests.standins.entry_process import DONE, PARTITIONS, job, request
 from tests.standins.processes import BOUND_SECONDS, call_json
 
--- a/tests/shell/test_late_metrics.py
+++ b/tests/shell/test_late_metrics.py
@@ -2,7 +2,7 @@
 
 from contextlib import closing
 
-from gypsumspoke.core.data import Count, Observe
+from gypsumspoke.core.effects import Count, Observe
 from gypsumspoke.runs.values import RefusalReason
 from gypsumspoke.shell import late_metrics
 from gypsumspoke.shell.late_metrics import LateMetrics
--- a/tests/shell/test_logs.py
+++ b/tests/shell/test_logs.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from gypsumspoke.core.data import JobKey, Log
+from gypsumspoke.core.effects import Log
+from gypsumspoke.core.values import JobKey
 from gypsumspoke.shell.logs import configure_logs, log
 
 
--- a/tests/shell/test_runtime.py
+++ b/tests/shell/test_runtime.py
@@ -7,21 +7,11 @@
 import pytest
 
 from gypsumspoke.core.clock import SystemClock
-from gypsumspoke.core.data import (
-    Count,
-    Counter,
-    Drain,
-    Exit,
-    JobKey,
-    Member,
-    QueryJob,
-    ReadRows,
-    Received,
-    Role,
-    RowsRead,
-    Send,
-    Tick,
-)
+from gypsumspoke.core.counted import Counter
+from gypsumspoke.core.effects import Count, Exit, ReadRows, Send
+from gypsumspoke.core.events import Drain, Received, RowsRead, Tick
+from gypsumspoke.core.messages import QueryJob
+from gypsumspoke.core.values import JobKey, Member, Role
 from gypsumspoke.shell import runtime as module
 from gypsumspoke.shell.runtime import Runtime
 from gypsumspoke.shell.table_client import TableClient
--- a/tests/shell/test_table_client.py
+++ b/tests/shell/test_table_client.py
@@ -5,7 +5,9 @@
 import pytest
 from gevent.queue import Queue
 
-from gypsumspoke.core.data import ReadRows, Row, WriteOutcome, WriteRows
+from gypsumspoke.core.effects import ReadRows, WriteRows
+from gypsumspoke.core.events import WriteOutcome
+from gypsumspoke.core.values import Row
 from gypsumspoke.shell.http_exchange import ExchangeLimits
 from gypsumspoke.shell.table_client import MAX_CALLS, MAX_WAITING, TableClient
 from tests.standins.processes import call_json
--- a/tests/shell/test_upstream_client.py
+++ b/tests/shell/test_upstream_client.py
@@ -5,7 +5,8 @@
 import pytest
 from gevent.queue import Queue
 
-from gypsumspoke.core.data import AttemptId, JobKey, Outcome, StartUpstream
+from gypsumspoke.core.effects import StartUpstream
+from gypsumspoke.core.values import AttemptId, JobKey, Outcome
 from gypsumspoke.shell.upstream_client import (
     DEFAULT_SERVICE,
     MAX_RESULT_BYTES,
--- a/tests/standins/entry_process.py
+++ b/tests/standins/entry_process.py
@@ -9,17 +9,10 @@
 from geventhttpclient import HTTPClient
 
 from gypsumspoke.core.clock import SystemClock
-from gypsumspoke.core.data import (
-    Answer,
-    CancelJob,
-    JobAnswer,
-    Member,
-    QueryJob,
-    Received,
-    Role,
-    SubmitJob,
-)
 from gypsumspoke.core.errors import Work
+from gypsumspoke.core.events import Received
+from gypsumspoke.core.messages import CancelJob, JobAnswer, QueryJob, SubmitJob
+from gypsumspoke.core.values import Answer, Member, Role
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
 from gypsumspoke.wire.links import PeerLinks
 from tests.standins.processes import BOUND_SECONDS
--- a/tests/test_api_pages.py
+++ b/tests/test_api_pages.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from gypsumspoke.core.data import MAX_TASKS, Outcome
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind, Work
+from gypsumspoke.core.values import MAX_TASKS, Outcome
 from gypsumspoke.parser.announcement import _AnnouncementShape
 from gypsumspoke.parser.job_request import _JOB_FIELDS, _JOB_REQUIRED
 from gypsumspoke.shell import entry_http, operator_http, upstream_http
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumspoke.core.data import Counter, RetryReason
+from gypsumspoke.core.counted import Counter, RetryReason
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.runs.values import EndReason, RefusalReason
 from gypsumspoke.shell.metrics import HISTOGRAMS
--- a/tests/wire/strategies.py
+++ b/tests/wire/strategies.py
@@ -22,7 +22,7 @@
 
 
 def values_of(annotation):
-    """Return a strategy for an annotation used in core/data.py."""
+    """Return a strategy for an annotation used in a message."""
     if annotation in _LEAVES:
         return _LEAVES[annotation]
     origin = typing.get_origin(annotation)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -9,7 +9,8 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from gypsumspoke.core.data import JobKey, Message, QueryJob
+from gypsumspoke.core.messages import Message, QueryJob
+from gypsumspoke.core.values import JobKey
 from gypsumspoke.runs.messages import RunMessage
 from gypsumspoke.wire.codec import WireMessage, decode, encode
 from gypsumspoke.wire.generated import ttypes
--- a/tests/wire/test_dialler.py
+++ b/tests/wire/test_dialler.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gypsumspoke.core.clock import SteadyClock
-from gypsumspoke.core.data import PeerConnected, Received
+from gypsumspoke.core.events import PeerConnected, Received
 from gypsumspoke.runs.messages import KnownEntries
 from gypsumspoke.wire.dialler import Dialler
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
--- a/tests/wire/test_frame_bound.py
+++ b/tests/wire/test_frame_bound.py
@@ -9,23 +9,22 @@
 import pytest
 
 from gypsumspoke.core.adoption import _finished_parts
-from gypsumspoke.core.data import (
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.jobs import ANSWER_BYTES
+from gypsumspoke.core.messages import Handoff, JobAnswer
+from gypsumspoke.core.start_records import StartRecords, fence_acks, remember_messages
+from gypsumspoke.core.values import (
     MAX_TASKS,
     NOTHING_FORGOTTEN,
     Answer,
     AttemptId,
     ClosedRecord,
     FinishedRecord,
-    Handoff,
-    JobAnswer,
     JobKey,
     Outcome,
     StartRecord,
     TaskState,
 )
-from gypsumspoke.core.errors import ErrorKind, Work
-from gypsumspoke.core.jobs import ANSWER_BYTES
-from gypsumspoke.core.start_records import StartRecords, fence_acks, remember_messages
 from gypsumspoke.parser.job_request import MAX_KEY_LENGTH, MAX_NAME_LENGTH
 from gypsumspoke.shell.upstream_client import MAX_RESULT_BYTES
 from gypsumspoke.wire.codec import encode
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -9,16 +9,9 @@
 from gevent.socket import create_connection, socket
 
 from gypsumspoke.core.clock import ManualClock, SystemClock
-from gypsumspoke.core.data import (
-    JobKey,
-    ManifestUpdate,
-    Member,
-    PeerConnected,
-    PeerLost,
-    QueryJob,
-    Received,
-    Role,
-)
+from gypsumspoke.core.events import PeerConnected, PeerLost, Received
+from gypsumspoke.core.messages import ManifestUpdate, QueryJob
+from gypsumspoke.core.values import JobKey, Member, Role
 from gypsumspoke.wire.codec import encode
 from gypsumspoke.wire.frames import HEARTBEAT_FRAME, MAX_FRAME_BYTES, frame
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
