--- /dev/null
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -0,0 +1,158 @@
+"""What an entry does as its sidecars come, report, fall silent and go."""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.effects import Effect, Log, Send
+from gypsumspoke.core.events import PeerConnected, PeerLost
+from gypsumspoke.runs.assignment import place_waiting
+from gypsumspoke.runs.coordinator_state import CoordinatorState
+from gypsumspoke.runs.fleet import (
+    SidecarView,
+    note_ended,
+    restart_connection,
+    take_report,
+)
+from gypsumspoke.runs.isolation import note_heard
+from gypsumspoke.runs.messages import (
+    AskRun,
+    ConfigurationOffer,
+    KnownEntries,
+    Pulse,
+    RunEnded,
+    WithdrawRun,
+    WorkerReport,
+)
+from gypsumspoke.runs.run_ends import take_run_end
+from gypsumspoke.runs.values import EndReason, RunEnd
+
+# A sidecar that is gone is forgotten after this; its runs are long dead.
+FORGET_AFTER = timedelta(seconds=30)
+
+
+def take_connected(
+    event: PeerConnected, state: CoordinatorState, now: datetime
+) -> list[Effect]:
+    """Greet a peer; ask a known sidecar what became of the runs placed there."""
+    effects: list[Effect] = [
+        Send(event.incarnation, KnownEntries(state.directory.known)),
+        Send(event.incarnation, ConfigurationOffer(state.version)),
+    ]
+    view = state.views.get(event.incarnation)
+    if view is not None:
+        restart_connection(view, now)
+        state.lost.discard(event.incarnation)
+        # Ends may have been lost with the earlier connection, and so may placements.
+        for run in view.open_runs:
+            ask = AskRun(run) if run in state.by_run else WithdrawRun(run)
+            effects.append(Send(event.incarnation, ask))
+    return effects
+
+
+def take_lost_connection(
+    event: PeerLost, state: CoordinatorState, now: datetime
+) -> list[Effect]:
+    """Place nothing there any more; what runs there goes on until it is known dead."""
+    state.entries.discard(event.incarnation)
+    view = state.views.get(event.incarnation)
+    if view is None:
+        return []
+    view.connected = False
+    state.lost.add(event.incarnation)
+    fields = (("sidecar", event.incarnation), ("open_runs", len(view.open_runs)))
+    return [Log(logging.WARNING, "sidecar lost", fields=fields)]
+
+
+def take_worker_report(
+    message: WorkerReport, sender: str, state: CoordinatorState, now: datetime
+) -> list[Effect]:
+    """Take what a sidecar says of its worker, and place what waits for room."""
+    view = state.views.get(sender)
+    effects = note_heard(state)
+    if view is None:
+        view = SidecarView(sender, host_of(sender), now, state.budget)
+        state.views[sender] = view
+        fields = (("sidecar", sender), ("worker", message.worker))
+        effects.append(Log(logging.INFO, "sidecar found", fields=fields))
+    was_taking = view.report is not None and view.report.takes_work
+    take_report(view, message, now)
+    if now - view.last_sent >= state.budget.pulse_interval:
+        view.last_sent = now
+        effects.append(Send(sender, Pulse(message.stamp)))
+    if was_taking is not message.takes_work:
+        effects.append(_log_taking(view))
+    if message.clean:
+        effects += _end_replaced(state, view, now)
+    return [*effects, *place_waiting(state, now)]
+
+
+def _log_taking(view: SidecarView) -> Log:
+    fields = (
+        ("sidecar", view.incarnation),
+        ("worker", view.report.worker),
+        ("takes_work", view.report.takes_work),
+        ("failing", view.report.failing),
+    )
+    return Log(logging.INFO, "sidecar changed", fields=fields)
+
+
+def take_ended_run(
+    message: RunEnded, sender: str, state: CoordinatorState, now: datetime
+) -> list[Effect]:
+    """Free the room of a run and go on with its task."""
+    view = state.views.get(sender)
+    if view is not None:
+        note_ended(view, message.run, ran=message.took is not None)
+    effects = take_run_end(state, message, now)
+    return [*effects, *place_waiting(state, now)]
+
+
+def host_of(incarnation: str) -> str:
+    """Return the name of the instance that a process runs on."""
+    return incarnation.rpartition("-")[0]
+
+
+def _end_replaced(
+    state: CoordinatorState, view: SidecarView, now: datetime
+) -> list[Effect]:
+    """Give up what was placed on earlier processes of the same instance.
+
+    The new process says that nothing they started runs any more.
+    """
+    effects: list[Effect] = []
+    # Few are lost at any time; to look at all sidecars at each report of each would
+    # cost an entry processor time that grows with the square of their number.
+    for incarnation in sorted(state.lost):
+        other = state.views[incarnation]
+        if other.host == view.host and other is not view:
+            effects += _take_lost(state, other, now)
+            _forget(state, other)
+    return effects
+
+
+def check_silent(state: CoordinatorState, now: datetime) -> list[Effect]:
+    """Give up what silent sidecars ran, and forget those that are gone."""
+    effects: list[Effect] = []
+    for view in list(state.views.values()):
+        if view.open_runs and now >= view.runs_dead_at:
+            effects += _take_lost(state, view, now)
+        if not view.connected and now >= view.reported + FORGET_AFTER:
+            _forget(state, view)
+    return effects
+
+
+def _forget(state: CoordinatorState, view: SidecarView) -> None:
+    del state.views[view.incarnation]
+    state.lost.discard(view.incarnation)
+
+
+def _take_lost(
+    state: CoordinatorState, view: SidecarView, now: datetime
+) -> list[Effect]:
+    """Place again what was placed on a sidecar whose runs are all dead."""
+    effects: list[Effect] = []
+    for run in list(view.open_runs):
+        note_ended(view, run, ran=False)
+        lost = RunEnded(run, RunEnd.LOST, EndReason.SIDECAR_SILENT)
+        effects += take_run_end(state, lost, now)
+    return effects
--- /dev/null
+++ b/gypsumspoke/runs/guard_placing.py
@@ -0,0 +1,160 @@
+"""What a sidecar does with a run that an entry places on it.
+
+Load that it answers: several entries place work on one worker without seeing each
+other's, so more arrives at once than fits. What does not fit is sent back at once with
+a fresh report, and goes where there is room. Only a run whose task has an older run
+here waits, until that one is gone.
+"""
+
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.effects import Count, Effect, Send
+from gypsumspoke.runs import guard_ends, guard_orders, guard_report
+from gypsumspoke.runs.guard_state import (
+    GuardedRun,
+    GuardState,
+    Phase,
+    keep_end,
+    note_highest,
+)
+from gypsumspoke.runs.guard_waiting import start_waiting
+from gypsumspoke.runs.messages import AskRun, PlaceRun, RunEnded
+from gypsumspoke.runs.values import EndReason, RunEnd, RunId, WorkerReady, fits
+
+
+def take_placed(
+    message: PlaceRun, sender: str, state: GuardState, now: datetime
+) -> list[Effect]:
+    """Start a run, let it wait for an older one, or send it back."""
+    if sender in state.taken:
+        state.taken[sender] += 1
+    note_alive(state, sender, message.heard, now)
+    known = _tell_known(state, message.run, sender)
+    if known is not None:
+        return known
+    # An order that was held up by a cut, or lay in the buffers of a process that was
+    # paused, may come after its entry has given the run up and placed it elsewhere.
+    if state.origin + message.heard < now - state.budget.order_fresh:
+        return _refuse(state, message.run, sender, EndReason.ORDER_STALE)
+    effects = _end_older_runs(state, message.run, sender, now)
+    reason = _cannot_take(state, message)
+    if reason is not None:
+        return [*effects, *_refuse(state, message.run, sender, reason)]
+    state.order += 1
+    note_highest(state, message.run)
+    state.runs[message.run] = GuardedRun(
+        message.run,
+        sender,
+        message.room,
+        message.priority,
+        message.estimate,
+        message.spec,
+        now + message.within,
+        state.order,
+    )
+    effects += start_waiting(state, now)
+    return [*effects, *_send_back(state, message.run, now)]
+
+
+def take_asked(
+    message: AskRun, sender: str, state: GuardState, now: datetime
+) -> list[Effect]:
+    """Say what became of a run; one that was never seen never starts."""
+    known = _tell_known(state, message.run, sender)
+    if known is not None:
+        return known
+    return _refuse(state, message.run, sender, EndReason.NEVER_SEEN)
+
+
+def note_alive(state: GuardState, sender: str, heard: timedelta, now: datetime) -> None:
+    """Note when an entry was provably alive, by this sidecar's own clock."""
+    proven = min(state.origin + heard, now)
+    known = state.heard.get(sender)
+    state.heard[sender] = max(known, proven) if known else proven
+
+
+def _tell_known(state: GuardState, run: RunId, sender: str) -> list[Effect] | None:
+    """Tell the end of a run that this entry placed; None for one that it did not.
+
+    Of a run that has not ended there is nothing to tell yet.
+    """
+    if (sender, run) in state.ended:
+        return [Send(sender, state.ended[sender, run])]
+    guarded = state.runs.get(run)
+    if guarded is not None and guarded.coordinator == sender:
+        return []
+    return None
+
+
+def _cannot_take(state: GuardState, message: PlaceRun) -> EndReason | None:
+    """Return why this run can't wait here, or None."""
+    if state.draining is not None:
+        return EndReason.SIDECAR_STOPPING
+    if state.worker is None:
+        return EndReason.WORKER_UNKNOWN
+    if state.worker.state is WorkerReady.DRAINING:
+        return EndReason.WORKER_DRAINING
+    if not fits(message.room, state.worker.capacity):
+        return EndReason.NO_ROOM_EVER
+    # Another entry, which had the job before, used this number already; the worker
+    # would refuse it, and two runs could not be told apart here.
+    if message.run.number <= state.highest.get(message.run.task, 0):
+        return EndReason.NUMBER_TOO_LOW
+    if guard_report.is_failing(state) and state.runs:
+        return EndReason.WORKER_UNHEALTHY
+    return None
+
+
+def _refuse(
+    state: GuardState, run: RunId, sender: str, reason: EndReason
+) -> list[Effect]:
+    """Never start this run, and say so."""
+    highest = state.highest.get(run.task, 0)
+    ended = RunEnded(run, RunEnd.NOT_RUN, reason, None, highest)
+    keep_end(state, sender, ended)
+    return [Count(reason), Send(sender, ended), guard_ends.log_end(ended, sender)]
+
+
+def _send_back(state: GuardState, run: RunId, now: datetime) -> list[Effect]:
+    """Refuse a run that found no room, with a fresh report.
+
+    Its entry did not know of what the others placed here a moment ago. Waiting here,
+    the run would wait for this worker while others have room.
+    """
+    guarded = state.runs.get(run)
+    if guarded is None or guarded.phase is not Phase.WAITING:
+        return []
+    if _has_older_run(state, guarded):
+        return []
+    report = guard_report.report_to(state, guarded.coordinator, now)
+    refused = guard_orders.end_run_early(state, guarded, EndReason.ROOM_TAKEN, now)
+    return [*report, *refused]
+
+
+def _has_older_run(state: GuardState, guarded: GuardedRun) -> bool:
+    return any(
+        other.run.task == guarded.run.task and other is not guarded
+        for other in state.runs.values()
+    )
+
+
+def _end_older_runs(
+    state: GuardState, run: RunId, sender: str, now: datetime
+) -> list[Effect]:
+    """End other runs of the same task.
+
+    A caller that lost one entry sends its job through another. The first entry's run
+    may still be here; the new one waits until it is gone. Should the first entry live
+    all the same, it learns that it was superseded and places nothing again: otherwise
+    each of the two would end the other's run for ever.
+    """
+    effects: list[Effect] = []
+    key = (run, sender)
+    older = [
+        guarded
+        for guarded in state.runs.values()
+        if guarded.run.task == run.task and (guarded.run, guarded.coordinator) != key
+    ]
+    for guarded in older:
+        effects += guard_orders.end_run_early(state, guarded, EndReason.SUPERSEDED, now)
+    return effects
--- /dev/null
+++ b/gypsumspoke/runs/guard_stop.py
@@ -0,0 +1,44 @@
+"""The graceful stop of a sidecar: nothing new starts, what runs may end."""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.effects import Effect, Exit, Log
+from gypsumspoke.core.events import Drain
+from gypsumspoke.runs import guard_orders, guard_report
+from gypsumspoke.runs.guard_state import GuardState
+from gypsumspoke.runs.guard_waiting import refuse_waiting
+from gypsumspoke.runs.values import EndReason
+
+# A stopping sidecar ends what still runs this long after the signal; the platform kills
+# the process after a grace of some seconds, and ends must be told before.
+DRAIN_PATIENCE = timedelta(seconds=4.5)
+
+
+def begin_stop(event: Drain, state: GuardState, now: datetime) -> list[Effect]:
+    """Begin the graceful stop, once."""
+    if state.draining is not None:
+        return []
+    state.draining = now
+    log = Log(logging.INFO, "stopping", fields=(("runs", len(state.runs)),))
+    effects = [log, *refuse_waiting(state, EndReason.SIDECAR_STOPPING, now)]
+    for peer in sorted(state.peers):
+        effects += guard_report.report_to(state, peer, now)
+    return effects
+
+
+def continue_stop(state: GuardState, now: datetime) -> list[Effect]:
+    """End the process when nothing runs any more; stop what still does in the end."""
+    if state.draining is None or state.left:
+        return []
+    if not state.runs and not state.orphans:
+        state.left = True
+        return [Log(logging.INFO, "stopped"), Exit()]
+    if now < state.draining + DRAIN_PATIENCE:
+        return []
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        effects += guard_orders.end_run_early(
+            state, guarded, EndReason.SIDECAR_STOPPING, now
+        )
+    return effects
--- /dev/null
+++ b/gypsumspoke/runs/guard_waiting.py
@@ -0,0 +1,58 @@
+"""Runs that wait at a sidecar, and which of them starts next.
+
+They wait for an older run of their task to be gone, or for the answer that lets the
+worker take work; by priority, then by arrival.
+"""
+
+from datetime import datetime
+
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.runs import guard_orders, guard_report
+from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
+from gypsumspoke.runs.values import EndReason, fits, subtract
+
+
+def start_waiting(state: GuardState, now: datetime) -> list[Effect]:
+    """Start what fits, by priority and arrival; nothing overtakes what waits."""
+    effects = _drop_overdue(state, now)
+    if not guard_report.can_start(state, now):
+        return effects
+    free = subtract(state.worker.capacity, state.held)
+    busy = {
+        guarded.run.task
+        for guarded in state.runs.values()
+        if guarded.phase is not Phase.WAITING
+    }
+    for guarded in waiting(state):
+        if guarded.run.task in busy:
+            continue
+        if not fits(guarded.room, free):
+            break
+        free = subtract(free, guarded.room)
+        busy.add(guarded.run.task)
+        effects += guard_orders.start_run(state, guarded, now)
+    return effects
+
+
+def waiting(state: GuardState) -> list[GuardedRun]:
+    """Return the waiting runs, the next one first."""
+    found = [run for run in state.runs.values() if run.phase is Phase.WAITING]
+    found.sort(key=lambda guarded: (guarded.priority, guarded.order))
+    return found
+
+
+def _drop_overdue(state: GuardState, now: datetime) -> list[Effect]:
+    effects: list[Effect] = []
+    for guarded in list(state.runs.values()):
+        if guarded.phase is Phase.WAITING and guarded.start_by < now:
+            effects += guard_orders.end_run_early(
+                state, guarded, EndReason.DEADLINE_PASSED, now
+            )
+    return effects
+
+
+def refuse_waiting(state: GuardState, reason: EndReason, now: datetime) -> list[Effect]:
+    effects: list[Effect] = []
+    for guarded in waiting(state):
+        effects += guard_orders.end_run_early(state, guarded, reason, now)
+    return effects
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -10,10 +10,10 @@
 from gypsumspoke.runs import (
     assignment,
     budget,
-    guard,
     guard_holds,
     guard_life,
     guard_orders,
+    guard_placing,
     patience,
 )
 from gypsumspoke.runs.values import JobEnd
@@ -131,7 +131,7 @@
     ),
     pytest.param(
         [
-            (guard, "_send_back", lambda state, run, now: []),
+            (guard_placing, "_send_back", lambda state, run, now: []),
         ],
         test_reports.test_a_run_that_finds_no_room_goes_where_there_is_some,
         id="runs without room are sent back",
