A sidecar that leaves tells of partitions where it started nothing

A sidecar that left told its records of the partitions of which it had some, so nobody spoke for it in the others, and there jobs that only waited were answered 502, unknown. Change: it tells of every partition that it has heard of; the line partition served names the executors that are unheard. A leave costs as many messages as there are partitions.

--- a/gypsumspoke/core/fences.py
+++ b/gypsumspoke/core/fences.py
@@ -264,7 +264,13 @@
     effects: list[Effect] = [
         Count(Counter.TAKEOVER_FINISHED),
         Observe("takeover_seconds", seconds),
-        log_of("partition served", ownership),
+        # Whose records may be lost decides what is answered "unknown" from now on.
+        log_of(
+            "partition served",
+            ownership,
+            unheard=",".join(sorted(ownership.unheard)),
+            running=len(adopted),
+        ),
     ]
     if not ownership.remembered:
         effects += tell_own_records(state, ownership, now)
--- a/gypsumspoke/core/takeover_view.py
+++ b/gypsumspoke/core/takeover_view.py
@@ -172,6 +172,6 @@
     return ownership
 
 
-def log_of(event: str, ownership: Ownership) -> Log:
+def log_of(event: str, ownership: Ownership, **more: str | int) -> Log:
     fields = (("partition", ownership.partition), ("epoch", ownership.epoch))
-    return Log(logging.INFO, event, fields=fields)
+    return Log(logging.INFO, event, fields=(*fields, *more.items()))
--- a/gypsumspoke/core/told_records.py
+++ b/gypsumspoke/core/told_records.py
@@ -71,7 +71,7 @@
     if not state.leaving or not state.idle or state.unremembered == set():
         return []
     if state.unremembered is None:
-        state.unremembered = set(state.records.partitions())
+        state.unremembered = _partitions_to_tell(state)
     sent = state.remember_sent
     if sent is not None and now - sent < REMEMBER_RESEND:
         return []
@@ -88,6 +88,18 @@
     return effects
 
 
+def _partitions_to_tell(state: ExecutorState) -> set[int]:
+    """Return the partitions of which another executor must know this one's starts.
+
+    Also those without any: a home that finds no executor to speak for one that has left
+    can't know that it started nothing, and answers "unknown" for tasks that only wait.
+    """
+    partitions = set(state.records.partitions())
+    if state.sidecars - {state.incarnation}:
+        partitions |= state.epochs.keys()
+    return partitions
+
+
 def _remember_effects(
     state: ExecutorState, partition: int, target: str
 ) -> list[Effect]:
