--- a/gypsumspoke/runs/patience.py
+++ b/gypsumspoke/runs/patience.py
@@ -15,7 +15,7 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-# Requests of a route that are looked at, and the least that tell what is usual.
+# Requests of a route that are looked at, and how many tell anew what is usual.
 WINDOW = 200
 ENOUGH = 40
 # So few callers of a route wait less than what counts as usual; a higher share would
@@ -54,6 +54,7 @@
         self._started = now
         self._stored: dict[str, timedelta] = {}
         self._recent: dict[str, deque[timedelta]] = {}
+        self._unused: dict[str, int] = {}
         self._usual: dict[str, timedelta] = {}
         self._kept: dict[str, timedelta] = {}
         self._kept_at = now
@@ -72,7 +73,9 @@
         """Learn from one request."""
         recent = self._recent.setdefault(route, deque(maxlen=WINDOW))
         recent.append(patience)
-        if len(recent) >= ENOUGH and len(recent) % ENOUGH == 0:
+        self._unused[route] = self._unused.get(route, 0) + 1
+        if self._unused[route] >= ENOUGH:
+            self._unused[route] = 0
             self._usual[route] = sorted(recent)[int(len(recent) * SHARE_BELOW)]
 
     def waited(self, route: str, patience: timedelta, now: datetime) -> timedelta:
