Tasks of one job are not ordered by their estimate

All jobs on the users' sheets have one step, whose tasks share one estimate, so the order decides nothing; no rule needs it.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -2,10 +2,10 @@
 
 Load that it answers: for seconds, more work arrives than the workers do. Tasks wait
 here at the entry, in one order: first by the priority of the route, then jobs that can
-still be in time before those that are late already, then by arrival. Without the second
-rule all jobs of a burst become late in turn, each by the time that the one before it
-took. A task that finds no room lets smaller or less demanding ones behind it go on,
-within a bound, so that one wide job does not leave workers idle.
+still be in time before those that can't, then by arrival. Without the second rule all
+jobs of a burst become late in turn, each by the time that the one before it took. A
+task that finds no room lets smaller or less demanding ones behind it go on, within a
+bound, so that one wide job does not leave workers idle.
 """
 
 import logging
@@ -82,9 +82,8 @@
 def _place_job(
     state: CoordinatorState, progress: JobProgress, now: datetime
 ) -> list[Effect]:
-    """Place the waiting tasks of one job, longest first, until one finds no room."""
+    """Place the waiting tasks of one job until one finds no room."""
     tasks = state.waiting.pop(progress.id)
-    tasks.sort(key=lambda task: -progress.job.steps[task.id.step].estimate)
     effects: list[Effect] = []
     for position, task in enumerate(tasks):
         choice = _choose(state, progress, task, now)
