Only a list younger than the last that showed a run ends it

Without an answer to the start the sidecar compared when the list was asked for with when the start was sent, called the run gone and freed its room. Change: a list that shows a run notes the worker's clock; only a younger list that lacks the run ends it. Ruled out: a replaced sidecar, an order of an earlier process, a copy through another entry; none was near.

--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -62,7 +62,8 @@
       order: rises with each placement; the tie-break within a priority.
       phase: see Phase.
       started: when the worker accepted the start.
-      start_clock, stop_clock: the worker's clock when it accepted the start, the stop.
+      start_clock: the worker's clock when it last said that the run is at work.
+      stop_clock: the worker's clock when it accepted the stop.
       percent: progress as last seen.
       progressed: when the progress last changed.
       lists_since: how many lists came since then.
