--- /dev/null
+++ b/tests/runs/lone_sidecar.py
@@ -0,0 +1,51 @@
+"""The reducer of one sidecar, told by hand what its worker and an entry say."""
+
+from datetime import timedelta
+from typing import Any
+
+from gypsumspoke.core.effects import Effect
+from gypsumspoke.runs import guard
+from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.guard_state import GuardState
+from gypsumspoke.runs.orders import (
+    EndedRun,
+    HeartbeatArrived,
+    HoldAnswered,
+    RunningRun,
+)
+from gypsumspoke.runs.values import Registration, RunId, WorkerReady
+from tests.runs.world import CAPACITY, SERVICE, START
+
+LIFE = 7
+
+
+class LoneSidecar:
+    """A sidecar that has just started and whose worker has registered."""
+
+    def __init__(self) -> None:
+        self.state = GuardState(SERVICE, Directory("", ()), START)
+        registration = Registration(
+            "w-1", LIFE, 1, SERVICE, WorkerReady.READY, CAPACITY, (), timedelta()
+        )
+        self.take(timedelta(), HeartbeatArrived(registration))
+
+    def take(self, at: timedelta, event: Any) -> list[Effect]:
+        """Take an event at a time since the start."""
+        return guard.reduce(self.state, event, START + at)
+
+    def take_list(
+        self,
+        at: timedelta,
+        running: tuple[RunId, ...] = (),
+        ended: tuple[EndedRun, ...] = (),
+        asked: timedelta | None = None,
+        made: timedelta | None = None,
+        is_extra: bool = False,
+    ) -> list[Effect]:
+        """Take the worker's list; asked for and made when it arrives unless told."""
+        sent = START + (at if asked is None else asked)
+        clock = at if made is None else made
+        listed = tuple(RunningRun(run, 50) for run in running)
+        return self.take(
+            at, HoldAnswered(sent, clock, LIFE, listed, tuple(ended), is_extra)
+        )
