--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -32,8 +32,8 @@
 
     Attributes:
       budget: the time budget of all runs.
+      report_silence: after this without a report nothing new is placed there.
       incarnation, host: the process, and the name of the instance it runs on.
-      report: its latest report; None before the first.
       reported: when that came.
       last_sent: when this entry last sent it proof of being alive.
       connected: whether a connection is up.
@@ -41,6 +41,7 @@
       unreported: placements that the latest report does not include.
       freed: room of runs that ended since the latest report.
       open_runs: room of the runs placed there that have not ended.
+      pace: run time over estimate on this worker.
     """
 
     def __init__(
@@ -51,9 +52,12 @@
         budget: Budget = DEFAULT_BUDGET,
     ) -> None:
         self.budget = budget
+        self.report_silence = budget.report_silence
         self.incarnation = incarnation
         self.host = host
-        self.report: WorkerReport | None = None
+        self.pace = UNKNOWN_PACE
+        self._report: WorkerReport | None = None
+        self._free: Room | None = None
         self.reported = now
         self.last_sent = now
         self.connected = True
@@ -63,10 +67,30 @@
         self.open_runs: dict[RunId, Room] = {}
 
     @property
-    def pace(self) -> float:
-        """Run time over estimate on this worker."""
-        pace = self.report.pace if self.report else 0.0
-        return min(max(pace or UNKNOWN_PACE, LOWEST_PACE), HIGHEST_PACE)
+    def report(self) -> WorkerReport | None:
+        """Its latest report; None before the first."""
+        return self._report
+
+    @report.setter
+    def report(self, report: WorkerReport) -> None:
+        self._report = report
+        self.pace = min(max(report.pace or UNKNOWN_PACE, LOWEST_PACE), HIGHEST_PACE)
+        self.forget_free()
+
+    @property
+    def free(self) -> Room:
+        """The room left, as far as this entry knows."""
+        # Kept until something changes: each task looks at the room of every worker.
+        if self._free is None:
+            free = add(self._report.free, self.freed)
+            for _, placement in self.unreported:
+                free = subtract(free, placement.room)
+            self._free = free
+        return self._free
+
+    def forget_free(self) -> None:
+        """Work the room out anew: what it is made of has changed."""
+        self._free = None
 
     @property
     def runs_dead_at(self) -> datetime:
@@ -81,6 +105,7 @@
     view.freed = NO_ROOM
     while view.unreported and view.unreported[0][0] <= report.taken:
         view.unreported.popleft()
+    view.forget_free()
 
 
 def note_placed(view: SidecarView, placement: Placement) -> None:
@@ -88,6 +113,7 @@
     view.sent += 1
     view.unreported.append((view.sent, placement))
     view.open_runs[placement.run] = placement.room
+    view.forget_free()
 
 
 def note_ended(view: SidecarView, run: RunId, ran: bool) -> None:
@@ -99,6 +125,7 @@
     view.unreported = deque(entry for entry in view.unreported if entry[1].run != run)
     if ran and len(view.unreported) == known:
         view.freed = add(view.freed, room)
+    view.forget_free()
 
 
 def restart_connection(view: SidecarView, now: datetime) -> None:
@@ -107,6 +134,7 @@
     view.sent = 0
     view.unreported.clear()
     view.reported = now
+    view.forget_free()
 
 
 def is_open(view: SidecarView, now: datetime) -> bool:
@@ -115,20 +143,12 @@
         view.connected
         and view.report is not None
         and view.report.takes_work
-        and now - view.reported < view.budget.report_silence
+        and now - view.reported < view.report_silence
         # A worker that fails is tried with one run at a time.
         and not (view.report.failing and view.open_runs)
     )
 
 
-def free_room(view: SidecarView) -> Room:
-    """Return the room left, as far as this entry knows."""
-    free = add(view.report.free, view.freed)
-    for _, placement in view.unreported:
-        free = subtract(free, placement.room)
-    return free
-
-
 def fastest_pace(views: Iterable[SidecarView], service: str) -> float:
     """Return the pace of the fastest worker of a service; 1 where none is known."""
     paces = (
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -13,8 +13,8 @@
 from datetime import datetime
 from typing import NamedTuple
 
-from gypsumspoke.runs.fleet import Placement, SidecarView, free_room, is_open
-from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN, Room, RunId, Step, fits
+from gypsumspoke.runs.fleet import Placement, SidecarView, is_open
+from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN, RunId, Step, fits
 
 # Messages, the start and the answer take some milliseconds of what a job may take.
 OVERHEAD_SECONDS = 0.015
@@ -83,31 +83,45 @@
       wanted: the task.
       now: the current time.
     """
-    best: Choice | None = None
+    step = wanted.step
+    best: SidecarView | None = None
     best_rank: tuple[bool, float] | None = None
-    may_wait = False
+    best_seconds = 0.0
+    full: list[SidecarView] = []
     for view in views:
+        # Cheap conditions come first: every task looks at every worker.
+        if view.report is None or view.report.service != wanted.service:
+            continue
+        if not fits(step.room, view.free):
+            full.append(view)
+            continue
         if not is_open_to(view, wanted, now):
             continue
         seconds = run_seconds(view, wanted)
-        in_time = seconds + OVERHEAD_SECONDS <= wanted.seconds_left
-        free = free_room(view)
-        if not fits(wanted.step.room, free):
-            may_wait = may_wait or in_time
-            continue
-        rank = (not in_time, seconds / _free_share(view, free))
+        rank = (not _is_in_time(seconds, wanted), seconds / _free_share(view))
         if best_rank is None or rank < best_rank:
-            best_rank = rank
-            placement = Placement(wanted.run, wanted.step.room)
-            best = Choice(view, seconds, placement)
-    if best is not None and best_rank[0] and may_wait:
+            best, best_rank, best_seconds = view, rank, seconds
+    if best is None:
+        return None
+    if best_rank[0] and any(_is_worth_waiting(view, wanted, now) for view in full):
         return None
-    return best
+    return Choice(best, best_seconds, Placement(wanted.run, step.room))
+
+
+def _is_worth_waiting(view: SidecarView, wanted: Wanted, now: datetime) -> bool:
+    """Return whether a task is in time on a worker that has no room for it now."""
+    if not is_open_to(view, wanted, now):
+        return False
+    return _is_in_time(run_seconds(view, wanted), wanted)
+
+
+def _is_in_time(seconds: float, wanted: Wanted) -> bool:
+    return seconds + OVERHEAD_SECONDS <= wanted.seconds_left
 
 
-def _free_share(view: SidecarView, free: Room) -> float:
+def _free_share(view: SidecarView) -> float:
     """Return the share of the worker's processors that is free, before the task."""
-    return max(free.cpu / max(view.report.capacity.cpu, 1), LEAST_FREE_SHARE)
+    return max(view.free.cpu / max(view.report.capacity.cpu, 1), LEAST_FREE_SHARE)
 
 
 def run_seconds(view: SidecarView, wanted: Wanted) -> float:
