One look for room a turn, and none after a report without more room

An entry with 54 sidecars gets some 1,200 reports a second. Each of them, and each end of a run, made it look at all workers for up to six jobs that wait, so an entry whose processor was nearly full fell behind as soon as jobs waited, and the more it fell behind, the more of them did.

A report now leads to a look only if what the worker offers has changed in a way that a task without a place can use: it has more room, opens or closes, or its pace or worker is another. Ends and such reports that are queued together share one look, which the loop asks for when its turn ends; reduce, which takes one event alone, looks at once as before. What depends on time only (whether a job can still be in time) is seen at the next tick.

--- a/gypsumspoke/core/events.py
+++ b/gypsumspoke/core/events.py
@@ -116,6 +116,13 @@
 TICK = timedelta(milliseconds=100)
 
 
+class TurnEnded(NamedTuple):
+    """The events that were queued are reduced; what serves all of them may follow."""
+
+
+TURN_ENDED = TurnEnded()
+
+
 class Drain(NamedTuple):
     """Stop gracefully: take no new work, finish what runs, then Exit."""
 
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -23,7 +23,7 @@
 from gypsumspoke.runs.values import RunId
 
 # Jobs in a row that may find no room before a round ends; each costs a look at every
-# worker, and a round follows each report and each end.
+# worker.
 MOST_MISSES = 6
 
 
@@ -46,6 +46,7 @@
 
 def place_waiting(state: CoordinatorState, now: datetime) -> list[Effect]:
     """Place the tasks that find room now, the most urgent first."""
+    state.has_new_room = False
     if not state.waiting:
         return []
     effects: list[Effect] = []
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -11,7 +11,15 @@
 from typing import Any
 
 from gypsumspoke.core.effects import Effect, Log
-from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
+from gypsumspoke.core.events import (
+    TURN_ENDED,
+    Drain,
+    PeerConnected,
+    PeerLost,
+    Received,
+    Tick,
+    TurnEnded,
+)
 from gypsumspoke.runs import coordinator_configuration
 from gypsumspoke.runs.admission import (
     DEFAULT_RETRY_AFTER,
@@ -65,6 +73,24 @@
       event: an event of ``coordinator_state.py`` or ``core/events.py``.
       now: the current time of a steady clock.
 
+    Returns:
+      What is to be done.
+    """
+    effects = take(state, event, now)
+    return [*effects, *take(state, TURN_ENDED, now)]
+
+
+def take(state: CoordinatorState, event: Any, now: datetime) -> list[Effect]:
+    """Take one of several events that ``TurnEnded`` follows.
+
+    Room that reports and ends bring is given out once, after all of them: a round costs
+    an entry with many sidecars far more than the events do.
+
+    Args:
+      state: the coordinator's state, changed in place.
+      event: as in ``reduce``.
+      now: the current time of a steady clock.
+
     Returns:
       What is to be done.
     """
@@ -235,6 +261,11 @@
 # Time
 
 
+@_take.register
+def _(event: TurnEnded, state: CoordinatorState, now: datetime) -> list[Effect]:
+    return place_waiting(state, now) if state.has_new_room else []
+
+
 @_take.register
 def _(event: Tick, state: CoordinatorState, now: datetime) -> list[Effect]:
     effects = check_isolation(state, now)
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -5,11 +5,12 @@
 
 from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.core.events import PeerConnected, PeerLost
-from gypsumspoke.runs.assignment import place_waiting
 from gypsumspoke.runs.coordinator_state import CoordinatorState
 from gypsumspoke.runs.fleet import (
     SidecarView,
+    is_better,
     note_ended,
+    offer_of,
     restart_connection,
     take_report,
 )
@@ -66,7 +67,7 @@
 def take_worker_report(
     message: WorkerReport, sender: str, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
-    """Take what a sidecar says of its worker, and place what waits for room."""
+    """Take what a sidecar says of its worker."""
     view = state.views.get(sender)
     effects = note_heard(state)
     if view is None:
@@ -75,7 +76,10 @@
         fields = (("sidecar", sender), ("worker", message.worker))
         effects.append(Log(logging.INFO, "sidecar found", fields=fields))
     was_taking = view.report is not None and view.report.takes_work
+    before = offer_of(view, now)
     take_report(view, message, now)
+    if is_better(offer_of(view, now), before):
+        state.has_new_room = True
     if now - view.last_sent >= state.budget.pulse_interval:
         view.last_sent = now
         effects.append(Send(sender, Pulse(message.stamp)))
@@ -83,7 +87,7 @@
         effects.append(_log_taking(view))
     if message.clean:
         effects += _end_replaced(state, view, now)
-    return [*effects, *place_waiting(state, now)]
+    return effects
 
 
 def _log_taking(view: SidecarView) -> Log:
@@ -103,8 +107,8 @@
     view = state.views.get(sender)
     if view is not None:
         note_ended(view, message.run, ran=message.took is not None)
-    effects = take_run_end(state, message, now)
-    return [*effects, *place_waiting(state, now)]
+    state.has_new_room = True
+    return take_run_end(state, message, now)
 
 
 def host_of(incarnation: str) -> str:
@@ -150,6 +154,7 @@
     state: CoordinatorState, view: SidecarView, now: datetime
 ) -> list[Effect]:
     """Place again what was placed on a sidecar whose runs are all dead."""
+    state.has_new_room = True
     effects: list[Effect] = []
     for run in list(view.open_runs):
         note_ended(view, run, ran=False)
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -168,6 +168,7 @@
       by_run: the job id of each open run that was not withdrawn.
       ending: withdrawn runs that may still be at work, by task.
       waiting: tasks without a place, by job id.
+      has_new_room: whether tasks may find a place that found none when last tried.
       table: the configuration in force; None before the first.
       text: its text as the operators wrote it.
       ticked: when the latest tick came.
@@ -205,6 +206,7 @@
         self.by_run: dict[RunId, str] = {}
         self.ending: dict[TaskId, set[RunId]] = {}
         self.waiting: dict[str, list[TaskProgress]] = {}
+        self.has_new_room = False
         self.table: RoutingTable | None = None
         self.text = ""
         self.ticked = now
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -12,7 +12,7 @@
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.messages import WorkerReport
-from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, subtract
+from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, fits, subtract
 
 # Run time over estimate that is assumed before the first end of a worker.
 UNKNOWN_PACE = 1.0
@@ -149,6 +149,42 @@
     )
 
 
+class Offer(NamedTuple):
+    """What decides whether a sidecar gets a task.
+
+    Attributes:
+      is_open: whether new runs may be placed there.
+      worker: its service, labels and capacity.
+      pace: run time over estimate.
+      free: the room left.
+    """
+
+    is_open: bool
+    worker: tuple[str, tuple[str, ...], Room]
+    pace: float
+    free: Room
+
+
+def offer_of(view: SidecarView, now: datetime) -> Offer | None:
+    """Return what a sidecar offers; None before its first report."""
+    report = view.report
+    if report is None:
+        return None
+    worker = (report.service, report.labels, report.capacity)
+    return Offer(is_open(view, now), worker, view.pace, view.free)
+
+
+def is_better(offer: Offer, before: Offer | None) -> bool:
+    """Return whether a task that found no place may find one now.
+
+    A worker that closes or turns slow counts too: tasks may have waited for it rather
+    than go elsewhere.
+    """
+    return (
+        before is None or offer[:3] != before[:3] or not fits(offer.free, before.free)
+    )
+
+
 def fastest_pace(views: Iterable[SidecarView], service: str) -> float:
     """Return the pace of the fastest worker of a service; 1 where none is known."""
     paces = (
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -98,6 +98,7 @@
     reduce: Reduce,
     state: Any,
     clock: Clock,
+    tells_turns: bool = False,
 ) -> Runtime:
     """Return the loop around a reducer, with what both roles carry out.
 
@@ -107,6 +108,7 @@
       reduce: the role's reducer.
       state: its state.
       clock: steady clock.
+      tells_turns: see ``Runtime``.
     """
     runtime = Runtime(
         reduce,
@@ -116,6 +118,7 @@
         drain_timeout=settings.grace - _BEFORE_KILL,
         ends_on_second_signal=False,
         tick=settings.budget.tick,
+        tells_turns=tells_turns,
     )
     runtime.handle(Count, side.metrics.count)
     runtime.handle(Observe, side.metrics.observe)
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -18,7 +18,7 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Effect, Exit, ReadRows, Send, WriteRows
-from gypsumspoke.core.events import TICK, Drain, Tick
+from gypsumspoke.core.events import TICK, TURN_ENDED, Drain, Tick
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
@@ -59,6 +59,7 @@
       ends_on_second_signal: whether a second SIGTERM ends the process at once. Where
         two planned stops may overlap, it would cut what the first one waits for.
       tick: how often the reducer is told that time has passed.
+      tells_turns: whether the reducer is told that a turn has ended.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         is_draining: Callable[[], bool] | None = None,
         ends_on_second_signal: bool = True,
         tick: timedelta = TICK,
+        tells_turns: bool = False,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -82,6 +84,7 @@
         self._pending = Event()
         self._tick_waits = False
         self._tick_interval = tick
+        self._tells_turns = tells_turns
         self._draining = False
         self._drain_timeout = drain_timeout
         self._is_draining = is_draining or (lambda: False)
@@ -170,10 +173,12 @@
         for _ in range(_EVENTS_PER_TURN):
             if not self._events:
                 self._pending.clear()
-                return
+                break
             self._reduce_one(self._events.popleft())
             if self._status is not None:
                 return
+        if self._tells_turns:
+            self._reduce_one(TURN_ENDED)
 
     def _reduce_one(self, event: Any) -> None:
         if isinstance(event, Tick):
