Show how late the event loop is

An entry of a grown deployment went from answers in 0.3 s to answers in 3 s within two seconds and then called all its sidecars lost. Nothing in its logs or metrics told whether it lacked processor time, bytes on its link or room at the workers.

The loop now notes for each event when it had arrived: between the two latest polls, or at the poll that waited for it. The histogram loop_lag_seconds shows the worst lag of each tick, until an event was read and from then until it was handled. Lines "event loop behind" and "event loop caught up", at most one a second, add the events queued and the processor time used, so that a process that is out of processor time is told from one that waits for others. For all roles.

--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -68,6 +68,11 @@
     "job_seconds": HistogramSpec(
         "Time from a best-effort job to its answer.", "route", _SECONDS
     ),
+    "loop_lag_seconds": HistogramSpec(
+        "Worst lag of an event in each tick, until it is read and until it is handled.",
+        "part",
+        _SECONDS,
+    ),
     "takeover_seconds": HistogramSpec(
         "Time from the loss of a partition's owner to service.", "result", _SECONDS
     ),
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -19,6 +19,8 @@
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Effect, Exit, ReadRows, Send, WriteRows
 from gypsumspoke.core.events import TICK, Drain, Tick
+from gypsumspoke.shell.loop_lag import LoopLag
+from gypsumspoke.shell.loop_watch import Arrival, LoopWatch
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
@@ -78,7 +80,9 @@
         self._clock = clock
         self._links = links
         self._table = table
-        self._events: deque[Any] = deque()
+        self._watch = LoopWatch(clock)
+        self._lag = LoopLag(tick, clock.now())
+        self._events: deque[tuple[Arrival, Any]] = deque()
         self._pending = Event()
         self._tick_waits = False
         self._tick_interval = tick
@@ -117,7 +121,7 @@
 
     def post(self, event: Any) -> None:
         """Queue an event; safe from any greenlet and returns at once."""
-        self._events.append(event)
+        self._events.append((self._watch.arrival, event))
         self._pending.set()
 
     def drain(self) -> None:
@@ -149,6 +153,7 @@
         """
         on_signal = gevent.signal_handler(signal.SIGTERM, self.drain)
         ticker = gevent.spawn(self._tick)
+        self._watch.start()
         self._links.start(self.post)
         if self._table is not None:
             self._table.start(self.post)
@@ -161,6 +166,7 @@
         finally:
             on_signal.cancel()
             ticker.kill()
+            self._watch.close()
             if self._drain_timer is not None:
                 self._drain_timer.kill()
         return self._status
@@ -171,15 +177,19 @@
             if not self._events:
                 self._pending.clear()
                 return
-            self._reduce_one(self._events.popleft())
+            self._reduce_one(*self._events.popleft())
             if self._status is not None:
                 return
 
-    def _reduce_one(self, event: Any) -> None:
+    def _reduce_one(self, arrival: Arrival, event: Any) -> None:
+        now = self._clock.now()
+        self._lag.note(arrival, now)
         if isinstance(event, Tick):
             self._tick_waits = False
+            for effect in self._lag.tell(now, len(self._events)):
+                self._perform(effect)
         try:
-            effects = self._reduce(self._state, event, self._clock.now())
+            effects = self._reduce(self._state, event, now)
         except Exception:
             # The state may be half changed, and a promise kept in it broken without a
             # sign. Ending is safe: peers treat it as any other death of a process.
