No lease outlives the last word of an entry whose runs are not stopped

Cause: three ways to a lease longer than the time budget allows. The lease was extended for 450 ms while a stop stayed unanswered, whatever the age of the entry's last word. Starts extended it always, also while holds did not. And between the moment at which an entry had been silent for too long and the next tick, holds extended it as if it were alive, which a living entry's wait of 1,162 ms did not count. The class: a conclusion from absence ("the runs there are dead by now") that no bound at the other side backs.

A sidecar that wakes started a waiting run of an entry not heard for 1.3 s.

Change: neither a hold nor a start names a later end than entry_silence and lease after the last word of the entry of any run at work; for a run that is being stopped, its last word before the stop, until the stop is accepted. Below half a lease nothing starts. This replaces the patience with unanswered stops. It is independent of ticks, so the wait of a living entry is right as it is. Nothing is lost while one of the stops is answered within the 500 ms or more that the lease still lasts.

Logs and a counter (`lease withheld`, `gypsumspoke_lease_events_total`) tell it from other ends of leases.

A safeguard test needed a change: an order held up by a cut is now refused by two independent safeguards, its age and the bound on leases. The history breaks without both and holds with either; that an order older than its bound is refused has a test of its own now.

Ruled out: a withdrawn run of a living entry without starts beside it, and a sidecar that wakes with an answered hold first, held before as well.

--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -7,12 +7,14 @@
 
 * a sidecar stops the runs of an entry that it has not heard for ``entry_silence``; it
   looks at each tick;
-* a worker kills all runs when its lease ends, which its sidecar extends by ``lease`` at
-  a time. A sidecar that is dead or frozen does not extend it.
-
-At worst the entry is lost at 0, its sidecar freezes just before the tick that would
-find it silent, and the worker's clock is slow: the runs end by ``runs_dead_after`` and
-a tick, before the caller's next copy. An entry that lives waits as long before it
+* a worker kills all runs when its lease ends. Its sidecar extends it, by ``lease`` at
+  a time, but never beyond ``entry_silence`` and ``lease`` after the last word of the
+  entry of any run there, until the worker has accepted that run's stop. A sidecar that
+  is dead or frozen does not extend it.
+
+At worst the entry is lost at 0, none of the stops of its runs gets an answer or the
+sidecar freezes, and the worker's clock is slow: the runs end by ``runs_dead_after``,
+a tick before the caller's next copy. An entry that lives waits as long before it
 places a run of a silent sidecar elsewhere.
 
 The pause is the platform's bound, and all other times follow from it as multiples of
@@ -40,8 +42,8 @@
 # get nothing new.
 WORKER_SILENCE_TICKS = 4.0
 REPORT_SILENCE_TICKS = 4.0
-# Several stops without an answer: from then on the lease is not extended.
-STOP_PATIENCE_TICKS = 4.5
+# A run that starts on a shorter lease would be lost if a stop stays unanswered.
+LEAST_LEASE_SHARE = 0.5
 PULSE_TICKS = 0.8
 
 # More often than this costs processor time and brings nothing.
@@ -101,12 +103,12 @@
     @property
     def lease_at_most(self) -> timedelta:
         """How long a lease can last on a worker whose clock is slow."""
-        return self.lease * (1 + WORKER_CLOCK_ERROR)
+        return self.on_slow_clock(self.lease)
 
     @property
     def longest_lease(self) -> timedelta:
         """How long any lease can last, whatever end it names."""
-        return self.bounds.longest_lease * (1 + WORKER_CLOCK_ERROR)
+        return self.on_slow_clock(self.bounds.longest_lease)
 
     @property
     def renewal_interval(self) -> timedelta:
@@ -124,9 +126,9 @@
         return self.tick * REPORT_SILENCE_TICKS
 
     @property
-    def stop_patience(self) -> timedelta:
-        """A stop may stay unanswered this long before the lease is left to end."""
-        return self.tick * STOP_PATIENCE_TICKS
+    def least_lease(self) -> timedelta:
+        """Nothing starts on a lease that may only be shorter than this."""
+        return self.lease * LEAST_LEASE_SHARE
 
     @property
     def stop_shows_after(self) -> timedelta:
@@ -147,6 +149,18 @@
         """All runs of an entry are gone this long after its last proof of life."""
         return self.entry_silence + self.lease_at_most + self.bounds.stop
 
+    def lease_left(self, silence: timedelta) -> timedelta:
+        """Return the longest lease for runs whose entry was last heard so long ago.
+
+        Whenever it is named, it has ended ``runs_dead_after`` the last proof of life.
+        """
+        return min(self.lease, self.entry_silence + self.lease - silence)
+
+    @staticmethod
+    def on_slow_clock(duration: timedelta) -> timedelta:
+        """Return how long a duration can last on a worker's clock."""
+        return duration * (1 + WORKER_CLOCK_ERROR)
+
 
 def budget_for(bounds: Bounds) -> Result[Budget, str]:
     """Work out the budget for a platform's bounds.
@@ -158,7 +172,7 @@
       The budget, or a sentence that says why there is none.
     """
     lease_ticks = LEASE_TICKS * (1 + WORKER_CLOCK_ERROR)
-    # One more for the tick at which the silence shows.
+    # One more for what an entry takes to notice that a caller has left.
     ticks = ENTRY_SILENCE_TICKS + lease_ticks + 1
     tick = min((bounds.resend - bounds.stop) / ticks, LONGEST_TICK)
     if tick < SHORTEST_TICK:
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -4,13 +4,8 @@
 
 from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs.guard_ends import finish, note_failure
-from gypsumspoke.runs.guard_life import (
-    extend_dead_by,
-    note_clock,
-    raise_token,
-    take_life,
-    worker_clock,
-)
+from gypsumspoke.runs.guard_lease import name_lease_end, note_withheld
+from gypsumspoke.runs.guard_life import note_clock, raise_token, take_life
 from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
 from gypsumspoke.runs.guard_orphans import stop_orphans
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
@@ -49,36 +44,20 @@
             return []
     state.hold_sent = now
     state.hold_token = state.token
-    lease_end = None
-    if _may_extend(state, now):
-        extend_dead_by(state, now)
-        lease_end = worker_clock(state, now) + state.budget.lease
+    lease_end = name_lease_end(state, now) if _may_extend(state, now) else None
     wait = interval if state.is_fenced else timedelta()
-    return [HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)]
+    hold = HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)
+    return [hold, *note_withheld(state, now)]
 
 
 def _may_extend(state: GuardState, now: datetime) -> bool:
     if state.token == 0 or state.lease.clock_ahead is None:
         return False
-    if state.heard_worker is None or _has_overdue_stop(state, now):
+    if state.heard_worker is None:
         return False
     return now - state.heard_worker < state.budget.worker_silence
 
 
-def _has_overdue_stop(state: GuardState, now: datetime) -> bool:
-    """Return whether the worker leaves a stop unanswered for too long.
-
-    Its run may be placed elsewhere soon, by an entry that counts on the time budget.
-    Only the end of the lease stops it then, with all that runs beside it.
-    """
-    return any(
-        guarded.phase is Phase.STOPPING
-        and guarded.stop_clock is None
-        and now - guarded.stop_since > state.budget.stop_patience
-        for guarded in state.runs.values()
-    )
-
-
 def take_failed_hold(
     state: GuardState, event: HoldFailed, now: datetime
 ) -> list[Effect]:
--- /dev/null
+++ b/gypsumspoke/runs/guard_lease.py
@@ -0,0 +1,100 @@
+"""How long the worker's lease may be named.
+
+The lease is one for all that runs there. A run may be placed elsewhere
+``runs_dead_after`` its coordinator's last word, by an entry that counts on the time
+budget or for a caller that came back. So neither a hold nor a start names a later end
+than the budget allows for any run at work. A run whose stop the worker has accepted no
+longer counts: it ends within the bound on a stop.
+"""
+
+import logging
+from datetime import datetime, timedelta
+
+from gypsumspoke.core.effects import Count, Effect, Log
+from gypsumspoke.runs.guard_life import worker_clock
+from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
+from gypsumspoke.runs.values import LeaseEvent
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+def last_word(state: GuardState, guarded: GuardedRun) -> datetime:
+    """Return when a run's coordinator was last known to count on it.
+
+    What the coordinator says after it withdrew the run is no word for it.
+    """
+    if guarded.phase is Phase.STOPPING:
+        return guarded.stop_word
+    return state.heard.get(guarded.coordinator, state.origin)
+
+
+def lease_left(state: GuardState, now: datetime) -> timedelta:
+    """Return the longest lease that may be named now; zero or less for none."""
+    oldest = _oldest(state)
+    if oldest is None:
+        return state.budget.lease
+    return state.budget.lease_left(now - last_word(state, oldest))
+
+
+def may_start(state: GuardState, now: datetime) -> bool:
+    """Return whether the lease is long enough for another run."""
+    return lease_left(state, now) >= state.budget.least_lease
+
+
+def may_start_run(state: GuardState, guarded: GuardedRun, now: datetime) -> bool:
+    """Return whether a waiting run's coordinator was heard lately enough for it."""
+    silence = now - last_word(state, guarded)
+    return state.budget.lease_left(silence) >= state.budget.least_lease
+
+
+def name_lease_end(state: GuardState, now: datetime) -> timedelta | None:
+    """Return the end that an order sent now names, on the worker's clock."""
+    left = lease_left(state, now)
+    if left <= timedelta():
+        return None
+    dead_by = max(state.lease.dead_by, now + state.budget.on_slow_clock(left))
+    state.lease = state.lease._replace(dead_by=dead_by)
+    return worker_clock(state, now) + left
+
+
+def note_withheld(state: GuardState, now: datetime) -> list[Effect]:
+    """Tell when an unanswered stop begins to hold the lease back, and when it ends."""
+    oldest = _oldest(state)
+    is_withheld = (
+        oldest is not None
+        and oldest.phase is Phase.STOPPING
+        and lease_left(state, now) < state.budget.lease
+    )
+    if is_withheld is (state.lease_withheld is not None):
+        return []
+    if not is_withheld:
+        held_back = (now - state.lease_withheld) // _MILLISECOND
+        state.lease_withheld = None
+        fields = (("withheld_ms", held_back),)
+        return [Log(logging.INFO, "lease extended again", fields=fields)]
+    state.lease_withheld = now
+    fields = (
+        ("job", oldest.run.task.job),
+        ("step", oldest.run.task.step),
+        ("run", oldest.run.number),
+        ("entry", oldest.coordinator),
+        ("reason", oldest.stop_reason.value),
+        ("stop_unanswered_ms", (now - oldest.stop_since) // _MILLISECOND),
+        ("last_word_ms", (now - oldest.stop_word) // _MILLISECOND),
+        ("runs", len(state.runs)),
+    )
+    task = oldest.run.task.index
+    return [
+        Count(LeaseEvent.WITHHELD),
+        Log(logging.WARNING, "lease withheld", task=task, fields=fields),
+    ]
+
+
+def _oldest(state: GuardState) -> GuardedRun | None:
+    """Return the run at work whose coordinator's last word is the oldest."""
+    at_work = (
+        guarded
+        for guarded in state.runs.values()
+        if guarded.phase is not Phase.WAITING and guarded.stop_clock is None
+    )
+    return min(at_work, key=lambda guarded: last_word(state, guarded), default=None)
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -77,11 +77,6 @@
     state.lease = Lease(None, dead_by)
 
 
-def extend_dead_by(state: GuardState, now: datetime) -> None:
-    dead_by = max(state.lease.dead_by, now + state.budget.lease_at_most)
-    state.lease = state.lease._replace(dead_by=dead_by)
-
-
 def note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
     """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -6,12 +6,8 @@
 
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_ends import finish, note_failure
-from gypsumspoke.runs.guard_life import (
-    extend_dead_by,
-    note_clock,
-    raise_token,
-    worker_clock,
-)
+from gypsumspoke.runs.guard_lease import last_word, name_lease_end
+from gypsumspoke.runs.guard_life import note_clock, raise_token
 from gypsumspoke.runs.guard_report import is_failing
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase, hold_room
 from gypsumspoke.runs.orders import (
@@ -38,12 +34,11 @@
     hold_room(state, guarded)
     if is_failing(state):
         state.next_probe = now + PROBE_INTERVAL
-    extend_dead_by(state, now)
     order = StartOrder(
         guarded.run,
         guarded.spec,
         state.worker.id,
-        worker_clock(state, now) + state.budget.lease,
+        name_lease_end(state, now),
         state.token,
     )
     return [order]
@@ -57,6 +52,7 @@
         return finish(state, guarded, RunEnd.NOT_RUN, reason, now)
     if guarded.phase is Phase.STOPPING:
         return []
+    guarded.stop_word = last_word(state, guarded)
     guarded.phase = Phase.STOPPING
     guarded.stop_reason = reason
     guarded.stop_since = now
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -70,6 +70,7 @@
       whole: run time of the whole run at the speed of its latest progress.
       stop_reason: why it is being stopped.
       stop_since: when the first stop was sent.
+      stop_word: when its coordinator was last heard before that.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
       doubted: since when.
@@ -104,6 +105,7 @@
         self.whole: timedelta | None = None
         self.stop_reason = EndReason.WITHDRAWN
         self.stop_since: datetime | None = None
+        self.stop_word: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
         self.doubted: datetime | None = None
@@ -121,6 +123,7 @@
       born_learnt: when that life first showed.
       token: fencing token; 0 before the worker's clock is known.
       lease: see Lease.
+      lease_withheld: since when an unanswered stop holds the lease back.
       last_seen: highest number of the ends taken note of.
       hold_sent: when the hold under way was sent; None when there is none.
       hold_token: fencing token of that hold.
@@ -161,6 +164,7 @@
         self.born_learnt: datetime | None = None
         self.token = 0
         self.lease = Lease(None, now)
+        self.lease_withheld: datetime | None = None
         self.last_seen = 0
         self.hold_sent: datetime | None = None
         self.hold_token = 0
--- a/gypsumspoke/runs/guard_waiting.py
+++ b/gypsumspoke/runs/guard_waiting.py
@@ -8,6 +8,7 @@
 
 from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs import guard_orders, guard_report
+from gypsumspoke.runs.guard_lease import may_start_run
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
 from gypsumspoke.runs.values import EndReason, fits, subtract
 
@@ -26,6 +27,8 @@
     for guarded in waiting(state):
         if guarded.run.task in busy:
             continue
+        if not may_start_run(state, guarded, now):
+            continue
         if not fits(guarded.room, free):
             break
         free = subtract(free, guarded.room)
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -230,6 +230,15 @@
     STOPPED_BY_WORKER = "stopped_by_worker"
 
 
+class LeaseEvent(Enum):
+    """What happened to a worker's lease beside its regular extension.
+
+    WITHHELD: a stop without an answer keeps it from being extended in full.
+    """
+
+    WITHHELD = "withheld"
+
+
 class JobEnd(Enum):
     """The closed list of answers to a best-effort job."""
 
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -22,7 +22,7 @@
 from gypsumspoke.core.counted import Counter, RetryReason
 from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.runs.values import EndReason, RefusalReason
+from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason
 from gypsumspoke.shell.logs import log
 
 NAMESPACE = "gypsumspoke"
@@ -90,6 +90,9 @@
         self._job_refusals = self._counter(
             "job_refusals", "Best-effort jobs refused or given up.", "reason"
         )
+        self._lease_events = self._counter(
+            "lease_events", "What happened to the worker's lease.", "event"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -152,6 +155,7 @@
             (self._events, Counter),
             (self._run_ends, EndReason),
             (self._job_refusals, RefusalReason),
+            (self._lease_events, LeaseEvent),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -207,6 +211,11 @@
     return metrics._job_refusals
 
 
+@_family.register
+def _(what: LeaseEvent, metrics: Metrics) -> CounterMetric:
+    return metrics._lease_events
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Let a runtime's ``Count``, ``Observe`` and ``Log`` effects be carried out.
 
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from gypsumspoke.core.effects import Count
+from gypsumspoke.core.events import Received
 from gypsumspoke.runs import (
     assignment,
     budget,
@@ -14,22 +16,31 @@
     guard_life,
     guard_orders,
     guard_placing,
+    guard_waiting,
     patience,
 )
-from gypsumspoke.runs.values import JobEnd
+from gypsumspoke.runs.budget import DEFAULT_BUDGET
+from gypsumspoke.runs.messages import PlaceRun
+from gypsumspoke.runs.values import EndReason, JobEnd, RunId, TaskId
 from tests.runs import (
     test_faults,
+    test_lost_stops,
     test_orphans,
     test_overload,
     test_path,
     test_patience,
     test_reports,
 )
+from tests.runs.lone_sidecar import LoneSidecar
 from tests.runs.test_path import settled
-from tests.runs.world import World, job, ms
+from tests.runs.world import TASK_ROOM, TASK_TIME, World, job, ms
 
 LONG = timedelta(seconds=60)
 
+lose_stops = (
+    test_lost_stops.test_lost_stops_of_a_lost_entry_leave_no_run_beside_the_next
+)
+
 
 def order_held_up() -> World:
     """A cut holds an order up; it arrives while the task runs elsewhere.
@@ -51,6 +62,26 @@
     assert not order_held_up().broken
 
 
+@pytest.mark.parametrize(
+    "name, value",
+    [("order_fresh", LONG), ("lease_left", lambda self, silence: self.lease)],
+)
+def test_either_of_two_safeguards_holds_against_an_old_order(monkeypatch, name, value):
+    monkeypatch.setattr(budget.Budget, name, value)
+    assert not order_held_up().broken
+
+
+def test_an_order_older_than_its_bound_is_refused():
+    sidecar = LoneSidecar()
+    sidecar.take_list(ms(3), asked=ms(1), made=ms(2))
+    fresh = DEFAULT_BUDGET.order_fresh
+    for age, refused in ((fresh - ms(1), False), (fresh + ms(1), True)):
+        run = RunId(TaskId(f"j{age}", 0, 0), 1)
+        place = PlaceRun(ms(400), run, TASK_ROOM, 1, TASK_TIME, ms(9000), "x")
+        effects = sidecar.take(ms(400) + age, Received("entry-1", place))
+        assert (Count(EndReason.ORDER_STALE) in effects) is refused
+
+
 def assert_nothing_broken(world: World) -> None:
     assert not world.broken
 
@@ -75,9 +106,24 @@
     pytest.param(
         [
             (budget.Budget, "order_fresh", LONG),
+            (budget.Budget, "lease_left", lambda self, silence: self.lease),
         ],
         lambda: assert_nothing_broken(order_held_up()),
-        id="old orders are refused",
+        id="old orders are refused, and no run outlives its entry's last word",
+    ),
+    pytest.param(
+        [
+            (budget.Budget, "lease_left", lambda self, silence: self.lease),
+        ],
+        lambda: lose_stops(DEFAULT_BUDGET),
+        id="leases end by the last word of an entry whose runs are not stopped",
+    ),
+    pytest.param(
+        [
+            (guard_waiting, "may_start_run", lambda state, guarded, now: True),
+        ],
+        test_lost_stops.test_a_sidecar_that_wakes_starts_no_run_of_a_lost_entry,
+        id="nothing starts for an entry that was not heard lately",
     ),
     pytest.param(
         [
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -135,6 +135,7 @@
         self.clock_rate: dict[str, float] = {}
         self.pace: dict[str, float] = {}
         self.silent_workers: set[str] = set()
+        self.deaf_to_stops: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -380,7 +381,8 @@
         if not process.alive:
             return
         chance = self.random.random()
-        if host in self.silent_workers or chance < self.lost_share:
+        is_deaf = isinstance(order, StopOrder) and host in self.deaf_to_stops
+        if is_deaf or host in self.silent_workers or chance < self.lost_share:
             self._unanswered(process, order)
             return
         if chance < self.lost_share + self.late_share:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,7 +6,7 @@
 
 from gypsumspoke.core.counted import Counter, RetryReason
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.runs.values import EndReason, RefusalReason
+from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason
 from gypsumspoke.shell.metrics import HISTOGRAMS
 from gypsumspoke.shell.runtime import (
     EXIT_DONE,
@@ -20,7 +20,7 @@
 
 
 @pytest.mark.parametrize(
-    "words", [ErrorKind, RetryReason, Counter, EndReason, RefusalReason]
+    "words", [ErrorKind, RetryReason, Counter, EndReason, LeaseEvent, RefusalReason]
 )
 def test_every_word_has_its_line(words):
     assert [word.value for word in words if f"`{word.value}`" not in PAGE] == []
