A sidecar counts as fenced only by an answer to its own token

Callers saw: nothing known; a task could run twice where a sidecar is replaced.

Cause: any answered hold marked the worker as fenced once a later hold had been sent with the token. Two holds are under way after a pause of the process. The answer to the one without a token then called the sidecar clean, so that its entry placed the tasks of the earlier process again, although the worker could still carry out a start of that process. A conclusion from an answer without asking which question it answers.

Change: an answer names the token of its order, and only the newest one counts.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -135,8 +135,9 @@
         fields = _fields(answer)
         event = None
         if result is OrderResult.ACCEPTED:
-            event = _hold_answered(sent, order.is_extra, fields)
-        self._post(event or HoldFailed(result, _clock_of(fields), order.is_extra))
+            event = _hold_answered(sent, order, fields)
+        clock = _clock_of(fields)
+        self._post(event or HoldFailed(result, clock, order.is_extra, order.token))
 
     def _send(
         self, path: str, worker: str, body: dict, within: timedelta
@@ -184,7 +185,7 @@
 
 
 def _hold_answered(
-    sent: datetime, is_extra: bool, fields: dict | None
+    sent: datetime, order: HoldOrder, fields: dict | None
 ) -> HoldAnswered | None:
     """Return the event of an answer, or None for one that can't be read."""
     try:
@@ -195,7 +196,8 @@
             int(born) if born is not None else None,
             tuple(_running(row) for row in fields["running"]),
             tuple(_ended(row) for row in fields["ended"]),
-            is_extra,
+            order.is_extra,
+            order.token,
         )
     except (AttributeError, KeyError, TypeError, ValueError, IndexError) as error:
         _log.error({"message": "unreadable list of runs", "reason": repr(error)})
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -43,7 +43,6 @@
         if now < overdue:
             return []
     state.hold_sent = now
-    state.hold_token = state.token
     lease_end = name_lease_end(state, now) if _may_extend(state, now) else None
     wait = interval if state.is_fenced else timedelta()
     hold = HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)
@@ -84,7 +83,6 @@
     """Take the worker's list of what runs and what ended."""
     if not event.is_extra:
         state.hold_sent = None
-        state.is_fenced = state.is_fenced or state.hold_token > 0
     if event.born is not None and event.born != state.born:
         if state.born_learnt is not None and event.sent <= state.born_learnt:
             # An answer of the old life, overtaken by a heartbeat of the new one.
@@ -96,6 +94,8 @@
     note_clock(state, event.clock, now)
     if state.token == 0:
         raise_token(state, now)
+    # A hold that was sent without this token shows nothing of it.
+    state.is_fenced = state.is_fenced or event.token == state.token
     for ended in event.ended:
         effects += _take_end(state, ended, now)
     _note_progress(state, event, now)
--- a/gypsumspoke/runs/orders.py
+++ b/gypsumspoke/runs/orders.py
@@ -120,7 +120,7 @@
       born: the worker's life; None where it did not say.
       running: all runs at work.
       ended: ends beyond ``last_seen``, oldest first.
-      is_extra: as in the order.
+      is_extra, token: as in the order.
     """
 
     sent: datetime
@@ -129,6 +129,7 @@
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
     is_extra: bool = False
+    token: int = 0
 
 
 class HoldFailed(NamedTuple):
@@ -137,12 +138,13 @@
     Attributes:
       result: why.
       clock: the worker's clock, where a refusal gave it.
-      is_extra: as in the order.
+      is_extra, token: as in the order.
     """
 
     result: OrderResult
     clock: timedelta | None = None
     is_extra: bool = False
+    token: int = 0
 
 
 class HeartbeatArrived(NamedTuple):
--- a/tests/runs/lone_sidecar.py
+++ b/tests/runs/lone_sidecar.py
@@ -41,11 +41,17 @@
         asked: timedelta | None = None,
         made: timedelta | None = None,
         is_extra: bool = False,
+        token: int | None = None,
+        life: int = LIFE,
     ) -> list[Effect]:
-        """Take the worker's list; asked for and made when it arrives unless told."""
+        """Take the worker's list; asked for and made when it arrives unless told.
+
+        The order named the newest token unless told.
+        """
         sent = START + (at if asked is None else asked)
         clock = at if made is None else made
         listed = tuple(RunningRun(run, 50) for run in running)
+        token = self.state.token if token is None else token
         return self.take(
-            at, HoldAnswered(sent, clock, LIFE, listed, tuple(ended), is_extra)
+            at, HoldAnswered(sent, clock, life, listed, tuple(ended), is_extra, token)
         )
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -423,7 +423,9 @@
 
     def _unanswered(self, process: Process, order: Any) -> None:
         if isinstance(order, HoldOrder):
-            event = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
+            event = HoldFailed(
+                OrderResult.UNANSWERED, None, order.is_extra, order.token
+            )
             delay = order.wait + HOLD_ANSWER_WITHIN
         else:
             kind = OrderKind.START if isinstance(order, StartOrder) else OrderKind.STOP
@@ -436,7 +438,8 @@
         worker = self.workers[host]
         result = worker.hold(order, self.worker_clock(host))
         if result is not OrderResult.ACCEPTED:
-            event = HoldFailed(result, self.worker_clock(host), order.is_extra)
+            clock = self.worker_clock(host)
+            event = HoldFailed(result, clock, order.is_extra, order.token)
             self.at(ONE_WAY, lambda: self.post(process, event))
             return
         self._answer_hold(process, worker, order, sent)
@@ -447,7 +450,9 @@
         """Answer when there is an end, or when the wait is over."""
         host = process.host
         if worker is not self.workers[host]:
-            failed = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
+            failed = HoldFailed(
+                OrderResult.UNANSWERED, None, order.is_extra, order.token
+            )
             self.post(process, failed)
             return
         clock = self.worker_clock(host)
@@ -459,7 +464,9 @@
             return
         listed = worker.listed(clock)
         born = self.lives[host]
-        event = HoldAnswered(sent, clock, born, listed, ended, order.is_extra)
+        event = HoldAnswered(
+            sent, clock, born, listed, ended, order.is_extra, order.token
+        )
         self.at(ONE_WAY, lambda: self.post(process, event))
 
     # Promises
