A fencing token rises with each life of the worker

Callers saw: a worker without work for as long as its earlier life had lasted, after its sidecar was replaced twice and the worker was born again between (rolling restarts beside a crash).

Cause: the worker's clock and its memory of tokens begin anew with a life, but the sidecar went on with its token. Its next process took one from the young clock, below that token, and every order was refused as fenced, one hold after the other, until the clock had passed it. And orders of the life before carried the same token as those of the new one, so that one that was carried out late could not be told from them.

Change: a sidecar raises its token with each life that it learns of and counts as fenced again only after an answer to it; a hold that is refused for the newest token doubles it, beside the worker's clock.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -5,7 +5,12 @@
 from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_lease import name_lease_end, note_withheld
-from gypsumspoke.runs.guard_life import note_clock, raise_token, take_life
+from gypsumspoke.runs.guard_life import (
+    note_clock,
+    outbid_token,
+    raise_token,
+    take_life,
+)
 from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
 from gypsumspoke.runs.guard_orphans import stop_orphans
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
@@ -70,7 +75,7 @@
     note_clock(state, event.clock, now)
     token = state.token
     if event.result is OrderResult.FENCED:
-        raise_token(state, now)
+        outbid_token(state, event.token, now)
     if event.is_extra:
         return _give_up_starts(state, now, now)
     state.hold_sent = None
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -63,6 +63,11 @@
     state.born_learnt = now
     if is_first:
         return
+    if state.token > 0:
+        # Orders of the life before, which the new one may still carry out, are refused
+        # once it has seen this.
+        state.token += 1
+        state.is_fenced = False
     state.last_seen = 0
     state.orphans.clear()
     state.failing = 0.0
@@ -99,3 +104,14 @@
     if state.lease.clock_ahead is not None:
         clock = worker_clock(state, now) // timedelta(milliseconds=1)
         state.token = max(state.token, clock, 1)
+
+
+def outbid_token(state: GuardState, refused: int, now: datetime) -> None:
+    """Take a higher token after the worker refused an order for its token.
+
+    The clock is not enough on a young life: an earlier process of this sidecar may have
+    brought its token along from the life before.
+    """
+    if refused == state.token:
+        state.token *= 2
+    raise_token(state, now)
