The end of a run counts only for the sidecar that had it

Cause: copies of a job number their runs anew. An entry gives up a withdrawn run on a frozen sidecar by the time budget and places the copy's first run, under the same number, on another worker. When the sidecar wakes it tells the end of the old run, and the entry took it for the end of the new one: the task was placed a second time beside it. In the same way it ended the wait for a withdrawn run elsewhere. The evidence did not say whose end it was.

Change: an entry knows its open and its withdrawn runs by the sidecar and the run, and an end counts only for the sidecar that tells it.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -15,6 +15,7 @@
 from gypsumspoke.runs.coordinator_state import (
     CoordinatorState,
     JobProgress,
+    PlacedRun,
     TaskProgress,
 )
 from gypsumspoke.runs.fleet import SidecarView, fastest_pace, note_placed
@@ -151,7 +152,7 @@
     task.run = run
     task.view = view
     progress.placed += 1
-    state.by_run[run] = progress.id
+    state.by_run[PlacedRun(view.incarnation, run)] = progress.id
     note_placed(view, choice.placement)
     view.last_sent = now
     message = PlaceRun(
--- a/gypsumspoke/runs/conclusion.py
+++ b/gypsumspoke/runs/conclusion.py
@@ -9,6 +9,7 @@
     AnswerJob,
     CoordinatorState,
     JobProgress,
+    PlacedRun,
     TaskProgress,
 )
 from gypsumspoke.runs.messages import WithdrawRun
@@ -83,11 +84,13 @@
 
 def withdraw(state: CoordinatorState, task: TaskProgress) -> list[Effect]:
     """Have the open run of a task stopped or not started."""
-    run = task.run
-    if run is None or state.by_run.pop(run, None) is None:
+    if task.run is None:
         return []
-    state.ending.setdefault(task.id, set()).add(run)
-    return [Send(task.view.incarnation, WithdrawRun(run))]
+    placed = PlacedRun(task.view.incarnation, task.run)
+    if state.by_run.pop(placed, None) is None:
+        return []
+    state.ending.setdefault(task.id, set()).add(placed)
+    return [Send(placed.sidecar, WithdrawRun(placed.run))]
 
 
 def _tell(
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -6,7 +6,7 @@
 from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.core.events import PeerConnected, PeerLost
 from gypsumspoke.runs.assignment import place_waiting
-from gypsumspoke.runs.coordinator_state import CoordinatorState
+from gypsumspoke.runs.coordinator_state import CoordinatorState, PlacedRun
 from gypsumspoke.runs.fleet import (
     SidecarView,
     note_ended,
@@ -44,7 +44,8 @@
         state.lost.discard(event.incarnation)
         # Ends may have been lost with the earlier connection, and so may placements.
         for run in view.open_runs:
-            ask = AskRun(run) if run in state.by_run else WithdrawRun(run)
+            is_wanted = PlacedRun(event.incarnation, run) in state.by_run
+            ask = AskRun(run) if is_wanted else WithdrawRun(run)
             effects.append(Send(event.incarnation, ask))
     return effects
 
@@ -103,7 +104,7 @@
     view = state.views.get(sender)
     if view is not None:
         note_ended(view, message.run, ran=message.took is not None)
-    effects = take_run_end(state, message, now)
+    effects = take_run_end(state, message, sender, now)
     return [*effects, *place_waiting(state, now)]
 
 
@@ -154,5 +155,5 @@
     for run in list(view.open_runs):
         note_ended(view, run, ran=False)
         lost = RunEnded(run, RunEnd.LOST, EndReason.SIDECAR_SILENT)
-        effects += take_run_end(state, lost, now)
+        effects += take_run_end(state, lost, view.incarnation, now)
     return effects
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -78,6 +78,17 @@
     retry_after: timedelta | None = None
 
 
+class PlacedRun(NamedTuple):
+    """A run where it was placed.
+
+    Copies of a job number their runs anew, so the number alone does not tell the run of
+    one from that of another, which a sidecar may still have.
+    """
+
+    sidecar: str
+    run: RunId
+
+
 class TaskProgress:
     """One task of a job.
 
@@ -202,8 +213,8 @@
         self.lost: set[str] = set()
         self.jobs: dict[str, JobProgress] = {}
         self.by_request: dict[str, str] = {}
-        self.by_run: dict[RunId, str] = {}
-        self.ending: dict[TaskId, set[RunId]] = {}
+        self.by_run: dict[PlacedRun, str] = {}
+        self.ending: dict[TaskId, set[PlacedRun]] = {}
         self.waiting: dict[str, list[TaskProgress]] = {}
         self.table: RoutingTable | None = None
         self.text = ""
--- a/gypsumspoke/runs/run_ends.py
+++ b/gypsumspoke/runs/run_ends.py
@@ -8,10 +8,11 @@
 from gypsumspoke.runs.coordinator_state import (
     CoordinatorState,
     JobProgress,
+    PlacedRun,
     TaskProgress,
 )
 from gypsumspoke.runs.messages import RunEnded
-from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd, RunId
+from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason, RunEnd
 
 # Ends after which the same worker may well be the best place again.
 _MAY_RETRY_THERE = frozenset(
@@ -26,11 +27,12 @@
 
 
 def take_run_end(
-    state: CoordinatorState, message: RunEnded, now: datetime
+    state: CoordinatorState, message: RunEnded, sidecar: str, now: datetime
 ) -> list[Effect]:
-    """Go on with the task whose run ended."""
-    _note_gone(state, message.run)
-    progress = state.jobs.get(state.by_run.pop(message.run, ""))
+    """Go on with the task whose run ended at a sidecar."""
+    placed = PlacedRun(sidecar, message.run)
+    _note_gone(state, placed)
+    progress = state.jobs.get(state.by_run.pop(placed, ""))
     if progress is None:
         return []
     name = message.run.task
@@ -40,14 +42,14 @@
     return _take_not_done(state, progress, task, message, now)
 
 
-def _note_gone(state: CoordinatorState, run: RunId) -> None:
+def _note_gone(state: CoordinatorState, placed: PlacedRun) -> None:
     """Forget a withdrawn run: its task may run again."""
-    ending = state.ending.get(run.task)
+    ending = state.ending.get(placed.run.task)
     if ending is None:
         return
-    ending.discard(run)
+    ending.discard(placed)
     if not ending:
-        del state.ending[run.task]
+        del state.ending[placed.run.task]
 
 
 def _take_done(
