A withdrawn run that a sidecar does not have is told as ended

Callers saw: a job that came again to the same entry waited there until its caller's deadline, though workers were free.

Cause: the end of a withdrawn run was lost with a connection. On the next one the entry withdraws the run again; the sidecar had none and said nothing, and the entry went on waiting for the end of the old run before it would place the task. Besides, a withdrawal that overtook its placement left the placement to start a run that nobody counted on.

Change: a withdrawal is answered as a question is: with the known end, or with the refusal of a run that was never seen.

Evidence: both new tests failed on the code before, and pass.

--- a/gypsumspoke/runs/guard.py
+++ b/gypsumspoke/runs/guard.py
@@ -20,7 +20,12 @@
     guard_report,
 )
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
-from gypsumspoke.runs.guard_placing import note_alive, take_asked, take_placed
+from gypsumspoke.runs.guard_placing import (
+    note_alive,
+    take_asked,
+    take_placed,
+    take_withdrawn,
+)
 from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.guard_stop import begin_stop, continue_stop
 from gypsumspoke.runs.guard_waiting import refuse_waiting, start_waiting
@@ -156,17 +161,6 @@
     return []
 
 
-@_take_message.register
-def _(
-    message: WithdrawRun, sender: str, state: GuardState, now: datetime
-) -> list[Effect]:
-    guarded = state.runs.get(message.run)
-    if guarded is None or guarded.coordinator != sender:
-        return []
-    effects = guard_orders.end_run_early(state, guarded, EndReason.WITHDRAWN, now)
-    return [*effects, *start_waiting(state, now)]
-
-
 @_take_message.register
 def _(
     message: KnownEntries, sender: str, state: GuardState, now: datetime
@@ -196,3 +190,4 @@
 _take.register(Drain, begin_stop)
 _take_message.register(PlaceRun, take_placed)
 _take_message.register(AskRun, take_asked)
+_take_message.register(WithdrawRun, take_withdrawn)
--- a/gypsumspoke/runs/guard_placing.py
+++ b/gypsumspoke/runs/guard_placing.py
@@ -18,7 +18,7 @@
     note_highest,
 )
 from gypsumspoke.runs.guard_waiting import start_waiting
-from gypsumspoke.runs.messages import AskRun, PlaceRun, RunEnded
+from gypsumspoke.runs.messages import AskRun, PlaceRun, RunEnded, WithdrawRun
 from gypsumspoke.runs.values import EndReason, RunEnd, RunId, WorkerReady, fits
 
 
@@ -60,10 +60,21 @@
     message: AskRun, sender: str, state: GuardState, now: datetime
 ) -> list[Effect]:
     """Say what became of a run; one that was never seen never starts."""
-    known = _tell_known(state, message.run, sender)
-    if known is not None:
-        return known
-    return _refuse(state, message.run, sender, EndReason.NEVER_SEEN)
+    return _tell_or_refuse(state, message.run, sender)
+
+
+def take_withdrawn(
+    message: WithdrawRun, sender: str, state: GuardState, now: datetime
+) -> list[Effect]:
+    """End a run; of one that is not here say what became of it, as if asked.
+
+    Its end may have been lost with a connection, and its entry waits for it.
+    """
+    guarded = state.runs.get(message.run)
+    if guarded is None or guarded.coordinator != sender:
+        return _tell_or_refuse(state, message.run, sender)
+    effects = guard_orders.end_run_early(state, guarded, EndReason.WITHDRAWN, now)
+    return [*effects, *start_waiting(state, now)]
 
 
 def note_alive(state: GuardState, sender: str, heard: timedelta, now: datetime) -> None:
@@ -73,6 +84,13 @@
     state.heard[sender] = max(known, proven) if known else proven
 
 
+def _tell_or_refuse(state: GuardState, run: RunId, sender: str) -> list[Effect]:
+    known = _tell_known(state, run, sender)
+    if known is not None:
+        return known
+    return _refuse(state, run, sender, EndReason.NEVER_SEEN)
+
+
 def _tell_known(state: GuardState, run: RunId, sender: str) -> list[Effect] | None:
     """Tell the end of a run that this entry placed; None for one that it did not.
 
--- a/tests/runs/test_late_ends.py
+++ b/tests/runs/test_late_ends.py
@@ -2,10 +2,15 @@
 
 from datetime import timedelta
 
+from gypsumspoke.core.effects import Send
+from gypsumspoke.core.events import Received
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS
-from gypsumspoke.runs.values import JobEnd
+from gypsumspoke.runs.messages import PlaceRun, WithdrawRun
+from gypsumspoke.runs.orders import StartOrder
+from gypsumspoke.runs.values import JobEnd, RunEnd, RunId, TaskId
+from tests.runs.lone_sidecar import LoneSidecar
 from tests.runs.test_path import settled
-from tests.runs.world import World, job, ms
+from tests.runs.world import TASK_ROOM, TASK_TIME, World, job, ms
 
 RESEND = DEFAULT_BOUNDS.resend
 
@@ -56,3 +61,39 @@
     world.run(ms(9000))
     assert not world.broken
     assert world.end_of("r3") is JobEnd.COMPLETED
+
+
+def test_a_copy_does_not_wait_for_an_end_that_was_lost_with_a_connection():
+    """A withdrawn run ends, and its end is lost with the connection. Asked on the next
+    one to withdraw the run, the sidecar has none, and said nothing; the job's copy
+    waited at its entry until its caller left.
+    """
+    world = settled()
+    for worker in world.workers.values():
+        worker.takes = lambda task: timedelta(seconds=1)
+    world.submit("entry0", "r1", job("j1", count=1), ms(20_000))
+    world.run(ms(100))
+    world.leave("entry0", "r1")
+    world.run(ms(3))
+    world.cut_off("entry0", "side0")
+    world.run(ms(95))
+    assert not world.workers["side0"].running
+    world.heal("entry0", "side0")
+    world.run(RESEND)
+    world.submit("entry0", "r2", job("j1", count=1), ms(20_000))
+    world.run(ms(1500))
+    assert world.end_of("r2") is JobEnd.COMPLETED
+    assert not world.broken
+
+
+def test_a_run_that_is_withdrawn_before_it_comes_never_starts():
+    """Its placement was lost with a connection, or comes after the withdrawal."""
+    sidecar = LoneSidecar()
+    sidecar.take_list(ms(3), asked=ms(1), made=ms(2))
+    run = RunId(TaskId("j1", 0, 0), 1)
+    effects = sidecar.take(ms(50), Received("entry-1", WithdrawRun(run)))
+    (ended,) = [effect.message for effect in effects if isinstance(effect, Send)]
+    assert ended.end is RunEnd.NOT_RUN
+    place = PlaceRun(ms(49), run, TASK_ROOM, 1, TASK_TIME, ms(9000), "x")
+    effects = sidecar.take(ms(51), Received("entry-1", place))
+    assert not any(isinstance(effect, StartOrder) for effect in effects)
