The end of a lease allows for a slow worker's clock since it was read

Callers saw: nothing known; the time budget could be exceeded by some milliseconds.

Cause: a sidecar went on from the worker's clock as it last read it by its own. A slow clock falls behind by 2 % of that time, so a lease named up to 400 ms later was up to 8 ms longer than the budget counts.

Change: the worker's clock is taken for the least that it can be.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -55,7 +55,7 @@
 
 
 def _may_extend(state: GuardState, now: datetime) -> bool:
-    if state.token == 0 or state.lease.clock_ahead is None:
+    if state.token == 0 or state.lease.clock is None:
         return False
     if state.heard_worker is None:
         return False
@@ -222,7 +222,7 @@
 
 def check_lease(state: GuardState, now: datetime) -> list[Effect]:
     """Give up the runs of a worker whose lease has certainly ended."""
-    if now <= state.lease.dead_by:
+    if now <= state.lease.ends_by:
         return []
     effects: list[Effect] = []
     for guarded in list(state.runs.values()):
--- a/gypsumspoke/runs/guard_lease.py
+++ b/gypsumspoke/runs/guard_lease.py
@@ -52,8 +52,8 @@
     left = lease_left(state, now)
     if left <= timedelta():
         return None
-    dead_by = max(state.lease.dead_by, now + state.budget.on_slow_clock(left))
-    state.lease = state.lease._replace(dead_by=dead_by)
+    ends_by = max(state.lease.ends_by, now + state.budget.on_slow_clock(left))
+    state.lease = state.lease._replace(ends_by=ends_by)
     return worker_clock(state, now) + left
 
 
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -4,6 +4,7 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.effects import Effect, Log
+from gypsumspoke.runs.budget import WORKER_CLOCK_ERROR
 from gypsumspoke.runs.guard_state import GuardState, Lease
 from gypsumspoke.runs.values import Registration
 
@@ -78,20 +79,20 @@
         guarded.stop_clock = None
     # A start that was meant for the old life named a time of the old clock, which may
     # be far ahead on the new one; the worker shortens such a lease to its maximum.
-    dead_by = max(state.lease.dead_by, now + state.budget.longest_lease)
-    state.lease = Lease(None, dead_by)
+    ends_by = max(state.lease.ends_by, now + state.budget.longest_lease)
+    state.lease = Lease(None, now, ends_by)
 
 
 def note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
     """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
-        ahead = clock - (now - state.origin)
-        state.lease = state.lease._replace(clock_ahead=ahead)
+        state.lease = state.lease._replace(clock=clock, read_at=now)
 
 
 def worker_clock(state: GuardState, now: datetime) -> timedelta:
-    """Return the worker's clock, at most its true value."""
-    return (now - state.origin) + state.lease.clock_ahead
+    """Return the worker's clock, at most its true value: it may be slow."""
+    since = now - state.lease.read_at
+    return state.lease.clock + since / (1 + WORKER_CLOCK_ERROR)
 
 
 def raise_token(state: GuardState, now: datetime) -> None:
@@ -101,7 +102,7 @@
     with that life too. So orders of an earlier process that are still under way are
     refused, whatever the clocks of machines do.
     """
-    if state.lease.clock_ahead is not None:
+    if state.lease.clock is not None:
         clock = worker_clock(state, now) // timedelta(milliseconds=1)
         state.token = max(state.token, clock, 1)
 
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -33,7 +33,7 @@
         and state.draining is None
         and not state.orphans
         and state.token > 0
-        and state.lease.clock_ahead is not None
+        and state.lease.clock is not None
         and is_answering(state, now)
         and may_probe(state, now)
         and may_start(state, now)
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -35,12 +35,14 @@
     """What is known of the worker's lease and clock.
 
     Attributes:
-      clock_ahead: the worker's clock minus this sidecar's; at most the true value.
-      dead_by: whatever ran is dead by then unless the lease is extended again.
+      clock: the worker's clock at ``read_at`` or a little before; None before it spoke.
+      read_at: when its clock was last read.
+      ends_by: the lease has ended by then unless it is extended again.
     """
 
-    clock_ahead: timedelta | None
-    dead_by: datetime
+    clock: timedelta | None
+    read_at: datetime
+    ends_by: datetime
 
 
 class Told(NamedTuple):
@@ -162,7 +164,7 @@
         self.born: int | None = None
         self.born_learnt: datetime | None = None
         self.token = 0
-        self.lease = Lease(None, now)
+        self.lease = Lease(None, now, now)
         self.lease_withheld: datetime | None = None
         self.last_seen = 0
         self.hold_sent: datetime | None = None
