A run counts as at work until the end of its lease has taken effect

Callers saw: nothing known; two runs of a task could be at work at once for up to 50 ms after a worker had fallen silent.

Cause: a sidecar gave the runs of a silent worker up at the end of their lease. What a lease ends is stopped, and a stop takes up to 50 ms; the budget of the entries counts it, this place did not.

Change: runs are given up after the bound on a stop more.

Evidence: the new test failed before (told 40 ms early). Run: it passes.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -221,8 +221,8 @@
 
 
 def check_lease(state: GuardState, now: datetime) -> list[Effect]:
-    """Give up the runs of a worker whose lease has certainly ended."""
-    if now <= state.lease.ends_by:
+    """Give up the runs of a worker whose lease has certainly ended them."""
+    if now <= state.lease.ends_by + state.budget.bounds.stop:
         return []
     effects: list[Effect] = []
     for guarded in list(state.runs.values()):
--- a/tests/runs/test_lease.py
+++ b/tests/runs/test_lease.py
@@ -1,11 +1,12 @@
 """What a sidecar takes for granted of its worker's lease."""
 
-from gypsumspoke.core.events import PeerConnected, Received
+from gypsumspoke.core.events import PeerConnected, Received, Tick
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, WORKER_CLOCK_ERROR
-from gypsumspoke.runs.messages import PlaceRun
-from gypsumspoke.runs.orders import StartOrder
+from gypsumspoke.runs.messages import PlaceRun, Pulse, RunEnded
+from gypsumspoke.runs.orders import OrderAnswered, OrderKind, OrderResult, StartOrder
 from gypsumspoke.runs.values import RunId, TaskId
 from tests.runs.lone_sidecar import LoneSidecar
+from tests.runs.test_lists import ends
 from tests.runs.world import TASK_ROOM, TASK_TIME, ms
 
 ENTRY = "entry-1"
@@ -27,3 +28,21 @@
     order = place(LoneSidecar())
     least_clock = ms(2) + (PLACED - ms(3)) / (1 + WORKER_CLOCK_ERROR)
     assert order.lease_end - least_clock <= DEFAULT_BUDGET.lease
+
+
+def test_a_run_counts_as_at_work_until_the_end_of_its_lease_has_taken_effect():
+    """At the end of a lease runs are stopped, which takes as long as any stop. Taken
+    for gone at the end itself, a run's task was placed again beside it.
+    """
+    sidecar = LoneSidecar()
+    place(sidecar)
+    accepted = OrderAnswered(OrderKind.START, RUN, OrderResult.ACCEPTED, PLACED)
+    sidecar.take(PLACED + ms(1), accepted)
+    told: list[RunEnded] = []
+    dead = PLACED + DEFAULT_BUDGET.lease_at_most + DEFAULT_BUDGET.bounds.stop
+    for at in (dead - ms(40), dead - ms(1)):
+        sidecar.take(at, Received(ENTRY, Pulse(at)))
+        told += ends(sidecar.take(at, Tick()))
+    assert told == []
+    (end,) = ends(sidecar.take(dead + ms(1), Tick()))
+    assert end.run == RUN
