A job whose caller left before it was read does not start

Callers saw: a task could run twice at once for some milliseconds.

Cause: an entry that was paused goes on and reads a request that has lain in its buffers, together with the end of its connection. It took the job, placed its tasks and only then noticed that the caller had left, who may have sent the job through another entry meanwhile.

Change: the connection is looked at once before a job is taken. The answer, 504, claims nothing of other copies. What stays open: after a cut the request may arrive a moment before the end of its connection.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -23,7 +23,7 @@
 )
 from gypsumspoke.runs.values import JobEnd, RefusalReason, Route
 from gypsumspoke.shell.caller_server import SOCKET_KEY
-from gypsumspoke.shell.departure import departure
+from gypsumspoke.shell.departure import departure, is_closed
 from gypsumspoke.shell.http_answers import (
     Environ,
     HttpAnswer,
@@ -153,6 +153,11 @@
         parsed = parse_job(job_id, body)
         if not is_successful(parsed):
             return self._refuse_body(parsed.failure())
+        if is_closed(environ[SOCKET_KEY]):
+            # The request lay unread while this process was paused. Its caller may have
+            # sent the job through another entry, where it is at work.
+            reason = RefusalReason.CALLER_LEFT
+            return self._refuse(504, reason, "the caller has left", _RETRY_SOON)
         patience = _patience(environ)
         request, result = self._waiters.open()
         try:
--- a/gypsumspoke/shell/departure.py
+++ b/gypsumspoke/shell/departure.py
@@ -26,7 +26,7 @@
     def look() -> None:
         # Bytes of a next request are left alone; they would be readable for ever.
         watcher.stop()
-        if _is_closed(sock):
+        if is_closed(sock):
             on_left()
 
     watcher.start(look)
@@ -37,7 +37,8 @@
         watcher.close()
 
 
-def _is_closed(sock: socket) -> bool:
+def is_closed(sock: socket) -> bool:
+    """Return whether the caller has closed its connection."""
     timeout = sock.gettimeout()
     sock.settimeout(0)
     try:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,20 +1,31 @@
 """The callers' side of an entry, without its loop."""
 
 import json
+from io import BytesIO
+from typing import Any
 
 import gevent
 import pytest
+from gevent.socket import socket, socketpair
 from returns.result import Failure
 
 from gypsumspoke.core.clock import ManualClock
 from gypsumspoke.platform.callers import Callers
 from gypsumspoke.runs.admission import CONFIGURATION_SETTLING
-from gypsumspoke.runs.coordinator_state import CoordinatorState, FirstConfiguration
+from gypsumspoke.runs.coordinator_state import (
+    CoordinatorState,
+    FirstConfiguration,
+    JobArrived,
+)
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.values import RefusalReason
+from gypsumspoke.shell.caller_server import SOCKET_KEY
 from tests.runs.world import CONFIGURATION, ROUTE, START
 
+JOB = b"""{"best_effort": true, "spec": "x",
+    "steps": [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 900}]}"""
+
 
 class Entry:
     """An entry that has just started and has no configuration yet."""
@@ -25,13 +36,28 @@
             lambda text: Failure("none"), Directory("", ()), START
         )
         self.counted: list[RefusalReason] = []
+        self.posted: list[Any] = []
         self.callers = Callers(
-            lambda event: None,
+            self.posted.append,
             lambda count: self.counted.append(count.what),
             self.clock,
             self.state,
         )
 
+    def submit(self, connection: socket) -> str:
+        """Hand a job in on a connection; return the status line."""
+        statuses: list[str] = []
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": ROUTE.path_prefix + "5c0e7a21d94b36f8",
+            "HTTP_HOST": ROUTE.host,
+            "HTTP_GYPSUMSPOKE_DEADLINE_MS": "1500",
+            "wsgi.input": BytesIO(JOB),
+            SOCKET_KEY: connection,
+        }
+        self.callers(environ, lambda status, headers: statuses.append(status))
+        return statuses[0]
+
     def get(self) -> tuple[str, dict]:
         """Ask for the route's count; return status line and body."""
         statuses: list[str] = []
@@ -78,3 +104,23 @@
     status, body = asked.get()
     assert status.startswith("503")
     assert body["reason"] == RefusalReason.STOPPING.value
+
+
+@pytest.mark.parametrize("has_left", [True, False])
+def test_a_job_whose_caller_left_before_it_was_read_does_not_start(entry, has_left):
+    """An entry is paused, and a caller sends a job, waits in vain, and has sent it
+    through another entry when this one goes on and reads both the request and the end
+    of its connection. Started here, the task ran twice at once until it was withdrawn.
+    """
+    entry.state.table = RoutingTable(CONFIGURATION)
+    here, caller = socketpair()
+    with here, caller:
+        if has_left:
+            caller.close()
+        submitted = gevent.spawn(entry.submit, here)
+        gevent.sleep(0)
+        arrived = [event for event in entry.posted if isinstance(event, JobArrived)]
+        assert len(arrived) == (0 if has_left else 1)
+        entry.callers.give_up_all()
+        assert submitted.get().startswith("504")
+    assert entry.counted == ([RefusalReason.CALLER_LEFT] if has_left else [])
