--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -5,7 +5,7 @@
 
 from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.core.events import PeerConnected, PeerLost
-from gypsumspoke.runs.coordinator_state import CoordinatorState
+from gypsumspoke.runs.coordinator_state import CoordinatorState, PlacedRun
 from gypsumspoke.runs.fleet import (
     SidecarView,
     is_better,
@@ -45,7 +45,8 @@
         state.lost.discard(event.incarnation)
         # Ends may have been lost with the earlier connection, and so may placements.
         for run in view.open_runs:
-            ask = AskRun(run) if run in state.by_run else WithdrawRun(run)
+            is_wanted = PlacedRun(event.incarnation, run) in state.by_run
+            ask = AskRun(run) if is_wanted else WithdrawRun(run)
             effects.append(Send(event.incarnation, ask))
     return effects
 
@@ -108,7 +109,7 @@
     if view is not None:
         note_ended(view, message.run, ran=message.took is not None)
     state.has_new_room = True
-    return take_run_end(state, message, now)
+    return take_run_end(state, message, sender, now)
 
 
 def host_of(incarnation: str) -> str:
@@ -159,5 +160,5 @@
     for run in list(view.open_runs):
         note_ended(view, run, ran=False)
         lost = RunEnded(run, RunEnd.LOST, EndReason.SIDECAR_SILENT)
-        effects += take_run_end(state, lost, now)
+        effects += take_run_end(state, lost, view.incarnation, now)
     return effects
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -4,12 +4,12 @@
 
 from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs.guard_ends import finish, note_failure
+from gypsumspoke.runs.guard_lease import name_lease_end, note_withheld
 from gypsumspoke.runs.guard_life import (
-    extend_dead_by,
     note_clock,
+    outbid_token,
     raise_token,
     take_life,
-    worker_clock,
 )
 from gypsumspoke.runs.guard_orders import end_run_early, give_up_start
 from gypsumspoke.runs.guard_orphans import stop_orphans
@@ -48,37 +48,20 @@
         if now < overdue:
             return []
     state.hold_sent = now
-    state.hold_token = state.token
-    lease_end = None
-    if _may_extend(state, now):
-        extend_dead_by(state, now)
-        lease_end = worker_clock(state, now) + state.budget.lease
+    lease_end = name_lease_end(state, now) if _may_extend(state, now) else None
     wait = interval if state.is_fenced else timedelta()
-    return [HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)]
+    hold = HoldOrder(state.worker_id, lease_end, state.last_seen, wait, state.token)
+    return [hold, *note_withheld(state, now)]
 
 
 def _may_extend(state: GuardState, now: datetime) -> bool:
-    if state.token == 0 or state.lease.clock_ahead is None:
+    if state.token == 0 or state.lease.clock is None:
         return False
-    if state.heard_worker is None or _has_overdue_stop(state, now):
+    if state.heard_worker is None:
         return False
     return now - state.heard_worker < state.budget.worker_silence
 
 
-def _has_overdue_stop(state: GuardState, now: datetime) -> bool:
-    """Return whether the worker leaves a stop unanswered for too long.
-
-    Its run may be placed elsewhere soon, by an entry that counts on the time budget.
-    Only the end of the lease stops it then, with all that runs beside it.
-    """
-    return any(
-        guarded.phase is Phase.STOPPING
-        and guarded.stop_clock is None
-        and now - guarded.stop_since > state.budget.stop_patience
-        for guarded in state.runs.values()
-    )
-
-
 def take_failed_hold(
     state: GuardState, event: HoldFailed, now: datetime
 ) -> list[Effect]:
@@ -92,7 +75,7 @@
     note_clock(state, event.clock, now)
     token = state.token
     if event.result is OrderResult.FENCED:
-        raise_token(state, now)
+        outbid_token(state, event.token, now)
     if event.is_extra:
         return _give_up_starts(state, now, now)
     state.hold_sent = None
@@ -105,7 +88,6 @@
     """Take the worker's list of what runs and what ended."""
     if not event.is_extra:
         state.hold_sent = None
-        state.is_fenced = state.is_fenced or state.hold_token > 0
     if event.born is not None and event.born != state.born:
         if state.born_learnt is not None and event.sent <= state.born_learnt:
             # An answer of the old life, overtaken by a heartbeat of the new one.
@@ -117,6 +99,8 @@
     note_clock(state, event.clock, now)
     if state.token == 0:
         raise_token(state, now)
+    # A hold that was sent without this token shows nothing of it.
+    state.is_fenced = state.is_fenced or event.token == state.token
     for ended in event.ended:
         effects += _take_end(state, ended, now)
     _note_progress(state, event, now)
@@ -237,8 +221,8 @@
 
 
 def check_lease(state: GuardState, now: datetime) -> list[Effect]:
-    """Give up the runs of a worker whose lease has certainly ended."""
-    if now <= state.lease.dead_by:
+    """Give up the runs of a worker whose lease has certainly ended them."""
+    if now <= state.lease.ends_by + state.budget.bounds.stop:
         return []
     effects: list[Effect] = []
     for guarded in list(state.runs.values()):
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -35,12 +35,14 @@
     """What is known of the worker's lease and clock.
 
     Attributes:
-      clock_ahead: the worker's clock minus this sidecar's; at most the true value.
-      dead_by: whatever ran is dead by then unless the lease is extended again.
+      clock: the worker's clock at ``read_at`` or a little before; None before it spoke.
+      read_at: when its clock was last read.
+      ends_by: the lease has ended by then unless it is extended again.
     """
 
-    clock_ahead: timedelta | None
-    dead_by: datetime
+    clock: timedelta | None
+    read_at: datetime
+    ends_by: datetime
 
 
 class Told(NamedTuple):
@@ -70,6 +72,7 @@
       whole: run time of the whole run at the speed of its latest progress.
       stop_reason: why it is being stopped.
       stop_since: when the first stop was sent.
+      stop_word: when its coordinator was last heard before that.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
       doubted: since when.
@@ -104,6 +107,7 @@
         self.whole: timedelta | None = None
         self.stop_reason = EndReason.WITHDRAWN
         self.stop_since: datetime | None = None
+        self.stop_word: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
         self.doubted: datetime | None = None
@@ -121,9 +125,9 @@
       born_learnt: when that life first showed.
       token: fencing token; 0 before the worker's clock is known.
       lease: see Lease.
+      lease_withheld: since when an unanswered stop holds the lease back.
       last_seen: highest number of the ends taken note of.
       hold_sent: when the hold under way was sent; None when there is none.
-      hold_token: fencing token of that hold.
       is_fenced: whether the worker has seen this sidecar's token, and so refuses
         orders of earlier processes of this sidecar.
       heard_worker: when a hold was last answered.
@@ -160,10 +164,10 @@
         self.born: int | None = None
         self.born_learnt: datetime | None = None
         self.token = 0
-        self.lease = Lease(None, now)
+        self.lease = Lease(None, now, now)
+        self.lease_withheld: datetime | None = None
         self.last_seen = 0
         self.hold_sent: datetime | None = None
-        self.hold_token = 0
         self.is_fenced = False
         self.heard_worker: datetime | None = None
         self.orphans: dict[RunId, timedelta | None] = {}
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -135,6 +135,7 @@
         self.clock_rate: dict[str, float] = {}
         self.pace: dict[str, float] = {}
         self.silent_workers: set[str] = set()
+        self.deaf_to_stops: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -380,7 +381,8 @@
         if not process.alive:
             return
         chance = self.random.random()
-        if host in self.silent_workers or chance < self.lost_share:
+        is_deaf = isinstance(order, StopOrder) and host in self.deaf_to_stops
+        if is_deaf or host in self.silent_workers or chance < self.lost_share:
             self._unanswered(process, order)
             return
         if chance < self.lost_share + self.late_share:
@@ -421,7 +423,9 @@
 
     def _unanswered(self, process: Process, order: Any) -> None:
         if isinstance(order, HoldOrder):
-            event = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
+            event = HoldFailed(
+                OrderResult.UNANSWERED, None, order.is_extra, order.token
+            )
             delay = order.wait + HOLD_ANSWER_WITHIN
         else:
             kind = OrderKind.START if isinstance(order, StartOrder) else OrderKind.STOP
@@ -434,7 +438,8 @@
         worker = self.workers[host]
         result = worker.hold(order, self.worker_clock(host))
         if result is not OrderResult.ACCEPTED:
-            event = HoldFailed(result, self.worker_clock(host), order.is_extra)
+            clock = self.worker_clock(host)
+            event = HoldFailed(result, clock, order.is_extra, order.token)
             self.at(ONE_WAY, lambda: self.post(process, event))
             return
         self._answer_hold(process, worker, order, sent)
@@ -445,7 +450,9 @@
         """Answer when there is an end, or when the wait is over."""
         host = process.host
         if worker is not self.workers[host]:
-            failed = HoldFailed(OrderResult.UNANSWERED, None, order.is_extra)
+            failed = HoldFailed(
+                OrderResult.UNANSWERED, None, order.is_extra, order.token
+            )
             self.post(process, failed)
             return
         clock = self.worker_clock(host)
@@ -457,7 +464,9 @@
             return
         listed = worker.listed(clock)
         born = self.lives[host]
-        event = HoldAnswered(sent, clock, born, listed, ended, order.is_extra)
+        event = HoldAnswered(
+            sent, clock, born, listed, ended, order.is_extra, order.token
+        )
         self.at(ONE_WAY, lambda: self.post(process, event))
 
     # Promises
