--- a/gypsumspoke/wire/connection.py
+++ b/gypsumspoke/wire/connection.py
@@ -112,6 +112,10 @@
         """Note that the peer's hello is valid."""
         self._peer = hello
 
+    def wait_closed(self) -> None:
+        """Wait until the connection has ended."""
+        self._ended.wait()
+
     def restart_silence(self, now: datetime) -> None:
         """Count the peer's silence from now on."""
         self._last_heard = now
--- a/tests/wire/test_dialler.py
+++ b/tests/wire/test_dialler.py
@@ -76,3 +76,33 @@
     gevent.sleep(0.3)
     assert sidecar.events == []
     entry.links.close()
+
+
+class CountingClock(SteadyClock):
+    """A clock that counts how often it is asked."""
+
+    asked = 0
+
+    def now(self):
+        self.asked += 1
+        return super().now()
+
+
+def test_a_connection_that_lasts_wakes_nobody():
+    """The dialler looked at each address forty times a second, also where all was well.
+
+    That was a good part of what a process cost at rest.
+    """
+    clock = CountingClock()
+    sidecar, entry = Peer("sidecar"), Peer("entry-1")
+    port = entry.links.listen("127.0.0.1", 0)
+    dialler = Dialler(sidecar.links, clock)
+    with closing(sidecar.links), closing(entry.links), closing(dialler):
+        entry.start()
+        sidecar.start()
+        dialler.set_addresses([("127.0.0.1", port)])
+        dialler.start()
+        wait_until(lambda: sidecar.has(PeerConnected("entry-1")))
+        clock.asked = 0
+        gevent.sleep(0.3)
+        assert clock.asked == 0
