Ask once more when an executor has gone unheard during the fencing

Callers saw: in a rolling restart one job was answered 502, "worker_lost" with its work unknown, though nothing was lost.

Cause: an executor acknowledges the fence of a new home, then a leaving one tells it its records, then the leaving one ends its row before the fence reaches it. The new home counted it as gone, and no answer it had spoke for it, so each task of an adopted job that had not started became unknown.

Evidence: rolling restarts of the reducers in virtual time in which pairs of processes stall.

Change: when all have answered, somebody is unheard, and an executor ended or fell silent before it answered, all are asked once more. A leaving one ends its row only after it has told, so that answer speaks for it. It takes a round trip, one second at most; then the first answers stand.

Asking twice makes second answers usual, and these could mix: a part of a second answer replaced the one of the first, and a record that stood in a part not yet there was missing when the home began to serve, so its task could have started twice. Answers are taken whole now, and a cover counts only with all parts of its answer (tests/core/test_fences.py; the first failed before).

Ruled out: that refusals for the old epoch are lost; the next home takes such a task for unknown only if somebody is unheard.

--- a/gypsumspoke/core/counted.py
+++ b/gypsumspoke/core/counted.py
@@ -42,6 +42,7 @@
     UNKNOWN_BY_DOUBT = "unknown_by_doubt"
     FENCE_SENT = "fence_sent"
     FENCE_ACKNOWLEDGED = "fence_acknowledged"
+    FENCED_AGAIN = "fenced_again"
     TAKEOVER_STARTED = "takeover_started"
     TAKEOVER_FINISHED = "takeover_finished"
     HANDOFF_SENT = "handoff_sent"
--- a/gypsumspoke/core/fences.py
+++ b/gypsumspoke/core/fences.py
@@ -6,8 +6,13 @@
 from earlier owners was told to another executor, which then says that it covers it.
 Where a record may be lost the partition is *lossy*: unknown keys born before are
 answered "unknown" and never run.
+
+An executor that leaves during the fencing may tell its records to one that has answered
+already. So when one has gone unheard the others are asked once more: it ended its row
+only after it had told.
 """
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.counted import Counter
@@ -37,6 +42,8 @@
 )
 
 FENCE_RESEND = timedelta(milliseconds=500)
+# The first answers stand; what a second one could add is not worth a longer wait.
+ASKED_AGAIN_LIMIT = timedelta(seconds=1)
 MEMBERS = REQUEST_PREFIX + "members"
 
 
@@ -77,8 +84,9 @@
     ownership.asked = now
     effects: list[Effect] = []
     fence = Fence(ownership.partition, ownership.epoch)
+    due = ownership.required - (ownership.acknowledged - ownership.awaited)
     # An answer of which a part has come is on its way; a second one would mix with it.
-    for name in sorted(ownership.required - set(ownership.parts)):
+    for name in sorted(due - set(ownership.parts)):
         effects += [Count(Counter.FENCE_SENT), Send(name, fence)]
     return effects
 
@@ -89,15 +97,22 @@
     former = ownership.former
     if former is not None and is_silent(state, former.owner, now):
         # A giver that died after its handoff is left out like any former owner.
-        ownership.required.discard(former.owner)
-        finished = finish_if_fenced(state, ownership, now)
-        if finished:
-            return finished
+        leave_out(ownership, {former.owner})
+    finished = finish_if_fenced(state, ownership, now)
+    if finished:
+        return finished
     if now - ownership.asked >= FENCE_RESEND:
         return _send_fences(state, ownership, now)
     return []
 
 
+def leave_out(ownership: Ownership, names: Iterable[str]) -> None:
+    """Wait no longer for executors that have ended or are not needed."""
+    left_out = ownership.required.intersection(names)
+    ownership.required -= left_out
+    ownership.went |= left_out - (ownership.acknowledged - ownership.awaited)
+
+
 def fence_acknowledged(
     state: TakeoverState, message: FenceAck, now: datetime
 ) -> list[Effect]:
@@ -107,18 +122,31 @@
         return []
     if ownership.phase is not Phase.FENCING:
         return []
-    parts = ownership.parts.setdefault(message.incarnation, {})
-    parts[message.chunk] = message
-    if len(parts) == message.chunks:
-        ownership.acknowledged.add(message.incarnation)
+    name = message.incarnation
+    parts = ownership.parts.setdefault(name, [])
+    parts.append(message)
+    answer = [part for part in parts if _is_of_one_answer(part, message)]
+    if {part.chunk for part in answer} == set(range(message.chunks)):
+        del ownership.parts[name]
+        ownership.heard.setdefault(name, []).extend(answer)
+        ownership.acknowledged.add(name)
+        ownership.awaited.discard(name)
     return finish_if_fenced(state, ownership, now)
 
 
+def _is_of_one_answer(part: FenceAck, other: FenceAck) -> bool:
+    """Return whether two chunks may belong together.
+
+    Two answers of which only the second speaks for another executor must not mix: the
+    cover would be taken for true without all of the records.
+    """
+    return (part.chunks, part.covers) == (other.chunks, other.covers)
+
+
 def peer_lost(state: TakeoverState, incarnation: str) -> None:
     """Forget the parts of an answer whose rest was lost with the connection."""
     for ownership in state.owned.values():
-        if incarnation not in ownership.acknowledged:
-            ownership.parts.pop(incarnation, None)
+        ownership.parts.pop(incarnation, None)
 
 
 def fence_refused(state: TakeoverState, message: FenceRefused) -> list[Effect]:
@@ -143,12 +171,13 @@
 ) -> list[Effect]:
     if ownership.required - ownership.acknowledged:
         return []
-    parts = [
-        part
-        for name in ownership.acknowledged
-        for part in ownership.parts[name].values()
-    ]
+    is_late = now - ownership.asked_again >= ASKED_AGAIN_LIMIT
+    if ownership.required & ownership.awaited and not is_late:
+        return []
+    parts = [part for heard in ownership.heard.values() for part in heard]
     ownership.unheard = frozenset(_uncovered(state, ownership, parts, now))
+    if ownership.unheard and ownership.went:
+        return _ask_again(state, ownership, now)
     lossy = bool(ownership.unheard)
     ownership.floor = _floor(state, ownership, lossy, now)
     ownership.forgotten_before = _forgotten_before(ownership, parts)
@@ -157,6 +186,21 @@
     return serve(state, ownership, adopted, closed, now)
 
 
+def _ask_again(
+    state: TakeoverState, ownership: Ownership, now: datetime
+) -> list[Effect]:
+    """Ask all executors once more what they were told by those that went."""
+    went = ",".join(sorted(ownership.went))
+    ownership.went.clear()
+    ownership.awaited = set(ownership.required)
+    ownership.asked_again = now
+    return [
+        Count(Counter.FENCED_AGAIN),
+        log_of("fences sent again", ownership, went=went),
+        *_send_fences(state, ownership, now),
+    ]
+
+
 def _forgotten_before(ownership: Ownership, parts: list[FenceAck]) -> datetime:
     bounds = [part.forgotten_before for part in parts]
     if ownership.handed is not None:
@@ -258,8 +302,9 @@
         Serving(ownership.partition, adopted, closed, ownership.handed)
     )
     ownership.handed = None
-    own = ownership.parts.get(state.incarnation, {})
-    ownership.parts = {state.incarnation: own}
+    own = ownership.heard.get(state.incarnation, [])
+    ownership.heard = {state.incarnation: own}
+    ownership.parts.clear()
     seconds = (now - ownership.started).total_seconds()
     effects: list[Effect] = [
         Count(Counter.TAKEOVER_FINISHED),
@@ -292,7 +337,7 @@
         return []
     ownership.asked = now
     ownership.remember_to = others[ownership.partition % len(others)]
-    parts = ownership.parts.get(state.incarnation, {}).values()
+    parts = ownership.heard.get(state.incarnation, [])
     started = [record for part in parts for record in part.started]
     closed = [record for part in parts for record in part.closed]
     covers = {name for part in parts for name in part.covers}
@@ -317,5 +362,5 @@
         return []
     if message.source == cover_as_owner(state.incarnation, ownership.epoch):
         ownership.remembered = True
-        ownership.parts.clear()
+        ownership.heard.clear()
     return []
--- a/gypsumspoke/core/ownership.py
+++ b/gypsumspoke/core/ownership.py
@@ -79,6 +79,9 @@
       giver: incarnation that waits for a HandoffAck; empty if none.
       now: the current time.
 
+    ``parts`` holds the answers to fences that are under way, ``heard`` all that came in
+    full, ``acknowledged`` who sent one. ``went`` names executors that ended, or fell
+    silent, before they answered; ``awaited`` those that are asked once more since then.
     ``unheard`` names incarnations whose records were lost before they were heard.
     Keys born before ``forgotten_before`` may have run without leaving a record.
     """
@@ -102,8 +105,12 @@
         self.asked = now
         self.floor = Floor(epoch, 0, now, None)
         self.required: set[str] = set()
-        self.parts: dict[str, dict[int, FenceAck]] = {}
+        self.parts: dict[str, list[FenceAck]] = {}
+        self.heard: dict[str, list[FenceAck]] = {}
         self.acknowledged: set[str] = set()
+        self.went: set[str] = set()
+        self.awaited: set[str] = set()
+        self.asked_again = now
         self.unheard: frozenset[str] = frozenset()
         self.forgotten_before = NOTHING_FORGOTTEN
         self.remember_to = ""
--- a/gypsumspoke/core/takeover.py
+++ b/gypsumspoke/core/takeover.py
@@ -18,6 +18,7 @@
 from gypsumspoke.core.fences import (
     fence_all,
     finish_if_fenced,
+    leave_out,
     pursue_fences,
     read_members,
     tell_own_records,
@@ -73,7 +74,7 @@
     for ownership in list(state.owned.values()):
         if ownership.phase is Phase.FENCING:
             ended = {name for name in ownership.required if state.is_gone(name)}
-            ownership.required -= ended
+            leave_out(ownership, ended)
             effects += finish_if_fenced(state, ownership, now)
     return effects
 
--- /dev/null
+++ b/tests/core/test_fences.py
@@ -0,0 +1,99 @@
+"""Answers to fences: several of one executor, and parts that never came in full."""
+
+from datetime import timedelta
+
+from gypsumspoke.core.fences import (
+    ASKED_AGAIN_LIMIT,
+    fence_acknowledged,
+    fence_all,
+    finish_if_fenced,
+    leave_out,
+    pursue_fences,
+)
+from gypsumspoke.core.messages import FenceAck
+from gypsumspoke.core.ownership import Ownership, Phase, Serving
+from gypsumspoke.core.takeover_view import TakeoverState, take_notices
+from gypsumspoke.core.values import (
+    NOTHING_FORGOTTEN,
+    AttemptId,
+    JobKey,
+    Member,
+    PartitionRow,
+    Role,
+    StartRecord,
+    TaskState,
+)
+from tests.core.system import START
+
+HOME, OTHER, LATE, LEAVER = "w0.1", "w1.1", "w2.1", "w3.1"
+KEY = JobKey("team", "k")
+
+
+def _member(name, ended=None):
+    worker = name.partition(".")[0]
+    return Member(
+        name, worker, Role.SIDECAR, "127.0.0.1", 1, "a", "r", "s", 1, START, ended, 0
+    )
+
+
+def _record(task):
+    attempt = AttemptId(KEY, task, task, 1)
+    return StartRecord(attempt, 0, START, b"", 3, TaskState.DONE, b"x")
+
+
+def _answer(name, chunk, chunks, tasks=(), covers=()):
+    started = tuple(_record(task) for task in tasks)
+    covers = tuple(sorted({name, *covers}))
+    return FenceAck(0, 2, name, chunk, chunks, started, (), covers, NOTHING_FORGOTTEN)
+
+
+def _fencing(*others):
+    """Return a home that has fenced itself and others, and its ownership."""
+    state = TakeoverState(_member(HOME), 4)
+    former = PartitionRow(0, LEAVER, 1, START, 1)
+    ownership = Ownership(0, 2, former, None, "", START)
+    state.owned[0] = ownership
+    members = [_member(name) for name in (HOME, *others)]
+    fence_all(state, ownership, members, START)
+    fence_acknowledged(state, _answer(HOME, 0, 1), START)
+    return state, ownership
+
+
+def _served(state):
+    (notice,) = (one for one in take_notices(state) if isinstance(one, Serving))
+    return notice
+
+
+def test_a_second_answer_that_came_in_part_takes_no_start_away():
+    """A task would start twice whose record stood in the part that had not come yet.
+
+    A fence was sent again before its answer came. The second answer is cut otherwise.
+    """
+    state, ownership = _fencing(OTHER, LATE)
+    fence_acknowledged(state, _answer(OTHER, 0, 1, tasks=(0, 1)), START)
+    fence_acknowledged(state, _answer(OTHER, 0, 2, tasks=(0,)), START)
+    fence_acknowledged(state, _answer(LATE, 0, 1), START)
+    assert ownership.phase is Phase.SERVING
+    assert set(_served(state).adopted[KEY].started) == {0, 1}
+
+
+def test_a_cover_counts_only_with_all_records_that_came_with_it():
+    """A task that ran would count as never started if a cover came without its record.
+
+    An executor left unheard, the other is asked again, and half of its answer comes.
+    """
+    state, ownership = _fencing(OTHER, LATE)
+    fence_acknowledged(state, _answer(OTHER, 0, 1), START)
+    state.members[LATE] = _member(LATE, ended=START)
+    leave_out(ownership, {LATE})
+    finish_if_fenced(state, ownership, START)
+    fence_acknowledged(state, _answer(HOME, 0, 1), START)
+    assert ownership.awaited == {OTHER}
+    fence_acknowledged(state, _answer(OTHER, 0, 2, covers=(LATE,)), START)
+    assert ownership.phase is Phase.FENCING
+    late = START + ASKED_AGAIN_LIMIT
+    pursue_fences(state, ownership, late - timedelta(milliseconds=1))
+    assert ownership.phase is Phase.FENCING
+    pursue_fences(state, ownership, late)
+    assert ownership.phase is Phase.SERVING
+    assert ownership.unheard == {LATE}
--- a/tests/core/test_rolling.py
+++ b/tests/core/test_rolling.py
@@ -5,8 +5,8 @@
 import pytest
 
 from gypsumspoke.core.effects import Send
-from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.core.messages import Remember
+from gypsumspoke.core.errors import ErrorKind, Work
+from gypsumspoke.core.messages import Fence, Remember
 from gypsumspoke.core.told_records import tell_records
 from tests.core.system import settled_system
 
@@ -20,6 +20,16 @@
 # A sidecar left that had started nothing of a partition, and no other one spoke for it;
 # the next home answered "unknown" for tasks that only waited.
 FAILED_ONCE = (60, 75, 94, 193, 206, 223, 233, 274, 1009)
+# Steps of a tenth of a second for which a pair stalls; the chance is for each message.
+LONGEST_STALL = 8
+STALL_CHANCE = 0.08
+DELIVERIES = 400
+# A sidecar that left told its records to others that had been fenced already.
+STALLS_THAT_FAILED_ONCE = (5, 31, 60, 113, 132, 165)
+
+
+def _pair(flight) -> tuple[str, str]:
+    return flight.sender, flight.to
 
 
 class RollingRestart:
@@ -59,8 +69,7 @@
 
     def _step(self) -> None:
         self.system.tick()
-        for _ in range(self.random.randrange(30)):
-            self._deliver_one()
+        self._deliver_some()
         if self.random.random() < 0.6:
             self.system.finish_upstreams()
         if self.random.random() < 0.5:
@@ -70,17 +79,14 @@
             self.system.submit(submission)
         self._take_answers()
 
-    def _deliver_one(self) -> None:
-        flights = self.system.flights
-        if not flights:
-            return
-        drawn = self.random.choice(flights)
-        first = next(
-            place
-            for place, flight in enumerate(flights)
-            if (flight.sender, flight.to) == (drawn.sender, drawn.to)
-        )
-        self.system.deliver(first)
+    def _deliver_some(self) -> None:
+        for _ in range(self.random.randrange(30)):
+            if self.system.flights:
+                self._deliver_first(_pair(self.random.choice(self.system.flights)))
+
+    def _deliver_first(self, pair: tuple[str, str]) -> None:
+        flights = enumerate(self.system.flights)
+        self.system.deliver(next(n for n, flight in flights if _pair(flight) == pair))
 
     def _take_answers(self) -> None:
         told = self.system.told[self.seen :]
@@ -92,6 +98,32 @@
                 self.bad.append((each.key, each.answer.kind))
 
 
+class StallingRestart(RollingRestart):
+    """A restart in which what one process sends to another may stall for a while."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.steps = 0
+        self.stalled_until = {}
+
+    def _deliver_some(self) -> None:
+        self.steps += 1
+        for _ in range(DELIVERIES):
+            moving = [
+                pair
+                for pair in map(_pair, self.system.flights)
+                if self.stalled_until.get(pair, 0) <= self.steps
+            ]
+            if not moving:
+                return
+            pair = self.random.choice(moving)
+            if self.random.random() < STALL_CHANCE:
+                stall = self.random.randint(1, LONGEST_STALL)
+                self.stalled_until[pair] = self.steps + stall
+            else:
+                self._deliver_first(pair)
+
+
 @pytest.mark.parametrize("seed", [*FAILED_ONCE, *range(1000, 1009)])
 def test_a_rolling_restart_costs_no_caller_its_answer(seed):
     """Each sidecar is stopped gracefully and replaced while jobs come. A job may move
@@ -101,6 +133,67 @@
     assert RollingRestart(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", STALLS_THAT_FAILED_ONCE)
+def test_a_rolling_restart_with_stalls_costs_no_caller_its_answer(seed):
+    """The same while some processes hear late from others; nothing starts twice."""
+    restart = StallingRestart(seed)
+    assert restart.play() == []
+    starts = [restart.system.starts(key) for key in restart.submissions]
+    assert {count for tally in starts for count in tally.values()} == {1}
+
+
+def _pass_all_but(system, is_held) -> None:
+    """Let a tenth of a second pass; messages that are held stay on their way."""
+    system.tick()
+    while True:
+        places = (
+            place for place, flight in enumerate(system.flights) if not is_held(flight)
+        )
+        first = next(places, None)
+        if first is None:
+            return
+        system.deliver(first)
+
+
+def test_what_a_leaving_sidecar_told_after_the_others_were_fenced_is_asked_for():
+    """The job of a home that leaves is answered "unknown" if nobody speaks for it.
+
+    The others acknowledge the next home's fence before the leaving one tells them its
+    records, and it ends before the fence reaches it.
+    """
+    system = settled_system(workers=WORKERS)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=12)
+    leaver = system.owner(submission.key)
+    system.submit(submission)
+    system.run(0.2)
+    assert 0 < len(system.started) < 12
+
+    def is_fence(flight):
+        return flight.to == leaver and isinstance(flight.message, Fence)
+
+    def is_told(flight):
+        return flight.sender == leaver and isinstance(flight.message, Remember)
+
+    system.drain(leaver)
+    while system.owner(submission.key) == leaver:
+        _pass_all_but(system, lambda flight: is_fence(flight) or is_told(flight))
+    while system.nodes[leaver].alive:
+        _pass_all_but(system, is_fence)
+    system.submit(submission)
+    system.join(leaver.partition(".")[0])
+    system.run(0.5)
+    system.hold_upstreams = False
+    system.run(2)
+    answer = system.answers(submission.key)[-1]
+    while answer.kind in ASK_AGAIN:
+        system.submit(submission)
+        system.run(2)
+        answer = system.answers(submission.key)[-1]
+    assert (answer.kind, answer.work) == (None, Work.RAN)
+    assert set(system.starts(submission.key).values()) == {1}
+
+
 def test_a_sidecar_that_leaves_tells_of_partitions_where_it_started_nothing():
     system = settled_system(workers=WORKERS)
     state = system.nodes[system.current("w1")].state.executor
