Silence counts up to what an entry has read

What callers saw: an entry of a grown deployment gave up jobs that ran well, called all its sidecars lost and refused what came.

Cause: the age of a report, and so the silence of a sidecar, counted from when the entry handled the report, up to when it handled a tick. In an entry that is behind, newer reports lie unread meanwhile.

The loop now hands each event to the entry's reducer with the times of its arrival. A report's age counts from when it was read. Silence counts up to the time until which all that had arrived was heard. Both are only later than before, so runs are never given up sooner, and the sidecars' own stop of a silent entry's runs is unchanged.

The world of tests/runs can give a process a cost for each event.

--- a/gypsumspoke/core/events.py
+++ b/gypsumspoke/core/events.py
@@ -1,14 +1,35 @@
 """What a reducer is told: messages that arrived, connections, the table, time."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from gypsumspoke.core.messages import Message
 from gypsumspoke.core.policy import Manifest
 from gypsumspoke.core.values import AttemptId, Member, Outcome, PartitionRow, Row
 
 
+class Arrival(NamedTuple):
+    """When an event had arrived, which may be long before it is handled.
+
+    Attributes:
+      heard: all that had arrived by then was read with it or before.
+      earliest: it arrived no earlier.
+      read: when it was read.
+    """
+
+    heard: datetime
+    earliest: datetime
+    read: datetime
+
+
+class Timed(NamedTuple):
+    """An event with its arrival, for reducers that ask for it."""
+
+    arrival: Arrival
+    event: Any
+
+
 class Received(NamedTuple):
     """A message from a peer."""
 
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -11,7 +11,15 @@
 from typing import Any
 
 from gypsumspoke.core.effects import Effect, Log
-from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
+from gypsumspoke.core.events import (
+    Arrival,
+    Drain,
+    PeerConnected,
+    PeerLost,
+    Received,
+    Tick,
+    Timed,
+)
 from gypsumspoke.runs import coordinator_configuration
 from gypsumspoke.runs.admission import (
     DEFAULT_RETRY_AFTER,
@@ -62,12 +70,17 @@
 
     Args:
       state: the coordinator's state, changed in place.
-      event: an event of ``coordinator_state.py`` or ``core/events.py``.
+      event: an event of ``coordinator_state.py`` or ``core/events.py``; without the
+        times of its arrival it arrives now.
       now: the current time of a steady clock.
 
     Returns:
       What is to be done.
     """
+    if isinstance(event, Timed):
+        state.arrival, event = event
+    else:
+        state.arrival = Arrival(now, now, now)
     return _take(event, state, now)
 
 
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -40,7 +40,7 @@
     ]
     view = state.views.get(event.incarnation)
     if view is not None:
-        restart_connection(view, now)
+        restart_connection(view, state.arrival.read)
         state.lost.discard(event.incarnation)
         # Ends may have been lost with the earlier connection, and so may placements.
         for run in view.open_runs:
@@ -75,7 +75,7 @@
         fields = (("sidecar", sender), ("worker", message.worker))
         effects.append(Log(logging.INFO, "sidecar found", fields=fields))
     was_taking = view.report is not None and view.report.takes_work
-    take_report(view, message, now)
+    take_report(view, message, state.arrival.read)
     if now - view.last_sent >= state.budget.pulse_interval:
         view.last_sent = now
         effects.append(Send(sender, Pulse(message.stamp)))
@@ -131,12 +131,16 @@
 
 
 def check_silent(state: CoordinatorState, now: datetime) -> list[Effect]:
-    """Give up what silent sidecars ran, and forget those that are gone."""
+    """Give up what silent sidecars ran, and forget those that are gone.
+
+    What an entry that is behind has not read yet is no silence.
+    """
     effects: list[Effect] = []
+    heard = state.arrival.heard
     for view in list(state.views.values()):
-        if view.open_runs and now >= view.runs_dead_at:
+        if view.open_runs and heard >= view.runs_dead_at:
             effects += _take_lost(state, view, now)
-        if not view.connected and now >= view.reported + FORGET_AFTER:
+        if not view.connected and heard >= view.reported + FORGET_AFTER:
             _forget(state, view)
     return effects
 
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result
 
+from gypsumspoke.core.events import Arrival
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.fleet import SidecarView
@@ -170,6 +171,7 @@
       waiting: tasks without a place, by job id.
       table: the configuration in force; None before the first.
       text: its text as the operators wrote it.
+      arrival: when the event that is handled now had arrived.
       ticked: when the latest tick came.
       awake_since: when this process started, or went on after its latest pause.
       isolated: whether no sidecar at all is heard.
@@ -207,6 +209,7 @@
         self.waiting: dict[str, list[TaskProgress]] = {}
         self.table: RoutingTable | None = None
         self.text = ""
+        self.arrival = Arrival(now, now, now)
         self.ticked = now
         self.awake_since = now
         self.isolated = False
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -34,7 +34,7 @@
       budget: the time budget of all runs.
       incarnation, host: the process, and the name of the instance it runs on.
       report: its latest report; None before the first.
-      reported: when that came.
+      reported: when that was read.
       last_sent: when this entry last sent it proof of being alive.
       connected: whether a connection is up.
       sent: how many placements were sent on this connection.
@@ -74,10 +74,16 @@
         return self.last_sent + self.budget.runs_dead_after
 
 
-def take_report(view: SidecarView, report: WorkerReport, now: datetime) -> None:
-    """Take a newer report."""
+def take_report(view: SidecarView, report: WorkerReport, read: datetime) -> None:
+    """Take a newer report.
+
+    Args:
+      view: the sidecar, changed in place.
+      report: its report.
+      read: when that was read, which may be well before it is handled.
+    """
     view.report = report
-    view.reported = now
+    view.reported = read
     view.freed = NO_ROOM
     while view.unreported and view.unreported[0][0] <= report.taken:
         view.unreported.popleft()
@@ -101,12 +107,12 @@
         view.freed = add(view.freed, room)
 
 
-def restart_connection(view: SidecarView, now: datetime) -> None:
+def restart_connection(view: SidecarView, read: datetime) -> None:
     """Start counting placements anew, as the sidecar does on a new connection."""
     view.connected = True
     view.sent = 0
     view.unreported.clear()
-    view.reported = now
+    view.reported = read
 
 
 def is_open(view: SidecarView, now: datetime) -> bool:
--- a/gypsumspoke/runs/isolation.py
+++ b/gypsumspoke/runs/isolation.py
@@ -31,7 +31,8 @@
     if state.isolated or not state.views:
         return []
     heard = max(view.reported for view in state.views.values())
-    silence = now - max(heard, state.awake_since)
+    # What this entry has not read yet, being behind, is no silence of the sidecars.
+    silence = state.arrival.heard - max(heard, state.awake_since)
     if silence < ISOLATED_AFTER:
         return []
     state.isolated = True
--- a/gypsumspoke/shell/loop_lag.py
+++ b/gypsumspoke/shell/loop_lag.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.effects import Log, Observe
-from gypsumspoke.shell.loop_watch import Arrival
+from gypsumspoke.core.events import Arrival
 
 METRIC = "loop_lag_seconds"
 # Label values of the metric: until an event is read, and from then until it is handled.
--- a/gypsumspoke/shell/loop_watch.py
+++ b/gypsumspoke/shell/loop_watch.py
@@ -5,31 +5,17 @@
 that found something at once has arrived since the poll before.
 """
 
-from datetime import datetime, timedelta
-from typing import NamedTuple
+from datetime import timedelta
 
 from gevent import get_hub
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.core.events import Arrival
 
 # A poll that took longer found nothing at once and waited.
 _WAITED = timedelta(milliseconds=1)
 
 
-class Arrival(NamedTuple):
-    """When something that was read had arrived.
-
-    Attributes:
-      heard: all that had arrived by then was read with it or before.
-      earliest: it arrived no earlier.
-      read: when it was read.
-    """
-
-    heard: datetime
-    earliest: datetime
-    read: datetime
-
-
 class LoopWatch:
     """Watches the polls of this thread's event loop.
 
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -88,7 +88,9 @@
             settings.budget,
             settings.remote_slowdown,
         )
-        runtime = open_runtime(settings, side, coordinator.reduce, state, clock)
+        runtime = open_runtime(
+            settings, side, coordinator.reduce, state, clock, is_timed=True
+        )
         callers = adapter.open_callers(runtime.post, side.metrics.count, clock, state)
         runtime.handle(AnswerJob, callers.deliver)
         runtime.handle(FirstConfiguration, callers.note_configured)
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -98,6 +98,7 @@
     reduce: Reduce,
     state: Any,
     clock: Clock,
+    is_timed: bool = False,
 ) -> Runtime:
     """Return the loop around a reducer, with what both roles carry out.
 
@@ -107,6 +108,7 @@
       reduce: the role's reducer.
       state: its state.
       clock: steady clock.
+      is_timed: whether the reducer is told when each event had arrived.
     """
     runtime = Runtime(
         reduce,
@@ -116,6 +118,7 @@
         drain_timeout=settings.grace - _BEFORE_KILL,
         ends_on_second_signal=False,
         tick=settings.budget.tick,
+        is_timed=is_timed,
     )
     runtime.handle(Count, side.metrics.count)
     runtime.handle(Observe, side.metrics.observe)
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -18,9 +18,9 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Effect, Exit, ReadRows, Send, WriteRows
-from gypsumspoke.core.events import TICK, Drain, Tick
+from gypsumspoke.core.events import TICK, Arrival, Drain, Tick, Timed
 from gypsumspoke.shell.loop_lag import LoopLag
-from gypsumspoke.shell.loop_watch import Arrival, LoopWatch
+from gypsumspoke.shell.loop_watch import LoopWatch
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
@@ -61,6 +61,7 @@
       ends_on_second_signal: whether a second SIGTERM ends the process at once. Where
         two planned stops may overlap, it would cut what the first one waits for.
       tick: how often the reducer is told that time has passed.
+      is_timed: whether the reducer is told when each event had arrived.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         is_draining: Callable[[], bool] | None = None,
         ends_on_second_signal: bool = True,
         tick: timedelta = TICK,
+        is_timed: bool = False,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -86,6 +88,7 @@
         self._pending = Event()
         self._tick_waits = False
         self._tick_interval = tick
+        self._is_timed = is_timed
         self._draining = False
         self._drain_timeout = drain_timeout
         self._is_draining = is_draining or (lambda: False)
@@ -188,8 +191,9 @@
             self._tick_waits = False
             for effect in self._lag.tell(now, len(self._events)):
                 self._perform(effect)
+        given = Timed(arrival, event) if self._is_timed else event
         try:
-            effects = self._reduce(self._state, event, now)
+            effects = self._reduce(self._state, given, now)
         except Exception:
             # The state may be half changed, and a promise kept in it broken without a
             # sign. Ending is safe: peers treat it as any other death of a process.
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from datetime import datetime, timedelta, timezone
 from typing import Any
@@ -16,7 +17,15 @@
 from returns.result import Failure
 
 from gypsumspoke.core.effects import Exit, Send
-from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
+from gypsumspoke.core.events import (
+    Arrival,
+    Drain,
+    PeerConnected,
+    PeerLost,
+    Received,
+    Tick,
+    Timed,
+)
 from gypsumspoke.runs import coordinator, guard
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.coordinator_state import (
@@ -97,6 +106,8 @@
         self.alive = True
         self.frozen = False
         self.backlog: list[Any] = []
+        self.queue: deque[tuple[datetime, Any]] = deque()
+        self.is_busy = False
         self.exited = False
 
     @property
@@ -126,6 +137,7 @@
         self.random = random.Random(seed)
         self.broken: list[str] = []
         self.answers: dict[str, AnswerJob] = {}
+        self.answered_at: dict[str, datetime] = {}
         self.log: list[tuple[datetime, str, Any]] = []
         self.processes: dict[str, Process] = {}
         self.workers: dict[str, FakeWorker] = {}
@@ -141,6 +153,7 @@
         self.lose_start_answers = 0
         self.delay_starts = 0
         self.fails: Callable[[RunId], bool] = lambda run: False
+        self.costs: dict[str, Callable[[Any], timedelta]] = {}
         self.drained_at: dict[str, datetime] = {}
         self._connected: set[frozenset[str]] = set()
         self._queue: list[tuple[datetime, int, Callable[[], None]]] = []
@@ -276,14 +289,47 @@
         if process.frozen:
             process.backlog.append(event)
             return
+        if process.host in self.costs:
+            self._queue_up(process, event)
+            return
         for effect in process.reduce(process.state, event, self.now):
             self._perform(process, effect)
 
+    def _queue_up(self, process: Process, event: Any) -> None:
+        """Let an event wait until a process without time to spare comes to it."""
+        process.queue.append((self.now, event))
+        if not process.is_busy:
+            process.is_busy = True
+            self._take_next(process)
+
+    def _take_next(self, process: Process) -> None:
+        if not process.alive or not process.queue:
+            process.is_busy = False
+            return
+        came, event = process.queue.popleft()
+        effects, cost = self._work(process, event, came)
+
+        def finish() -> None:
+            for effect in effects:
+                self._perform(process, effect)
+            self._take_next(process)
+
+        self.at(cost, finish)
+
+    def _work(
+        self, process: Process, event: Any, came: datetime
+    ) -> tuple[list[Any], timedelta]:
+        """Return what comes of an event, and the processor time that it takes."""
+        timed = Timed(Arrival(came, came, came), event)
+        effects = process.reduce(process.state, timed, self.now)
+        return effects, self.costs[process.host](event)
+
     def _tick(self, process: Process) -> None:
         if not process.alive:
             return
         self._connect_all(process)
-        if not process.frozen:
+        tick_waits = any(isinstance(event, Tick) for _, event in process.queue)
+        if not process.frozen and not tick_waits:
             self.post(process, Tick())
         self.at(self.budget.tick, lambda: self._tick(process))
 
@@ -347,6 +393,7 @@
         if answer.request in self.answers:
             self.broken.append(f"{answer.request} was answered twice")
         self.answers[answer.request] = answer
+        self.answered_at[answer.request] = self.now
 
     # Workers
 
--- a/tests/shell/test_loop_lag.py
+++ b/tests/shell/test_loop_lag.py
@@ -3,8 +3,8 @@
 from datetime import datetime, timedelta, timezone
 
 from gypsumspoke.core.effects import Log, Observe
+from gypsumspoke.core.events import Arrival
 from gypsumspoke.shell.loop_lag import LoopLag
-from gypsumspoke.shell.loop_watch import Arrival
 
 START = datetime(2030, 1, 1, tzinfo=timezone.utc)
 TICK = timedelta(milliseconds=100)
--- a/tests/shell/test_loop_watch.py
+++ b/tests/shell/test_loop_watch.py
@@ -20,6 +20,8 @@
 def test_an_idle_loop_reads_at_once(clock):
     with closing(LoopWatch(clock)) as watch:
         watch.start()
+        # The watch begins with the next turn of the loop.
+        gevent.sleep(0.01)
         before = clock.now()
         gevent.sleep(BUSY_SECONDS)
         arrival = watch.arrival
