Entries send no order that is too old to be taken

What callers saw: beside an entry that was behind, jobs waited for seconds though workers had room.

Cause: an order names the time of the report that it was decided on, and a sidecar refuses one older than order_fresh, 350 ms. An entry placed on reports up to report_silence old, 400 ms, so that some orders were certain to come back. Each cost it an order, an end and another round of placing, and made it later still.

An entry now places on a report only while its order can be taken. That bound is the tighter one, so report_silence goes.

test_no_order_is_sent_that_is_too_old_to_be_taken fails before.

--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -36,10 +36,8 @@
 # Two ticks, the way there and back, and some load; an older order was held up, or its
 # sender was paused.
 ORDER_FRESH_TICKS = 3.5
-# A worker that left holds unanswered, and a sidecar that missed reports, for so long
-# get nothing new.
+# A worker that left holds unanswered for so long gets nothing new.
 WORKER_SILENCE_TICKS = 4.0
-REPORT_SILENCE_TICKS = 4.0
 # Several stops without an answer: from then on the lease is not extended.
 STOP_PATIENCE_TICKS = 4.5
 PULSE_TICKS = 0.8
@@ -118,11 +116,6 @@
         """A worker that left holds unanswered for so long is hung or cut off."""
         return self.tick * WORKER_SILENCE_TICKS
 
-    @property
-    def report_silence(self) -> timedelta:
-        """A sidecar that was not heard for so long may be frozen or cut off."""
-        return self.tick * REPORT_SILENCE_TICKS
-
     @property
     def stop_patience(self) -> timedelta:
         """A stop may stay unanswered this long before the lease is left to end."""
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -121,7 +121,9 @@
         view.connected
         and view.report is not None
         and view.report.takes_work
-        and now - view.reported < view.budget.report_silence
+        # An order names the time of the report, and one that is older is refused. A
+        # sidecar that was not heard for so long may also be frozen or cut off.
+        and now - view.reported < view.budget.order_fresh
         # A worker that fails is tried with one run at a time.
         and not (view.report.failing and view.open_runs)
     )
--- a/tests/runs/test_behind.py
+++ b/tests/runs/test_behind.py
@@ -1,8 +1,9 @@
 """More work than an entry's own processor carries, though the workers have room."""
 
-from gypsumspoke.core.effects import Log
+from gypsumspoke.core.effects import Log, Send
 from gypsumspoke.core.events import Arrival, Tick, Timed
-from tests.runs.world import World, job, ms
+from gypsumspoke.runs.coordinator_state import JobArrived
+from tests.runs.world import ROUTE, World, job, ms
 
 ENTRY = "entry0"
 
@@ -41,3 +42,19 @@
     world = play_unread(heard_advances=True)
     assert "no sidecar heard" in told(world)
     assert not world.processes[ENTRY].state.jobs
+
+
+def test_no_order_is_sent_that_is_too_old_to_be_taken():
+    """An entry decided on reports that it had handled a moment ago and read long
+    before. Its orders were sent back as stale, and it placed the tasks again and again.
+    """
+    world = World(entries=1, sidecars=2)
+    world.run(ms(1510))
+    entry = world.processes[ENTRY]
+    late = world.now + world.budget.order_fresh
+    event = JobArrived("r1", job("j1"), ROUTE, late + ms(5000))
+    arrival = Arrival(world.now, world.now, world.now)
+    effects = entry.reduce(entry.state, Timed(arrival, event), late)
+    orders = [effect for effect in effects if isinstance(effect, Send)]
+    assert orders == []
+    assert entry.state.waiting.keys() == {"j1"}
