--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -38,10 +38,8 @@
 # Two ticks, the way there and back, and some load; an older order was held up, or its
 # sender was paused.
 ORDER_FRESH_TICKS = 3.5
-# A worker that left holds unanswered, and a sidecar that missed reports, for so long
-# get nothing new.
+# A worker that left holds unanswered for so long gets nothing new.
 WORKER_SILENCE_TICKS = 4.0
-REPORT_SILENCE_TICKS = 4.0
 # A run that starts on a shorter lease would be lost if a stop stays unanswered.
 LEAST_LEASE_SHARE = 0.5
 PULSE_TICKS = 0.8
@@ -120,11 +118,6 @@
         """A worker that left holds unanswered for so long is hung or cut off."""
         return self.tick * WORKER_SILENCE_TICKS
 
-    @property
-    def report_silence(self) -> timedelta:
-        """A sidecar that was not heard for so long may be frozen or cut off."""
-        return self.tick * REPORT_SILENCE_TICKS
-
     @property
     def least_lease(self) -> timedelta:
         """Nothing starts on a lease that may only be shorter than this."""
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -32,9 +32,9 @@
 
     Attributes:
       budget: the time budget of all runs.
-      report_silence: after this without a report nothing new is placed there.
+      order_fresh: an order on an older report would be refused.
       incarnation, host: the process, and the name of the instance it runs on.
-      reported: when that came.
+      reported: when that was read.
       last_sent: when this entry last sent it proof of being alive.
       connected: whether a connection is up.
       sent: how many placements were sent on this connection.
@@ -52,7 +52,7 @@
         budget: Budget = DEFAULT_BUDGET,
     ) -> None:
         self.budget = budget
-        self.report_silence = budget.report_silence
+        self.order_fresh = budget.order_fresh
         self.incarnation = incarnation
         self.host = host
         self.pace = UNKNOWN_PACE
@@ -98,10 +98,16 @@
         return self.last_sent + self.budget.runs_dead_after
 
 
-def take_report(view: SidecarView, report: WorkerReport, now: datetime) -> None:
-    """Take a newer report."""
+def take_report(view: SidecarView, report: WorkerReport, read: datetime) -> None:
+    """Take a newer report.
+
+    Args:
+      view: the sidecar, changed in place.
+      report: its report.
+      read: when that was read, which may be well before it is handled.
+    """
     view.report = report
-    view.reported = now
+    view.reported = read
     view.freed = NO_ROOM
     while view.unreported and view.unreported[0][0] <= report.taken:
         view.unreported.popleft()
@@ -128,12 +134,12 @@
     view.forget_free()
 
 
-def restart_connection(view: SidecarView, now: datetime) -> None:
+def restart_connection(view: SidecarView, read: datetime) -> None:
     """Start counting placements anew, as the sidecar does on a new connection."""
     view.connected = True
     view.sent = 0
     view.unreported.clear()
-    view.reported = now
+    view.reported = read
     view.forget_free()
 
 
@@ -143,7 +149,9 @@
         view.connected
         and view.report is not None
         and view.report.takes_work
-        and now - view.reported < view.report_silence
+        # An order names the time of the report, and one that is older is refused. A
+        # sidecar that was not heard for so long may also be frozen or cut off.
+        and now - view.reported < view.order_fresh
         # A worker that fails is tried with one run at a time.
         and not (view.report.failing and view.open_runs)
     )
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -18,9 +18,9 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Effect, Exit, ReadRows, Send, WriteRows
-from gypsumspoke.core.events import TICK, TURN_ENDED, Drain, Tick
+from gypsumspoke.core.events import TICK, TURN_ENDED, Arrival, Drain, Tick, Timed
 from gypsumspoke.shell.loop_lag import LoopLag
-from gypsumspoke.shell.loop_watch import Arrival, LoopWatch
+from gypsumspoke.shell.loop_watch import LoopWatch
 from gypsumspoke.wire.links import PeerLinks
 
 EXIT_DONE = 0
@@ -32,6 +32,9 @@
 Performer = Callable[[Any], None]
 
 _EVENTS_PER_TURN = 256
+# Sockets and timers wait for the end of a turn: a few ticks of a slow one, and peers
+# that hear nothing meanwhile close their connections.
+_LONGEST_TURN = timedelta(milliseconds=25)
 
 _log = logging.getLogger(__name__)
 
@@ -61,7 +64,8 @@
       ends_on_second_signal: whether a second SIGTERM ends the process at once. Where
         two planned stops may overlap, it would cut what the first one waits for.
       tick: how often the reducer is told that time has passed.
-      tells_turns: whether the reducer is told that a turn has ended.
+      in_turns: whether the reducer is told when each event had arrived, and when a
+        turn has ended.
     """
 
     def __init__(
@@ -75,7 +79,7 @@
         is_draining: Callable[[], bool] | None = None,
         ends_on_second_signal: bool = True,
         tick: timedelta = TICK,
-        tells_turns: bool = False,
+        in_turns: bool = False,
     ) -> None:
         self._reduce = reduce
         self._state = state
@@ -88,7 +92,7 @@
         self._pending = Event()
         self._tick_waits = False
         self._tick_interval = tick
-        self._tells_turns = tells_turns
+        self._in_turns = in_turns
         self._draining = False
         self._drain_timeout = drain_timeout
         self._is_draining = is_draining or (lambda: False)
@@ -164,8 +168,8 @@
             while self._status is None:
                 self._pending.wait()
                 self._take_turn()
-                # Lets sockets and timers run between turns, also under load.
-                gevent.sleep(0)
+                if self._events:
+                    _poll()
         finally:
             on_signal.cancel()
             ticker.kill()
@@ -175,16 +179,21 @@
         return self._status
 
     def _take_turn(self) -> None:
-        """Reduce a bounded number of the queued events."""
+        """Reduce a bounded number of the queued events, for a bounded time."""
+        end = self._clock.now() + _LONGEST_TURN
+        arrival = None
         for _ in range(_EVENTS_PER_TURN):
             if not self._events:
                 self._pending.clear()
                 break
-            self._reduce_one(*self._events.popleft())
+            arrival, event = self._events.popleft()
+            self._reduce_one(arrival, event)
             if self._status is not None:
                 return
-        if self._tells_turns:
-            self._reduce_one(self._watch.arrival, TURN_ENDED)
+            if self._clock.now() >= end:
+                break
+        if self._in_turns and arrival is not None:
+            self._reduce_one(arrival, TURN_ENDED)
 
     def _reduce_one(self, arrival: Arrival, event: Any) -> None:
         now = self._clock.now()
@@ -193,8 +202,9 @@
             self._tick_waits = False
             for effect in self._lag.tell(now, len(self._events)):
                 self._perform(effect)
+        given = Timed(arrival, event) if self._in_turns else event
         try:
-            effects = self._reduce(self._state, event, now)
+            effects = self._reduce(self._state, given, now)
         except Exception:
             # The state may be half changed, and a promise kept in it broken without a
             # sign. Ending is safe: peers treat it as any other death of a process.
@@ -239,3 +249,14 @@
             if self._is_draining():
                 self._bound_drain()
             gevent.sleep(self._tick_interval.total_seconds())
+
+
+def _poll() -> None:
+    """Let the loop look at its sockets and timers once.
+
+    A sleep of no length does not: the loop comes back from it many times before it
+    looks.
+    """
+    hub = gevent.get_hub()
+    with hub.loop.timer(0) as timer:
+        hub.wait(timer)
