Answers of a worker's earlier life say nothing of its clock

Callers saw: nothing known; after a worker's crash a part of its room could stay taken for as long as its earlier life had lasted, and its lease could be 1,000 ms instead of 600, beyond what the time budget counts.

Cause: the answer to an order that was sent before a new life showed may be the earlier life's. Its clock is far ahead on the new one: a stop accepted at such a time never took effect for the sidecar, and the lease that the next order named was shortened by the worker to its maximum only. Lists were checked for their life, answers to starts and stops were not.

Change: such an answer is taken without its clock. A stop is sent again, and a start counts by the next list.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -118,7 +118,7 @@
         elif result is not OrderResult.NOT_SENT:
             self._answer_time.note(self._clock.now() - sent)
         fields = _fields(answer)
-        self._post(OrderAnswered(kind, run, result, _clock_of(fields)))
+        self._post(OrderAnswered(kind, run, result, _clock_of(fields), sent))
 
     def _hold(self, order: HoldOrder) -> None:
         body: dict[str, Any] = {
--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -6,6 +6,7 @@
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_lease import name_lease_end, note_withheld
 from gypsumspoke.runs.guard_life import (
+    is_of_this_life,
     note_clock,
     outbid_token,
     raise_token,
@@ -89,7 +90,7 @@
     if not event.is_extra:
         state.hold_sent = None
     if event.born is not None and event.born != state.born:
-        if state.born_learnt is not None and event.sent <= state.born_learnt:
+        if not is_of_this_life(state, event.sent):
             # An answer of the old life, overtaken by a heartbeat of the new one.
             return []
         take_life(state, event.born, now)
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -83,6 +83,17 @@
     state.lease = Lease(None, now, ends_by)
 
 
+def is_of_this_life(state: GuardState, sent: datetime | None) -> bool:
+    """Return whether an answer must be one of the worker's newest life.
+
+    An order that was sent before that life showed may have been answered by the one
+    before, whose clock says nothing on this one.
+    """
+    if sent is None or state.born_learnt is None:
+        return True
+    return sent > state.born_learnt
+
+
 def note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
     """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
--- a/gypsumspoke/runs/guard_orders.py
+++ b/gypsumspoke/runs/guard_orders.py
@@ -7,7 +7,7 @@
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_ends import finish, note_failure
 from gypsumspoke.runs.guard_lease import last_word, name_lease_end
-from gypsumspoke.runs.guard_life import note_clock, raise_token
+from gypsumspoke.runs.guard_life import is_of_this_life, note_clock, raise_token
 from gypsumspoke.runs.guard_report import is_failing
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase, hold_room
 from gypsumspoke.runs.orders import (
@@ -77,6 +77,8 @@
 
 def take_answer(state: GuardState, event: OrderAnswered, now: datetime) -> list[Effect]:
     """Take the worker's answer to a start or a stop."""
+    if not is_of_this_life(state, event.sent):
+        event = event._replace(clock=None)
     note_clock(state, event.clock, now)
     guarded = state.runs.get(event.run)
     if guarded is None:
--- a/gypsumspoke/runs/orders.py
+++ b/gypsumspoke/runs/orders.py
@@ -87,12 +87,14 @@
       kind, run: which order.
       result: what the worker said.
       clock: the worker's clock in its answer, if it gave one.
+      sent: when the order was sent, by the sidecar's clock.
     """
 
     kind: OrderKind
     run: RunId
     result: OrderResult
     clock: timedelta | None = None
+    sent: datetime | None = None
 
 
 class RunningRun(NamedTuple):
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -408,7 +408,8 @@
             self._unanswered(process, order)
             return
         kind = OrderKind.START if isinstance(order, StartOrder) else OrderKind.STOP
-        event = OrderAnswered(kind, order.run, result, self.worker_clock(host))
+        clock = self.worker_clock(host)
+        event = OrderAnswered(kind, order.run, result, clock, self.now)
         self.at(ONE_WAY, lambda: self.post(process, event))
 
     def _carry_out(self, host: str, worker: FakeWorker, order: Any) -> OrderResult:
