An unknown run is not gone by a list older than one that showed it

Callers saw: nothing known; a task could run twice where a sidecar is replaced.

Cause: an unknown run counts as gone 60 ms after the first list that lacks it. A list from before the run began, which came late on another connection, was taken for that first one, and the sidecar called itself clean while the run's stop had just begun.

Change: only the youngest list so far tells that a run is gone.

Evidence: the new test failed before. Run: test_orphans passes.

--- a/gypsumspoke/runs/guard_orphans.py
+++ b/gypsumspoke/runs/guard_orphans.py
@@ -28,7 +28,10 @@
     """
     unknown = {listed.run for listed in event.running if listed.run not in state.runs}
     fresh = unknown - state.orphans.keys()
-    _forget_gone(state, event)
+    # Answers on different connections overtake each other.
+    if event.clock >= state.list_clock:
+        state.list_clock = event.clock
+        _forget_gone(state, event)
     state.orphans.update(dict.fromkeys(unknown))
     effects: list[Effect] = [
         StopOrder(run, state.worker_id, state.token) for run in sorted(unknown)
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -133,6 +133,7 @@
       heard_worker: when a hold was last answered.
       orphans: runs at the worker that nobody here placed; they are being stopped. With
         the worker's clock of the first list that lacked one; None while it is listed.
+      list_clock: the worker's clock of the youngest list of this life.
       runs: placed runs that have not ended, in order of placement.
       held: room of all runs that are not waiting.
       ended: the latest ends, by the entry that placed the run; two entries that do
@@ -171,6 +172,7 @@
         self.is_fenced = False
         self.heard_worker: datetime | None = None
         self.orphans: dict[RunId, timedelta | None] = {}
+        self.list_clock = timedelta()
         self.runs: OrderedDict[RunId, GuardedRun] = OrderedDict()
         self.held = NO_ROOM
         self.ended: OrderedDict[tuple[str, RunId], RunEnded] = OrderedDict()
--- a/tests/runs/test_orphans.py
+++ b/tests/runs/test_orphans.py
@@ -46,3 +46,16 @@
     sidecar.take_list(ms(105))
     sidecar.take_list(ms(110), ended=[EndedRun(1, FOUND, RunEnd.STOPPED, False)])
     assert is_clean(sidecar, ms(111))
+
+
+def test_an_older_list_that_comes_late_does_not_hide_a_run_that_is_being_stopped():
+    """A list from before the run began comes after one that shows it. Counted from the
+    older list, the time that a stop may take had passed when the stop had just begun.
+    """
+    sidecar = LoneSidecar()
+    sidecar.take_list(ms(200), running=[FOUND])
+    sidecar.take_list(ms(201), asked=ms(100), made=ms(101))
+    sidecar.take_list(ms(205))
+    assert not is_clean(sidecar, ms(206))
+    sidecar.take_list(ms(270))
+    assert is_clean(sidecar, ms(271))
