A late report of an earlier sidecar process ends no run of the next

Callers saw: nothing known; tasks could be placed again beside their runs.

Cause: a clean report ended the runs of all lost processes of its instance, whichever came first. A report of the earlier process that lay on the way while the connection to the next one was reset ended the runs of that one.

Change: it ends only runs of processes that the entry has known for longer.

--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -118,14 +118,15 @@
 ) -> list[Effect]:
     """Give up what was placed on earlier processes of the same instance.
 
-    The new process says that nothing they started runs any more.
+    The new process says that nothing they started runs any more. A late report of an
+    earlier one says nothing of those after it.
     """
     effects: list[Effect] = []
     # Few are lost at any time; to look at all sidecars at each report of each would
     # cost an entry processor time that grows with the square of their number.
     for incarnation in sorted(state.lost):
         other = state.views[incarnation]
-        if other.host == view.host and other is not view:
+        if other.host == view.host and other.found < view.found:
             effects += _take_lost(state, other, now)
             _forget(state, other)
     return effects
--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -33,6 +33,7 @@
     Attributes:
       budget: the time budget of all runs.
       incarnation, host: the process, and the name of the instance it runs on.
+      found: when this entry first heard of the process.
       report: its latest report; None before the first.
       reported: when that came.
       last_sent: when this entry last sent it proof of being alive.
@@ -53,6 +54,7 @@
         self.budget = budget
         self.incarnation = incarnation
         self.host = host
+        self.found = now
         self.report: WorkerReport | None = None
         self.reported = now
         self.last_sent = now
