A heartbeat older than the worker's newest list is ignored

Callers saw: nothing known; a task could run twice where a sidecar and its worker are replaced.

Cause: a heartbeat of an earlier life that a cut held up was compared with earlier heartbeats only. As the first one of a new sidecar, after a list had shown the next life, it took the sidecar back to the old life. That made it forget the unknown runs it was having stopped, and call itself clean.

Change: the life that a list has shown counts as well.

Evidence: the new test failed before. Run: test_lives, test_fencing, test_faults, test_orphans, test_lists, test_lease and tests/platform pass.

--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -19,6 +19,9 @@
     known = state.worker
     if known is not None and _is_older(registration, known):
         return []
+    if state.born is not None and registration.born < state.born:
+        # A list of the worker has shown a later life already.
+        return []
     effects: list[Effect] = []
     if known is None or registration.born != known.born:
         effects += _log_registration(registration)
--- a/tests/runs/lone_sidecar.py
+++ b/tests/runs/lone_sidecar.py
@@ -19,15 +19,24 @@
 LIFE = 7
 
 
+def registration(life: int = LIFE) -> Registration:
+    """Return what the worker says of itself in the first heartbeat of a life."""
+    return Registration(
+        "w-1", life, 1, SERVICE, WorkerReady.READY, CAPACITY, (), timedelta()
+    )
+
+
 class LoneSidecar:
-    """A sidecar that has just started and whose worker has registered."""
+    """A sidecar that has just started.
 
-    def __init__(self) -> None:
-        self.state = GuardState(SERVICE, Directory("", ()), START)
-        registration = Registration(
-            "w-1", LIFE, 1, SERVICE, WorkerReady.READY, CAPACITY, (), timedelta()
-        )
-        self.take(timedelta(), HeartbeatArrived(registration))
+    Args:
+      state: its state; made for one whose worker has registered unless given.
+    """
+
+    def __init__(self, state: GuardState | None = None) -> None:
+        self.state = state or GuardState(SERVICE, Directory("", ()), START)
+        if state is None:
+            self.take(timedelta(), HeartbeatArrived(registration()))
 
     def take(self, at: timedelta, event: Any) -> list[Effect]:
         """Take an event at a time since the start."""
--- a/tests/runs/test_lives.py
+++ b/tests/runs/test_lives.py
@@ -2,9 +2,12 @@
 
 from gypsumspoke.core.events import PeerConnected, Received, Tick
 from gypsumspoke.runs.budget import DEFAULT_BUDGET
+from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.guard_orders import STOP_AGAIN
+from gypsumspoke.runs.guard_state import GuardState
 from gypsumspoke.runs.messages import PlaceRun, WithdrawRun
 from gypsumspoke.runs.orders import (
+    HeartbeatArrived,
     HoldOrder,
     OrderAnswered,
     OrderKind,
@@ -12,8 +15,9 @@
     StopOrder,
 )
 from gypsumspoke.runs.values import RunId, TaskId
-from tests.runs.lone_sidecar import LIFE, LoneSidecar
-from tests.runs.world import START, TASK_ROOM, TASK_TIME, ms
+from tests.runs.lone_sidecar import LIFE, LoneSidecar, registration
+from tests.runs.test_orphans import is_clean
+from tests.runs.world import SERVICE, START, TASK_ROOM, TASK_TIME, ms
 
 ENTRY = "entry-1"
 RUN = RunId(TaskId("j1", 0, 0), 1)
@@ -54,3 +58,18 @@
     effects = sidecar.take(ms(600), Tick())
     (hold,) = [effect for effect in effects if isinstance(effect, HoldOrder)]
     assert hold.lease_end <= NEW_CLOCK + ms(600 - 250) + DEFAULT_BUDGET.lease
+
+
+def test_a_heartbeat_of_the_earlier_life_does_not_hide_what_the_next_one_runs():
+    """A sidecar that has just started finds a run at its worker and has it stopped. A
+    heartbeat of the worker's earlier life, which a cut held up, is the first that it
+    hears. It made the sidecar forget the run and call itself clean.
+    """
+    state = GuardState(SERVICE, Directory("", ()), START)
+    sidecar = LoneSidecar(state)
+    sidecar.take_list(ms(3), asked=ms(1), made=ms(2), life=LIFE + 1, token=0)
+    sidecar.take_list(ms(6), [RUN], asked=ms(4), made=ms(5), life=LIFE + 1)
+    sidecar.take(ms(7), HeartbeatArrived(registration(LIFE)))
+    sidecar.take(ms(8), HeartbeatArrived(registration(LIFE + 1)))
+    sidecar.take_list(ms(10), asked=ms(9), made=ms(9), life=LIFE + 1)
+    assert not is_clean(sidecar, ms(11))
