--- a/gypsumspoke/runs/fleet.py
+++ b/gypsumspoke/runs/fleet.py
@@ -34,6 +34,7 @@
       budget: the time budget of all runs.
       order_fresh: an order on an older report would be refused.
       incarnation, host: the process, and the name of the instance it runs on.
+      found: when this entry first heard of the process.
       reported: when that was read.
       last_sent: when this entry last sent it proof of being alive.
       connected: whether a connection is up.
@@ -58,6 +59,7 @@
         self.pace = UNKNOWN_PACE
         self._report: WorkerReport | None = None
         self._free: Room | None = None
+        self.found = now
         self.reported = now
         self.last_sent = now
         self.connected = True
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -19,6 +19,9 @@
     known = state.worker
     if known is not None and _is_older(registration, known):
         return []
+    if state.born is not None and registration.born < state.born:
+        # A list of the worker has shown a later life already.
+        return []
     effects: list[Effect] = []
     if known is None or registration.born != known.born:
         effects += _log_registration(registration)
@@ -71,6 +74,7 @@
         state.is_fenced = False
     state.last_seen = 0
     state.orphans.clear()
+    state.list_clock = timedelta()
     state.failing = 0.0
     state.pace = 0.0
     for guarded in state.runs.values():
@@ -83,6 +87,17 @@
     state.lease = Lease(None, now, ends_by)
 
 
+def is_of_this_life(state: GuardState, sent: datetime | None) -> bool:
+    """Return whether an answer must be one of the worker's newest life.
+
+    An order that was sent before that life showed may have been answered by the one
+    before, whose clock says nothing on this one.
+    """
+    if sent is None or state.born_learnt is None:
+        return True
+    return sent > state.born_learnt
+
+
 def note_clock(state: GuardState, clock: timedelta | None, now: datetime) -> None:
     """Learn the worker's clock; what the answer took makes it too low, if at all."""
     if clock is not None:
