The loop looks at its sockets between turns, also under load

What callers saw: an entry that was behind lost the connections of its sidecars, and with them the runs.

Cause: between two turns the loop slept for no time, which lets greenlets run that are ready, but not the poll: gevent runs up to fifty such rounds before it looks at sockets and timers. While events kept coming, neither messages nor requests were read, and no heartbeat was sent, for up to 12,800 events. A turn could also last 256 events, whatever each took.

A turn now ends after 25 ms, and a poll follows while events wait. With none waiting the loop blocks as before.

--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -32,6 +32,9 @@
 Performer = Callable[[Any], None]
 
 _EVENTS_PER_TURN = 256
+# Sockets and timers wait for the end of a turn: a few ticks of a slow one, and peers
+# that hear nothing meanwhile close their connections.
+_LONGEST_TURN = timedelta(milliseconds=25)
 
 _log = logging.getLogger(__name__)
 
@@ -164,8 +167,8 @@
             while self._status is None:
                 self._pending.wait()
                 self._take_turn()
-                # Lets sockets and timers run between turns, also under load.
-                gevent.sleep(0)
+                if self._events:
+                    _poll()
         finally:
             on_signal.cancel()
             ticker.kill()
@@ -175,13 +178,14 @@
         return self._status
 
     def _take_turn(self) -> None:
-        """Reduce a bounded number of the queued events."""
+        """Reduce a bounded number of the queued events, for a bounded time."""
+        end = self._clock.now() + _LONGEST_TURN
         for _ in range(_EVENTS_PER_TURN):
             if not self._events:
                 self._pending.clear()
                 return
             self._reduce_one(*self._events.popleft())
-            if self._status is not None:
+            if self._status is not None or self._clock.now() >= end:
                 return
 
     def _reduce_one(self, arrival: Arrival, event: Any) -> None:
@@ -238,3 +242,14 @@
             if self._is_draining():
                 self._bound_drain()
             gevent.sleep(self._tick_interval.total_seconds())
+
+
+def _poll() -> None:
+    """Let the loop look at its sockets and timers once.
+
+    A sleep of no length does not: the loop comes back from it many times before it
+    looks.
+    """
+    hub = gevent.get_hub()
+    with hub.loop.timer(0) as timer:
+        hub.wait(timer)
--- a/tests/shell/test_runtime.py
+++ b/tests/shell/test_runtime.py
@@ -1,6 +1,7 @@
 """The loop around a reducer, with a toy reducer and real links."""
 
 import signal
+import time
 from datetime import timedelta
 
 import gevent
@@ -135,6 +136,27 @@
     assert run(runtime) == module.EXIT_DRAIN_TIMEOUT
 
 
+def test_timers_run_while_events_keep_coming(make):
+    """Under load the loop reduced thousands of events before it looked at sockets and
+    timers again. Peers heard no heartbeat meanwhile and closed their connections.
+    """
+
+    def effects(event):
+        if event != "more":
+            return []
+        time.sleep(0.002)
+        return [Exit()] if due else [Count(Counter.PEER_LOST)]
+
+    due = []
+    runtime, toy, _, _ = make(effects)
+    runtime.handle(Count, lambda effect: runtime.post("more"))
+    runtime.post("more")
+    timer = gevent.spawn_later(0.005, due.append, True)
+    assert run(runtime) == module.EXIT_DONE
+    timer.kill()
+    assert toy.events.count("more") < 100
+
+
 def test_an_unreachable_table_is_reported(make):
     def effects(event):
         return [Exit()] if isinstance(event, RowsRead) else [ReadRows("r", "members/")]
