A task that an ended executor refused is not told on as started

Callers saw: 502, "worker_lost" with its work unknown, for a job of which nothing had run, after the executor that refused a task had left.

Cause: a home that sees an executor end tells another one what it knows of its starts. It took every task whose last try was there, also one that the executor had answered "not run" and that waits again. The other one then kept a record of a start that never was, and refused the task when it was placed there.

Evidence: found while starts that a leaving executor never took were traced. The test of this history failed before: worker_lost instead of complete.

Change: a task that waits has no started try to tell of. That it waits rests on its executor's own "not run", so no start goes untold.

--- a/gypsumspoke/core/adoption.py
+++ b/gypsumspoke/core/adoption.py
@@ -377,7 +377,9 @@
     ]
     for job in state.jobs.get(partition, {}).values():
         for slot in job.slots:
-            if slot.executor == lost and slot.attempt is not None:
+            # The last try of a task that waits again was answered "not run".
+            has_run = slot.attempt is not None and slot.state is not SlotState.WAITING
+            if slot.executor == lost and has_run:
                 started.append(_record_of_slot(job, slot))
     return started
 
--- a/tests/core/test_rolling.py
+++ b/tests/core/test_rolling.py
@@ -6,7 +6,7 @@
 
 from gypsumspoke.core.effects import Send
 from gypsumspoke.core.errors import ErrorKind, Work
-from gypsumspoke.core.messages import Fence, Remember
+from gypsumspoke.core.messages import Fence, Remember, StartTask
 from gypsumspoke.core.told_records import tell_records
 from tests.core.system import settled_system
 
@@ -194,6 +194,35 @@
     assert set(system.starts(submission.key).values()) == {1}
 
 
+def _other_than(system, home) -> str:
+    return next(name for name in sorted(system.nodes) if name != home)
+
+
+def test_a_task_that_a_leaving_sidecar_refused_is_not_told_on_as_started():
+    """The task waits at its home; told on, it was refused elsewhere as started.
+
+    Its job was answered "unknown" though the task had run nowhere.
+    """
+    system = settled_system(workers=WORKERS)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=12)
+    home = system.owner(submission.key)
+    leaver = _other_than(system, home)
+    system.submit(submission)
+    _pass_all_but(system, lambda flight: isinstance(flight.message, StartTask))
+    system.drain(leaver)
+    while system.nodes[leaver].alive:
+        _pass_all_but(system, lambda flight: False)
+    assert leaver.partition(".")[0] not in {one.worker for one in system.started}
+    system.join(leaver.partition(".")[0])
+    system.run(1)
+    system.hold_upstreams = False
+    system.run(2)
+    (answer,) = system.answers(submission.key)
+    assert (answer.kind, answer.work) == (None, Work.RAN)
+    assert set(system.starts(submission.key).values()) == {1}
+
+
 def test_a_sidecar_that_leaves_tells_of_partitions_where_it_started_nothing():
     system = settled_system(workers=WORKERS)
     state = system.nodes[system.current("w1")].state.executor
