Whether the lease is short is looked at with each hold

Callers saw: nothing. The bound on leases was worked out after each event of a sidecar, over all its runs. With ten runs that made a look at whether it takes work 15.9 us instead of 2.4 (trial on a busy machine, timeit over 20,000 calls). Reports now go by the look of the last hold, at most some 60 ms old; a start still looks itself.

--- a/gypsumspoke/runs/guard_lease.py
+++ b/gypsumspoke/runs/guard_lease.py
@@ -58,7 +58,8 @@
 
 
 def note_withheld(state: GuardState, now: datetime) -> list[Effect]:
-    """Tell when an unanswered stop begins to hold the lease back, and when it ends."""
+    """Look whether the lease is short, and tell when an unanswered stop is why."""
+    state.is_lease_short = not may_start(state, now)
     oldest = _oldest(state)
     is_withheld = (
         oldest is not None
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -4,7 +4,6 @@
 from statistics import geometric_mean
 
 from gypsumspoke.core.effects import Effect, Send
-from gypsumspoke.runs.guard_lease import may_start
 from gypsumspoke.runs.guard_state import GuardState, Told
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
@@ -36,7 +35,7 @@
         and state.lease.clock is not None
         and is_answering(state, now)
         and may_probe(state, now)
-        and may_start(state, now)
+        and not state.is_lease_short
     )
 
 
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -126,6 +126,7 @@
       token: fencing token; 0 before the worker's clock is known.
       lease: see Lease.
       lease_withheld: since when an unanswered stop holds the lease back.
+      is_lease_short: whether the lease was too short for a start at the last hold.
       last_seen: highest number of the ends taken note of.
       hold_sent: when the hold under way was sent; None when there is none.
       is_fenced: whether the worker has seen this sidecar's token, and so refuses
@@ -167,6 +168,7 @@
         self.token = 0
         self.lease = Lease(None, now, now)
         self.lease_withheld: datetime | None = None
+        self.is_lease_short = False
         self.last_seen = 0
         self.hold_sent: datetime | None = None
         self.is_fenced = False
--- a/gypsumspoke/runs/guard_waiting.py
+++ b/gypsumspoke/runs/guard_waiting.py
@@ -8,7 +8,7 @@
 
 from gypsumspoke.core.effects import Effect
 from gypsumspoke.runs import guard_orders, guard_report
-from gypsumspoke.runs.guard_lease import may_start_run
+from gypsumspoke.runs.guard_lease import may_start, may_start_run
 from gypsumspoke.runs.guard_state import GuardedRun, GuardState, Phase
 from gypsumspoke.runs.values import EndReason, fits, subtract
 
@@ -18,13 +18,16 @@
     effects = _drop_overdue(state, now)
     if not guard_report.can_start(state, now):
         return effects
+    queue = waiting(state)
+    if not queue or not may_start(state, now):
+        return effects
     free = subtract(state.worker.capacity, state.held)
     busy = {
         guarded.run.task
         for guarded in state.runs.values()
         if guarded.phase is not Phase.WAITING
     }
-    for guarded in waiting(state):
+    for guarded in queue:
         if guarded.run.task in busy:
             continue
         if not may_start_run(state, guarded, now):
