--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -25,6 +25,7 @@
 
 JOB = b"""{"best_effort": true, "spec": "x",
     "steps": [{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 900}]}"""
+JOB_ID = "5c0e7a21d94b36f8"
 
 
 class Entry:
@@ -49,7 +50,7 @@
         statuses: list[str] = []
         environ = {
             "REQUEST_METHOD": "POST",
-            "PATH_INFO": ROUTE.path_prefix + "5c0e7a21d94b36f8",
+            "PATH_INFO": ROUTE.path_prefix + JOB_ID,
             "HTTP_HOST": ROUTE.host,
             "HTTP_GYPSUMSPOKE_DEADLINE_MS": "1500",
             "wsgi.input": BytesIO(JOB),
@@ -58,6 +59,26 @@
         self.callers(environ, lambda status, headers: statuses.append(status))
         return statuses[0]
 
+    def fall_behind(self) -> None:
+        """Handle events so late, for so long, that all new jobs are refused."""
+        now = START
+        for _ in range(10):
+            now += self.state.budget.tick
+            self.state.load.note(self.state.budget.tick, now)
+
+    def post(self, job_id: str) -> tuple[str, dict]:
+        """Send a job that is not supported; return status line and body."""
+        statuses: list[str] = []
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": ROUTE.path_prefix + job_id,
+            "HTTP_HOST": ROUTE.host,
+            "CONTENT_LENGTH": "2",
+            "wsgi.input": BytesIO(b"{}"),
+        }
+        body = self.callers(environ, lambda status, headers: statuses.append(status))
+        return statuses[0], json.loads(b"".join(body))
+
     def get(self) -> tuple[str, dict]:
         """Ask for the route's count; return status line and body."""
         statuses: list[str] = []
@@ -124,3 +145,22 @@
         entry.callers.give_up_all()
         assert submitted.get().startswith("504")
     assert entry.counted == ([RefusalReason.CALLER_LEFT] if has_left else [])
+
+
+def test_an_entry_that_is_behind_refuses_a_job_unread(entry):
+    """Reading and checking a job costs what an entry that is behind lacks."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
+    entry.fall_behind()
+    status, body = entry.post(JOB_ID)
+    assert status.startswith("503")
+    assert body["reason"] == RefusalReason.ENTRY_BEHIND.value
+    assert entry.counted[-1] is RefusalReason.ENTRY_BEHIND
+
+
+def test_a_copy_of_a_job_that_runs_here_is_not_refused_unread(entry):
+    """Told "not run", its caller would take a job for lost that may yet be done."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    entry.fall_behind()
+    entry.state.jobs[JOB_ID] = None
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
