--- a/tests/runs/test_behind.py
+++ b/tests/runs/test_behind.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from datetime import timedelta
-from functools import cache
+from functools import cache, partial
 from typing import NamedTuple
 
 import pytest
@@ -12,7 +12,7 @@
 from gypsumspoke.runs.coordinator_state import JobArrived
 from gypsumspoke.runs.messages import RunEnded, WorkerReport
 from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason
-from tests.runs.world import ROUTE, World, job, ms
+from tests.runs.world import ROUTE, START, World, job, ms
 
 ENTRY = "entry0"
 SIDECARS = 16
@@ -21,20 +21,30 @@
 # In milliseconds of a processor. With its end and its reports a job costs some 14, and
 # the regular reports take a seventh of the processor.
 JOB_COST, END_COST, REPORT_COST, REFUSAL_COST = 8, 4, 0.8, 0.4
+# A look for room, which follows a report or an end while tasks wait.
+LOOK_COST = 1.5
 CARRIED = 60
+SLOW_SINCE, SLOW_FOR = ms(2500), ms(600)
 
 
-def cost(event) -> timedelta:
+def cost(world: World, event) -> timedelta:
     """Return the processor time that an event takes at the entry."""
+    look = LOOK_COST if world.processes[ENTRY].state.waiting else 0
     if isinstance(event, JobArrived):
         return ms(JOB_COST)
     if isinstance(event, Received) and isinstance(event.message, RunEnded):
-        return ms(END_COST)
+        return ms(END_COST + look)
     if isinstance(event, Received) and isinstance(event.message, WorkerReport):
-        return ms(REPORT_COST)
+        return ms(REPORT_COST + look)
     return ms(0.05)
 
 
+def slow_cost(world: World, event) -> timedelta:
+    """Return the same in a process that has a fifth of its processor for a moment."""
+    is_slow = SLOW_SINCE <= world.now - START < SLOW_SINCE + SLOW_FOR
+    return cost(world, event) * (5 if is_slow else 1)
+
+
 class Played(NamedTuple):
     """What came of a load."""
 
@@ -44,11 +54,11 @@
 
 
 @cache
-def play(per_second: int) -> Played:
+def play(per_second: int, cost_of=cost) -> Played:
     """Send so many jobs a second to an entry that is short of processor time."""
     world = World(entries=1, sidecars=SIDECARS)
     world.run(ms(1500))
-    world.costs[ENTRY] = cost
+    world.costs[ENTRY] = partial(cost_of, world)
     world.refusal_cost = ms(REFUSAL_COST)
     sent_at = {}
     for number in range(per_second * SECONDS):
@@ -73,6 +83,18 @@
     assert play(int(CARRIED * times)).good >= CARRIED * 0.95
 
 
+def test_a_slow_moment_does_not_outlast_itself():
+    """An entry that carries its load was slow for half a second. The jobs that had come
+    meanwhile kept it behind, so it went on to answer a third of the load for good.
+    """
+    played = play(CARRIED, slow_cost)
+    again = START + SLOW_SINCE + SLOW_FOR + ms(700)
+    after = [request for request, at in played.sent_at.items() if at >= again]
+    ends = Counter(played.world.end_of(request) for request in after)
+    assert len(after) > CARRIED
+    assert set(ends) == {JobEnd.COMPLETED}
+
+
 def test_what_is_refused_for_it_has_not_run_and_is_told_at_once():
     played = play(CARRIED * 3)
     world = played.world
