The test processes' lines are found also once a process has ended

Seen: one whole run of tests/failures on a busy machine (32 tests, 1 failed): the rolling restart failed with "no line 'listening'" though the entry's log had that line. The stand-in balancer had found the entry alive, waited for the other one's answer, and asked for its ports when it had just ended.

Cause: the wait for a line looked only while the process lived, so it said "no line" of a process that had printed it and ended.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -74,7 +74,8 @@
         """Wait for a log line with this message and return it.
 
         Raises:
-          AssertionError: the process ended or the bound passed; shows its output.
+          AssertionError: the process ended without it, or the bound passed; shows its
+            output.
         """
         return self._wait(
             lambda: next(
@@ -107,7 +108,10 @@
 
     def _wait(self, find, problem: str):
         with gevent.Timeout(BOUND_SECONDS, False):
-            while self.alive:
+            is_alive = True
+            while is_alive:
+                # The last look is at all that it printed before it ended.
+                is_alive = self.alive
                 found = find()
                 if found is not None:
                     return found
