An entry without runs on a sidecar answers few of its reports

An entry answered each report of each sidecar, so that the sidecar knew it to be alive: at rest nine entries sent 90 answers a second to each sidecar, which woke it for each. The answers keep runs alive; where an entry has none, nothing depends on them, since each order carries its own proof (the stamp that it names, at most 350 ms old).

Such an entry now answers every 250 ms, so that the connection, which is closed after 750 ms without a byte, stays up. From the order on that places a run until its end is told, it answers as often as before. The time budget is unchanged.

The first test failed before.

--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -29,6 +29,9 @@
 
 # A sidecar that is gone is forgotten after this; its runs are long dead.
 FORGET_AFTER = timedelta(seconds=30)
+# A sidecar without runs of this entry needs no proof that it lives; this only tells it
+# that the connection still works, twice before it would take it for dead.
+IDLE_PULSE_INTERVAL = timedelta(milliseconds=250)
 
 
 def take_connected(
@@ -80,7 +83,7 @@
     take_report(view, message, now)
     if is_better(offer_of(view, now), before):
         state.has_new_room = True
-    if now - view.last_sent >= state.budget.pulse_interval:
+    if now - view.last_sent >= _pulse_interval(state, view):
         view.last_sent = now
         effects.append(Send(sender, Pulse(message.stamp)))
     if was_taking is not message.takes_work:
@@ -90,6 +93,12 @@
     return effects
 
 
+def _pulse_interval(state: CoordinatorState, view: SidecarView) -> timedelta:
+    """Return how often a sidecar must hear this entry."""
+    interval = state.budget.pulse_interval
+    return interval if view.open_runs else max(interval, IDLE_PULSE_INTERVAL)
+
+
 def _log_taking(view: SidecarView) -> Log:
     fields = (
         ("sidecar", view.incarnation),
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -1,9 +1,11 @@
 """What entries know of a worker's room, and what becomes of a run that finds none."""
 
 from gypsumspoke.core.effects import Send
+from gypsumspoke.runs.budget import LONGEST_TICK
 from gypsumspoke.runs.guard_report import CHANGE_INTERVAL
-from gypsumspoke.runs.messages import WorkerReport
+from gypsumspoke.runs.messages import Pulse, WorkerReport
 from gypsumspoke.runs.values import JobEnd
+from gypsumspoke.shell.run_role import SILENCE_LIMIT
 from tests.runs.test_path import settled
 from tests.runs.world import World, job, ms
 
@@ -39,6 +41,44 @@
     assert view.report.free.cpu == 5000
 
 
+def pulse_times(world, entry):
+    """Return when an entry sent proof of life to a sidecar beside orders."""
+    return [
+        time
+        for time, name, effect in world.log
+        if isinstance(effect, Send)
+        and isinstance(effect.message, Pulse)
+        and name.startswith(entry)
+    ]
+
+
+def test_an_entry_without_runs_answers_few_reports():
+    """Answers to all reports of all sidecars, ten a second each, cost both sides more
+    than anything else at rest.
+    """
+    world = settled(sidecars=1)
+    start = world.now
+    world.run(ms(3000))
+    times = [time for time in pulse_times(world, "entry0") if time > start]
+    assert len(times) <= 3 * 4
+    gaps = [later - time for time, later in zip(times, times[1:])]
+    assert max(gaps) <= SILENCE_LIMIT / 2
+
+
+def test_an_entry_with_a_run_answers_reports_within_a_tick():
+    """Its sidecar would stop the run after five ticks of silence."""
+    world = settled(sidecars=1)
+    world.workers["side0"].takes = lambda task: ms(1000)
+    world.submit("entry0", "r0", job("j0", count=1, estimate=ms(1000)))
+    world.run(ms(30))
+    start = world.now
+    world.run(ms(800))
+    times = [time for time in pulse_times(world, "entry0") if time > start]
+    gaps = [later - time for time, later in zip([start, *times], times)]
+    assert max(gaps) <= 2 * LONGEST_TICK
+    assert len(times) >= 6
+
+
 def test_a_run_whose_task_has_an_older_run_here_waits_for_its_end():
     """A caller comes back through another entry while the worker still runs the first
     entry's run. The new run starts when that one is gone, and the first entry gives the
