Nothing starts on a lease that may outlast the time budget

Callers saw: nothing known; on a deployment whose callers come back after 400 ms a task could run twice at once.

Cause: a sidecar that was paused while its worker was born again names a time of the old clock in its next order, and the new life shortens that lease to its maximum of 1 s, beyond what the budget counts for early callers. The sidecar counted it for the runs that it had, but started others on it. The bound on leases looked at the ends that orders name from now on, not at the one named before, which never shortens.

Change: a run starts only if the longest lease named so far ends in time for its entry's last word.

--- a/gypsumspoke/runs/guard_lease.py
+++ b/gypsumspoke/runs/guard_lease.py
@@ -37,14 +37,28 @@
 
 
 def may_start(state: GuardState, now: datetime) -> bool:
-    """Return whether the lease is long enough for another run."""
-    return lease_left(state, now) >= state.budget.least_lease
+    """Return whether the lease suits another run of an entry that was just heard."""
+    if lease_left(state, now) < state.budget.least_lease:
+        return False
+    return _ends_in_budget(state, now - state.budget.tick)
 
 
 def may_start_run(state: GuardState, guarded: GuardedRun, now: datetime) -> bool:
     """Return whether a waiting run's coordinator was heard lately enough for it."""
-    silence = now - last_word(state, guarded)
-    return state.budget.lease_left(silence) >= state.budget.least_lease
+    word = last_word(state, guarded)
+    if state.budget.lease_left(now - word) < state.budget.least_lease:
+        return False
+    return _ends_in_budget(state, word)
+
+
+def _ends_in_budget(state: GuardState, word: datetime) -> bool:
+    """Return whether the lease named so far is not too long for such a last word.
+
+    It never shortens. Named for runs of entries that were heard later, or on the clock
+    of an earlier life of the worker, it may be.
+    """
+    longest = state.budget.entry_silence + state.budget.lease_at_most
+    return state.lease.ends_by <= word + longest
 
 
 def name_lease_end(state: GuardState, now: datetime) -> timedelta | None:
--- a/tests/runs/test_lives.py
+++ b/tests/runs/test_lives.py
@@ -1,17 +1,20 @@
 """Answers of a worker's earlier life that come after the next one showed."""
 
+import pytest
+
 from gypsumspoke.core.events import PeerConnected, Received, Tick
-from gypsumspoke.runs.budget import DEFAULT_BUDGET
+from gypsumspoke.runs.budget import DEFAULT_BOUNDS, DEFAULT_BUDGET, budget_for
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.guard_orders import STOP_AGAIN
 from gypsumspoke.runs.guard_state import GuardState
-from gypsumspoke.runs.messages import PlaceRun, WithdrawRun
+from gypsumspoke.runs.messages import PlaceRun, Pulse, WithdrawRun
 from gypsumspoke.runs.orders import (
     HeartbeatArrived,
     HoldOrder,
     OrderAnswered,
     OrderKind,
     OrderResult,
+    StartOrder,
     StopOrder,
 )
 from gypsumspoke.runs.values import RunId, TaskId
@@ -60,6 +63,29 @@
     assert hold.lease_end <= NEW_CLOCK + ms(600 - 250) + DEFAULT_BUDGET.lease
 
 
+@pytest.mark.parametrize("resend, starts_at_once", [(1300, True), (400, False)])
+def test_nothing_starts_on_a_lease_that_may_outlast_the_budget(resend, starts_at_once):
+    """A sidecar was paused while its worker was born again, and the next order named a
+    time of the old clock. The new life shortens such a lease to its maximum only. Where
+    callers come back early, a run that starts there could outlive the time budget.
+    """
+    budget = budget_for(DEFAULT_BOUNDS._replace(resend=ms(resend))).unwrap()
+    state = GuardState(SERVICE, Directory("", ()), START, budget)
+    sidecar = LoneSidecar(state)
+    sidecar.take(ms(0), HeartbeatArrived(registration()))
+    sidecar.take_list(ms(3), asked=ms(1), made=OLD_CLOCK)
+    sidecar.take_list(ms(50), asked=ms(40), made=NEW_CLOCK, life=LIFE + 1)
+    started = []
+    for at in (ms(60), ms(50) + budget.longest_lease):
+        sidecar.take(at, Received(ENTRY, Pulse(at)))
+        sidecar.take_list(at, made=NEW_CLOCK + at, life=LIFE + 1)
+        run = RunId(TaskId(f"j{len(started)}", 0, 0), 1)
+        message = PlaceRun(at, run, TASK_ROOM, 1, TASK_TIME, ms(9000), "x")
+        effects = sidecar.take(at, Received(ENTRY, message))
+        started.append(any(isinstance(effect, StartOrder) for effect in effects))
+    assert started == [starts_at_once, True]
+
+
 def test_a_heartbeat_of_the_earlier_life_does_not_hide_what_the_next_one_runs():
     """A sidecar that has just started finds a run at its worker and has it stopped. A
     heartbeat of the worker's earlier life, which a cut held up, is the first that it
