Random walks on which orders to workers go astray

The walks so far lose and delay all kinds of orders alike, keep the order of answers, and let callers back up to 20 ms after the bound. Search: python -m tests.runs.walk 0 400 orders

--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.runs.walk import CutOffWalk, Walk
+from tests.runs.walk import CutOffWalk, OrdersWalk, Walk
 
 # 26: a worker was born again between two lists; a run that was started on the new life
 # was given up with those of the old one and placed again beside itself.
@@ -21,3 +21,11 @@
     again through the other entry, beside the other faults of the walks.
     """
     assert CutOffWalk(seed).play() == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_orders_that_go_astray_break_no_promise(seed):
+    """Starts, stops and holds are lost, late and slow, each kind by itself; sidecars
+    are replaced and paused beside live runs, and callers are back at the bound.
+    """
+    assert OrdersWalk(seed).play() == []
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -10,13 +10,17 @@
 import random
 import sys
 from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
 from functools import partial
+from typing import Any, NamedTuple
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
+from gypsumspoke.runs.coordinator_state import AnswerJob
+from gypsumspoke.runs.orders import HoldOrder, StartOrder, StopOrder
 from gypsumspoke.runs.values import JobEnd
-from tests.runs.world import World, job, ms
+from tests.runs.world import Fate, World, job, ms
 
-STEPS = 40
 ENTRIES = ("entry0", "entry1")
 SIDES = ("side0", "side1", "side2")
 
@@ -29,6 +33,8 @@
       budget: the time budget of all processes.
     """
 
+    STEPS = 40
+
     def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
         self.random = random.Random(seed)
         self.world = World(entries=2, sidecars=3, seed=seed, budget=budget)
@@ -39,7 +45,7 @@
     def play(self) -> list[str]:
         """Play the walk and return the broken promises."""
         self.world.run(ms(2000))
-        for _ in range(STEPS):
+        for _ in range(self.STEPS):
             self._step()
             self.world.run(ms(self.random.choice((1, 10, 60, 150, 400))))
         self._mend()
@@ -222,13 +228,230 @@
             self.world.at(after, partial(self.world.heal, entry, side))
 
 
+class Spoiling(Enum):
+    """How orders of a kind are spoilt."""
+
+    ANSWER_LOST = "answer lost"
+    LOST = "lost"
+    LATE = "late"
+    SLOW = "slow"
+    MIXED = "mixed"
+
+
+class Spoilt(NamedTuple):
+    """How, and what share of them."""
+
+    how: Spoiling
+    share: float
+
+
+class OpenRequest(NamedTuple):
+    """A request that a caller waits for: of which job, at which process."""
+
+    name: str
+    count: int
+    host: str
+    incarnation: str
+
+
+class OrdersWalk(Walk):
+    """A walk on which single kinds of orders and their answers go astray.
+
+    Starts, stops and holds of a sidecar are lost, late or slow, each by itself, and
+    overtake each other. Sidecars are replaced while runs live, also twice in a row.
+    Runs last longer than callers wait, and callers are back exactly at the bound.
+    """
+
+    STEPS = 150
+    PATIENCE = timedelta(milliseconds=3100)
+    GRACE = timedelta(milliseconds=6000)
+    # Longer than an order of the process before may be under way and a stop may take,
+    # but for orders that are carried out late.
+    START_UP = timedelta(milliseconds=150)
+
+    def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
+        super().__init__(seed, budget)
+        self.spoilt: dict[tuple[str, type], Spoilt] = {}
+        self.open: dict[str, OpenRequest] = {}
+        self.world.fate = self._fate
+        self.world.on_answer = self._take_answer
+        self.world.wakes_with_a_tick = True
+        for host in SIDES:
+            self.world.clock_rate[host] = self.random.choice((1.0, 0.98))
+            self.world.pace[host] = self.random.choice((1.0, 3.0, 8.0))
+            self.world.start_worker(host)
+
+    def _steps(self) -> list[Callable[[], None]]:
+        spoiling = [*[self._spoil_kind] * 4, *[self._let_overtake] * 2]
+        leaving = [self._come_back] * 2
+        replacing = [self._replace, self._replace_twice, self._stop_gracefully]
+        return [*super()._steps(), *spoiling, *leaving, *replacing]
+
+    # Orders
+
+    def _spoil_kind(self) -> None:
+        """Spoil one or two kinds of orders of one sidecar, or of all, for a while."""
+        hosts = self.random.choice((*((side,) for side in SIDES), SIDES))
+        kinds = self.random.choice(
+            (
+                (StartOrder,),
+                (StopOrder,),
+                (HoldOrder,),
+                (StartOrder, StopOrder),
+                (StartOrder, StopOrder, HoldOrder),
+            )
+        )
+        spoilt = Spoilt(
+            self.random.choice(list(Spoiling)), self.random.choice((0.3, 0.7, 1.0))
+        )
+        after = ms(self.random.choice((300, 1500, 5000)))
+        for key in [(host, kind) for host in hosts for kind in kinds]:
+            self.spoilt[key] = spoilt
+            self.world.at(after, partial(self.spoilt.pop, key, None))
+
+    def _let_overtake(self) -> None:
+        """Let starts and lists of one sidecar overtake each other for a while."""
+        host = self.random.choice(SIDES)
+        after = ms(self.random.choice((1500, 5000)))
+        for kind, how in ((StartOrder, Spoiling.MIXED), (HoldOrder, Spoiling.SLOW)):
+            self.spoilt[host, kind] = Spoilt(how, self.random.choice((0.5, 1.0)))
+            self.world.at(after, partial(self.spoilt.pop, (host, kind), None))
+
+    def _fate(self, host: str, order: Any) -> Fate | None:
+        spoilt = self.spoilt.get((host, type(order)))
+        if spoilt is None or self.random.random() >= spoilt.share:
+            return None
+        how = spoilt.how
+        if how is Spoiling.MIXED:
+            how = self.random.choice((Spoiling.ANSWER_LOST, Spoiling.SLOW))
+        # The connection breaks at once, or the shell gives up sooner or later.
+        patience = ms(self.random.choice((1, 20, 120)))
+        match how:
+            case Spoiling.ANSWER_LOST:
+                arrives = self.random.choice((0, self.random.uniform(0, 20)))
+                return Fate(ms(arrives), None, patience)
+            case Spoiling.LOST:
+                return Fate(None, None, patience)
+            case Spoiling.LATE:
+                return Fate(ms(self.random.uniform(2000, 12000)), None)
+        longest = self.random.choice((8, 80))
+        arrives = ms(self.random.uniform(0, longest))
+        return Fate(arrives, ms(self.random.uniform(0, longest)))
+
+    # Callers
+
+    def _watch(self, name, count, host, incarnation, request, waited) -> None:
+        opened = OpenRequest(name, count, host, incarnation)
+        end = self.world.end_of(request)
+        if end is JobEnd.GIVEN_UP:
+            self._return(opened)
+        elif end is None:
+            self.open[request] = opened
+            self.world.at(self.PATIENCE, lambda: self._leave_and_return(request))
+
+    def _take_answer(self, answer: AnswerJob) -> None:
+        opened = self.open.pop(answer.request, None)
+        if opened is not None and answer.end is JobEnd.GIVEN_UP:
+            self._return(opened)
+
+    def _leave_and_return(self, request: str) -> None:
+        opened = self.open.pop(request, None)
+        if opened is not None:
+            self._leave_request(opened.host, opened.incarnation, request)
+            self._return(opened)
+
+    def _return(self, opened: OpenRequest) -> None:
+        """Send again at the bound, through another entry as a rule."""
+        others = [host for host in ENTRIES if host != opened.host]
+        host = self.random.choice((*others * 3, opened.host))
+        self.world.at(
+            self.world.budget.bounds.resend,
+            lambda: self._send(opened.name, host, opened.count),
+        )
+
+    def _come_back(self) -> None:
+        """A caller closes its connection, and sends its job again."""
+        if self.open:
+            self._leave_and_return(self.random.choice(sorted(self.open)))
+
+    def _restart(self) -> None:
+        super()._restart()
+        self._notice_lost()
+
+    def _lose_power(self) -> None:
+        super()._lose_power()
+        self._notice_lost()
+
+    def _notice_lost(self) -> None:
+        for request, opened in list(self.open.items()):
+            if self._is_lost(opened.host, opened.incarnation):
+                self._leave_and_return(request)
+
+    # Processes
+
+    def _replace(self) -> None:
+        """Kill a sidecar; the next process is there as soon as it can be."""
+        host = self.random.choice(SIDES)
+        self.world.kill(host)
+        self._start(host)
+
+    def _replace_twice(self) -> None:
+        """Kill a sidecar, and the next process of it soon after its start."""
+        host = self.random.choice(SIDES)
+        self.world.kill(host)
+        self._start(host)
+        after = self.START_UP + ms(self.random.choice((3, 10, 30, 120, 300)))
+        self.world.at(after, lambda: self.world.kill(host))
+        self.world.at(after, lambda: self._start(host))
+
+    def _start(self, host: str) -> None:
+        """Start a process that is gone; it is not there before ``START_UP``."""
+        process = self.world.processes[host]
+        if process.alive:
+            return
+        left = process.died + self.START_UP - self.world.now
+        if left <= timedelta():
+            super()._start(host)
+        else:
+            self.world.at(left, lambda: self._start(host))
+
+    def _stop_gracefully(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace; then the next process starts."""
+        host = self.random.choice(ENTRIES + SIDES)
+        process = self.world.processes[host]
+        if not process.alive or process.frozen:
+            return
+        self.world.drain(host)
+        ends = self.world.now + self.GRACE
+
+        def look() -> None:
+            if self.world.processes[host] is not process:
+                return
+            if process.alive and self.world.now < ends:
+                self.world.at(ms(100), look)
+                return
+            self.world.kill(host)
+            self._notice_lost()
+            self._start(host)
+
+        look()
+
+    def _mend(self) -> None:
+        super()._mend()
+        self.spoilt.clear()
+
+
+KINDS = {"": Walk, "cut-off": CutOffWalk, "orders": OrdersWalk}
+
+
 def main() -> None:
     """Play the seeds from the first to the second argument.
 
-    A third argument, ``cut-off``, plays the walks of ``CutOffWalk``.
+    A third argument, ``cut-off`` or ``orders``, plays the walks of ``CutOffWalk`` or
+    ``OrdersWalk``.
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
-    kind = CutOffWalk if sys.argv[3:] == ["cut-off"] else Walk
+    kind = KINDS[sys.argv[3] if sys.argv[3:] else ""]
     failed = 0
     for seed in range(first, last):
         broken = kind(seed).play()
