A lack of descriptors doesn't end the dialling of an address

While a process had no descriptor left, the socket of a dial could not be made. The error ended the greenlet that dials the address, and nobody dialled it again: that entry stayed unknown to the sidecar until a restart.

The error is now taken as that of any failed dial. The test failed before.

--- a/gypsumspoke/wire/dialler.py
+++ b/gypsumspoke/wire/dialler.py
@@ -78,11 +78,11 @@
 
     def _dial(self, address: Address, redial: Redial) -> timedelta:
         """Connect and wait for the connection's end; return the pause after it."""
-        sock = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
         with ExitStack() as stack:
-            stack.callback(sock.close)
-            sock.settimeout(redial.patience.total_seconds())
             try:
+                sock = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
+                stack.callback(sock.close)
+                sock.settimeout(redial.patience.total_seconds())
                 sock.connect(address)
             except OSError as error:
                 return self._note_failure(address, redial, error)
--- a/tests/wire/test_dialler.py
+++ b/tests/wire/test_dialler.py
@@ -1,9 +1,11 @@
 """Connections by address, to whichever process answers there."""
 
+import errno
 from contextlib import closing
 
 import gevent
 import pytest
+from gevent.socket import socket
 
 from gypsumspoke.core.clock import SteadyClock
 from gypsumspoke.core.events import PeerConnected, Received
@@ -106,3 +108,23 @@
         clock.asked = 0
         gevent.sleep(0.3)
         assert clock.asked == 0
+
+
+def test_an_address_is_dialled_again_after_a_lack_of_descriptors(dialling, monkeypatch):
+    """The dial of that moment ended by an error that nobody took, and was the last."""
+    sidecar, dialler = dialling
+    lacks = [OSError(errno.EMFILE, "too many open files")]
+
+    def make(*args):
+        if lacks:
+            raise lacks.pop()
+        return socket(*args)
+
+    monkeypatch.setattr("gypsumspoke.wire.dialler.socket", make)
+    entry = Peer("entry-1")
+    port = entry.links.listen("127.0.0.1", 0)
+    entry.start()
+    dialler.set_addresses([("127.0.0.1", port)])
+    wait_until(lambda: sidecar.has(PeerConnected("entry-1")))
+    assert not lacks
+    entry.links.close()
