An entry that is behind refuses the jobs that it can't carry

Jobs that had taken 0.3 s took 3 s or were given up at their deadline; an entry answered 41 to 135 jobs in a second "deadline_exceeded", and refused next to none.

Cause: congestion collapse at the entry's own processor. Admission counted the room of the workers and never the entry's lag. Both entries of the domain fell behind within a second of each other, at 65 to 90 jobs a second, and did not recover while the load lasted.

Now the smallest lag within some ticks tells whether the processor keeps up, and a growing share of the new jobs is refused before it is read: none below a quarter of a tick, all from one tick on, when an order would reach its sidecar too old. 503 "entry_behind" with Retry-After is true: a copy of a job that runs here, or that the reducer has yet to see, is never refused so. An entry that is cut off from its sidecars goes on to answer 504, which sends callers to other entries. One counter, and one log line a second with their number.

One entry still stayed behind for some five seconds with all new jobs refused: what it has in hand costs a look for room at each report.

--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -1,6 +1,7 @@
 """Callers' requests to an entry on the platform."""
 
 import json
+from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
@@ -12,7 +13,7 @@
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count
 from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
-from gypsumspoke.runs.admission import configuration_patience
+from gypsumspoke.runs.admission import configuration_patience, refuse_behind
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
     CancelJobArrived,
@@ -75,6 +76,8 @@
         self._clock = clock
         self._state = state
         self._waiters = Waiters()
+        # Requests by job id whose answer is awaited; the reducer may not know them yet.
+        self._submitted: Counter[str] = Counter()
         self._configured = Event()
         self._has_ended = False
 
@@ -142,6 +145,11 @@
         return self._refuse(405, RefusalReason.INVALID_JOB, "no such method")
 
     def _submit(self, environ: Environ, route: Route, job_id: str) -> HttpAnswer:
+        if job_id not in self._submitted:
+            refusal = refuse_behind(self._state, job_id)
+            if refusal is not None:
+                detail = "this entry is behind"
+                return self._refuse(503, refusal.reason, detail, refusal.retry_after)
         limit = self._state.table.configuration.limits.body_bytes
         try:
             body = read_body(environ, limit)
@@ -155,6 +163,7 @@
             return self._refuse_body(parsed.failure())
         patience = _patience(environ)
         request, result = self._waiters.open()
+        self._submitted[job_id] += 1
         try:
             deadline = self._clock.now() + patience
             self._post(JobArrived(request, parsed.unwrap(), route, deadline))
@@ -170,6 +179,9 @@
             return self._refuse(504, reason, "no answer in time", _RETRY_SOON)
         finally:
             self._waiters.close(request)
+            self._submitted[job_id] -= 1
+            if not self._submitted[job_id]:
+                del self._submitted[job_id]
 
     def _refuse_body(self, error: ValueError) -> HttpAnswer:
         if isinstance(error, Unsupported):
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -43,6 +43,24 @@
     retry_after: timedelta
 
 
+def refuse_behind(state: CoordinatorState, job_id: str) -> Refusal | None:
+    """Return why a request is refused unread, or None.
+
+    Asked before a request costs more than its header. Copies of a job that runs here
+    are never refused so: "not run" would be untrue. Nor is any by an entry that is cut
+    off: it claims nothing, so that the caller tries another one.
+
+    Args:
+      state: the coordinator's state; what is refused is counted there for the logs.
+      job_id: the job's id.
+    """
+    if state.isolated or job_id in state.jobs or not state.load.refuses_next():
+        return None
+    state.refused_behind += 1
+    wait = DEFAULT_RETRY_AFTER + state.load.standing
+    return Refusal(RefusalReason.ENTRY_BEHIND, _bounded(wait))
+
+
 def refuse_unservable(
     state: CoordinatorState, event: JobArrived, now: datetime
 ) -> Refusal | None:
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -62,6 +62,9 @@
 from gypsumspoke.runs.patience import PatienceRead
 from gypsumspoke.runs.values import JobEnd, RefusalReason
 
+# A line for each refusal would cost more than the refusal.
+REFUSED_LINE_INTERVAL = timedelta(seconds=1)
+
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -79,6 +82,7 @@
     """
     if isinstance(event, Timed):
         state.arrival, event = event
+        state.load.note(now - state.arrival.earliest, now)
     else:
         state.arrival = Arrival(now, now, now)
     return _take(event, state, now)
@@ -252,6 +256,7 @@
 def _(event: Tick, state: CoordinatorState, now: datetime) -> list[Effect]:
     effects = check_isolation(state, now)
     effects += check_silent(state, now)
+    effects += _tell_refused(state, now)
     effects += _give_up_hopeless(state, now)
     keep = state.patience.to_keep(now)
     if keep is not None:
@@ -260,6 +265,21 @@
     return [*effects, *continue_stop(state, now)]
 
 
+def _tell_refused(state: CoordinatorState, now: datetime) -> list[Effect]:
+    """Return the log line of the jobs that were refused unread."""
+    since = now - state.refused_behind_told
+    if not state.refused_behind or since < REFUSED_LINE_INTERVAL:
+        return []
+    fields = (
+        ("reason", RefusalReason.ENTRY_BEHIND.value),
+        ("jobs", state.refused_behind),
+        ("standing_lag_ms", state.load.standing // _MILLISECOND),
+    )
+    state.refused_behind = 0
+    state.refused_behind_told = now
+    return [Log(logging.WARNING, "jobs refused unread", fields=fields)]
+
+
 def _give_up_hopeless(state: CoordinatorState, now: datetime) -> list[Effect]:
     """Answer jobs that can't end before their deadline any more."""
     effects: list[Effect] = []
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -10,6 +10,7 @@
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.fleet import SidecarView
+from gypsumspoke.runs.load import Load
 from gypsumspoke.runs.patience import Patience
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.values import (
@@ -172,6 +173,9 @@
       table: the configuration in force; None before the first.
       text: its text as the operators wrote it.
       arrival: when the event that is handled now had arrived.
+      load: how far this entry is behind.
+      refused_behind: jobs refused for that since the latest log line of them.
+      refused_behind_told: when that line was written.
       ticked: when the latest tick came.
       awake_since: when this process started, or went on after its latest pause.
       isolated: whether no sidecar at all is heard.
@@ -210,6 +214,9 @@
         self.table: RoutingTable | None = None
         self.text = ""
         self.arrival = Arrival(now, now, now)
+        self.load = Load(budget.tick, now)
+        self.refused_behind = 0
+        self.refused_behind_told = now
         self.ticked = now
         self.awake_since = now
         self.isolated = False
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -251,6 +251,7 @@
     ISOLATED = "isolated"
     NO_WORKER_FITS = "no_worker_fits"
     TOO_LATE = "too_late"
+    ENTRY_BEHIND = "entry_behind"
     TOO_MANY_JOBS = "too_many_jobs"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
--- a/gypsumspoke/tools/losses.py
+++ b/gypsumspoke/tools/losses.py
@@ -60,6 +60,9 @@
         if message == "job refused":
             cause = f"refused: {details['reason']}"
             counts[Loss(_floor(at, span), "", cause)] += 1
+        if message == "jobs refused unread":
+            cause = f"refused: {details['reason']}"
+            counts[Loss(_floor(at, span), "", cause)] += details["jobs"]
         if message == "job answered":
             job = accepted.get((worker, details["job"]))
             taken = job.at if job else at
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,6 +1,7 @@
 """The callers' side of an entry, without its loop."""
 
 import json
+from io import BytesIO
 
 import gevent
 import pytest
@@ -15,6 +16,8 @@
 from gypsumspoke.runs.values import RefusalReason
 from tests.runs.world import CONFIGURATION, ROUTE, START
 
+JOB_ID = "5c0e7a21d94b36f8"
+
 
 class Entry:
     """An entry that has just started and has no configuration yet."""
@@ -32,6 +35,26 @@
             self.state,
         )
 
+    def fall_behind(self) -> None:
+        """Handle events so late, for so long, that all new jobs are refused."""
+        now = START
+        for _ in range(10):
+            now += self.state.budget.tick
+            self.state.load.note(self.state.budget.tick, now)
+
+    def post(self, job_id: str) -> tuple[str, dict]:
+        """Send a job that is not supported; return status line and body."""
+        statuses: list[str] = []
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": ROUTE.path_prefix + job_id,
+            "HTTP_HOST": ROUTE.host,
+            "CONTENT_LENGTH": "2",
+            "wsgi.input": BytesIO(b"{}"),
+        }
+        body = self.callers(environ, lambda status, headers: statuses.append(status))
+        return statuses[0], json.loads(b"".join(body))
+
     def get(self) -> tuple[str, dict]:
         """Ask for the route's count; return status line and body."""
         statuses: list[str] = []
@@ -78,3 +101,30 @@
     status, body = asked.get()
     assert status.startswith("503")
     assert body["reason"] == RefusalReason.STOPPING.value
+
+
+def test_an_entry_that_is_behind_refuses_a_job_unread(entry):
+    """Reading and checking a job costs what an entry that is behind lacks."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
+    entry.fall_behind()
+    status, body = entry.post(JOB_ID)
+    assert status.startswith("503")
+    assert body["reason"] == RefusalReason.ENTRY_BEHIND.value
+    assert entry.counted[-1] is RefusalReason.ENTRY_BEHIND
+
+
+def test_a_copy_of_a_job_that_runs_here_is_not_refused_unread(entry):
+    """Told "not run", its caller would take a job for lost that may yet be done."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    entry.fall_behind()
+    entry.state.jobs[JOB_ID] = None
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
+
+
+def test_an_entry_that_is_cut_off_and_behind_claims_nothing(entry):
+    """Refused with "not run", its caller would not go to an entry that can serve it."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    entry.fall_behind()
+    entry.state.isolated = True
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -27,6 +27,7 @@
     Timed,
 )
 from gypsumspoke.runs import coordinator, guard
+from gypsumspoke.runs.admission import refuse_behind
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
@@ -154,6 +155,7 @@
         self.delay_starts = 0
         self.fails: Callable[[RunId], bool] = lambda run: False
         self.costs: dict[str, Callable[[Any], timedelta]] = {}
+        self.refusal_cost = ZERO
         self.drained_at: dict[str, datetime] = {}
         self._connected: set[frozenset[str]] = set()
         self._queue: list[tuple[datetime, int, Callable[[], None]]] = []
@@ -320,6 +322,11 @@
         self, process: Process, event: Any, came: datetime
     ) -> tuple[list[Any], timedelta]:
         """Return what comes of an event, and the processor time that it takes."""
+        if isinstance(event, JobArrived):
+            refusal = refuse_behind(process.state, event.job.id)
+            if refusal is not None:
+                answer = AnswerJob(event.request, JobEnd.NOT_RUN, *refusal)
+                return [answer], self.refusal_cost
         timed = Timed(Arrival(came, came, came), event)
         effects = process.reduce(process.state, timed, self.now)
         return effects, self.costs[process.host](event)
--- a/tests/tools/test_losses.py
+++ b/tests/tools/test_losses.py
@@ -91,3 +91,10 @@
 
 def test_no_jobs_give_an_empty_report():
     assert render(count_losses([], SPAN)) == ""
+
+
+def test_jobs_that_were_refused_unread_count_by_their_number():
+    details = {"reason": "entry_behind", "jobs": 7}
+    assert causes([line(100, "jobs refused unread", **details)]) == {
+        "refused: entry_behind": 7
+    }
