--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -164,3 +164,11 @@
     entry.fall_behind()
     entry.state.jobs[JOB_ID] = None
     assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
+
+
+def test_an_entry_that_is_cut_off_and_behind_claims_nothing(entry):
+    """Refused with "not run", its caller would not go to an entry that can serve it."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    entry.fall_behind()
+    entry.state.isolated = True
+    assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
