Three safeguards hold against an old order, each alone

With all three off it breaks. The test now shows that, and that each of the three holds alone, which is more than before.

--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -13,6 +13,7 @@
     assignment,
     budget,
     guard_holds,
+    guard_lease,
     guard_life,
     guard_orders,
     guard_placing,
@@ -62,12 +63,20 @@
     assert not order_held_up().broken
 
 
+AGAINST_OLD_ORDERS = [
+    (budget.Budget, "order_fresh", LONG),
+    (budget.Budget, "lease_left", lambda self, silence: self.lease),
+    (guard_lease, "_ends_in_budget", lambda state, word: True),
+]
+
+
 @pytest.mark.parametrize(
-    "name, value",
-    [("order_fresh", LONG), ("lease_left", lambda self, silence: self.lease)],
+    "kept", range(3), ids=[name for _, name, _ in AGAINST_OLD_ORDERS]
 )
-def test_either_of_two_safeguards_holds_against_an_old_order(monkeypatch, name, value):
-    monkeypatch.setattr(budget.Budget, name, value)
+def test_each_of_three_safeguards_holds_against_an_old_order(monkeypatch, kept):
+    for number, safeguard in enumerate(AGAINST_OLD_ORDERS):
+        if number != kept:
+            monkeypatch.setattr(*safeguard)
     assert not order_held_up().broken
 
 
@@ -104,10 +113,7 @@
         id="leases are short",
     ),
     pytest.param(
-        [
-            (budget.Budget, "order_fresh", LONG),
-            (budget.Budget, "lease_left", lambda self, silence: self.lease),
-        ],
+        AGAINST_OLD_ORDERS,
         lambda: assert_nothing_broken(order_held_up()),
         id="old orders are refused, and no run outlives its entry's last word",
     ),
