What a report offers is compared only while tasks wait

The comparison that saves looks for room cost each report more than it took before, also where nothing waits. Tasks that begin to wait later in the same turn are looked at by the event that lets them wait.

--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -79,9 +79,9 @@
         fields = (("sidecar", sender), ("worker", message.worker))
         effects.append(Log(logging.INFO, "sidecar found", fields=fields))
     was_taking = view.report is not None and view.report.takes_work
-    before = offer_of(view, now)
+    before = offer_of(view, now) if state.waiting else None
     take_report(view, message, now)
-    if is_better(offer_of(view, now), before):
+    if state.waiting and is_better(offer_of(view, now), before):
         state.has_new_room = True
     if now - view.last_sent >= _pulse_interval(state, view):
         view.last_sent = now
