A start that an earlier life may have carried out is not told as not run

A job could be answered "not run" although one of its tasks had run (REFUSED): an untrue refusal.

Cause: a worker carries a start out, its answer is lost, and the worker is born again. The stop that follows is accepted by the next life, which lists neither the run nor its end, and the sidecar took a run in doubt without a listed end for never started.

Change: a run notes that the worker was born again after its start was sent, and is then told as stopped, which claims nothing about having run.

Ruled out: the refusal of an order by its own answer; it is the worker's word about that very order.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -202,11 +202,19 @@
         if guarded.phase is Phase.RUNNING and _is_after_start(event, guarded):
             effects += finish(state, guarded, RunEnd.LOST, EndReason.WORKER_GONE, now)
         elif _is_after_stop(state, event, guarded):
-            end = RunEnd.NOT_RUN if guarded.in_doubt else RunEnd.STOPPED
+            end = RunEnd.NOT_RUN if _never_ran(guarded) else RunEnd.STOPPED
             effects += finish(state, guarded, end, guarded.stop_reason, now)
     return effects
 
 
+def _never_ran(guarded: GuardedRun) -> bool:
+    """Return whether a stopped run without a listed end was certainly not started.
+
+    An earlier life of the worker may have started it; the next one knows nothing of it.
+    """
+    return guarded.in_doubt and not guarded.outlived
+
+
 def _is_after_start(event: HoldAnswered, guarded: GuardedRun) -> bool:
     if guarded.start_clock is None:
         # Started on a life that has ended, or on the next one before it showed.
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -5,7 +5,7 @@
 
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.budget import WORKER_CLOCK_ERROR
-from gypsumspoke.runs.guard_state import GuardState, Lease
+from gypsumspoke.runs.guard_state import GuardState, Lease, Phase
 from gypsumspoke.runs.values import Registration
 
 
@@ -81,6 +81,7 @@
         # Times of the old life's clock say nothing on the new one.
         guarded.start_clock = None
         guarded.stop_clock = None
+        guarded.outlived = guarded.phase is not Phase.WAITING
     # A start that was meant for the old life named a time of the old clock, which may
     # be far ahead on the new one; the worker shortens such a lease to its maximum.
     ends_by = max(state.lease.ends_by, now + state.budget.longest_lease)
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -75,6 +75,7 @@
       stop_word: when its coordinator was last heard before that.
       stop_sent: when a stop was last sent.
       in_doubt: the start got no answer.
+      outlived: the worker was born again after the start was sent.
       doubted: since when.
     """
 
@@ -110,6 +111,7 @@
         self.stop_word: datetime | None = None
         self.stop_sent: datetime | None = None
         self.in_doubt = False
+        self.outlived = False
         self.doubted: datetime | None = None
 
 
--- a/tests/runs/test_lives.py
+++ b/tests/runs/test_lives.py
@@ -2,12 +2,13 @@
 
 import pytest
 
+from gypsumspoke.core.effects import Send
 from gypsumspoke.core.events import PeerConnected, Received, Tick
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS, DEFAULT_BUDGET, budget_for
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.guard_orders import STOP_AGAIN
 from gypsumspoke.runs.guard_state import GuardState
-from gypsumspoke.runs.messages import PlaceRun, Pulse, WithdrawRun
+from gypsumspoke.runs.messages import PlaceRun, Pulse, RunEnded, WithdrawRun
 from gypsumspoke.runs.orders import (
     HeartbeatArrived,
     HoldOrder,
@@ -17,7 +18,7 @@
     StartOrder,
     StopOrder,
 )
-from gypsumspoke.runs.values import RunId, TaskId
+from gypsumspoke.runs.values import RunEnd, RunId, TaskId
 from tests.runs.lone_sidecar import LIFE, LoneSidecar, registration
 from tests.runs.test_orphans import is_clean
 from tests.runs.world import SERVICE, START, TASK_ROOM, TASK_TIME, ms
@@ -99,3 +100,28 @@
     sidecar.take(ms(8), HeartbeatArrived(registration(LIFE + 1)))
     sidecar.take_list(ms(10), asked=ms(9), made=ms(9), life=LIFE + 1)
     assert not is_clean(sidecar, ms(11))
+
+
+def test_a_start_that_an_earlier_life_may_have_carried_out_is_not_told_as_not_run():
+    """A worker carries a start out, its answer is lost, and it is born again. The next
+    life knows nothing of the run, and a caller was told "not run" of a job that ran.
+    """
+    sidecar = LoneSidecar()
+    sidecar.take_list(ms(3), asked=ms(1), made=OLD_CLOCK - ms(300))
+    sidecar.take(ms(4), PeerConnected(ENTRY))
+    message = PlaceRun(ms(100), RUN, TASK_ROOM, 1, TASK_TIME, ms(9000), "x")
+    sidecar.take(ms(100), Received(ENTRY, message))
+    unanswered = OrderAnswered(OrderKind.START, RUN, OrderResult.UNANSWERED)
+    sidecar.take(ms(200), unanswered)
+    sidecar.take_list(ms(212), asked=ms(211), made=NEW_CLOCK, life=LIFE + 1)
+    stopped = OrderAnswered(
+        OrderKind.STOP, RUN, OrderResult.ACCEPTED, NEW_CLOCK + ms(3), START + ms(213)
+    )
+    sidecar.take(ms(216), stopped)
+    effects = sidecar.take_list(ms(400), made=NEW_CLOCK + ms(180), life=LIFE + 1)
+    (ended,) = [
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, RunEnded)
+    ]
+    assert ended.end is RunEnd.STOPPED
