A new sidecar waits for what may be in the middle of its stop

Callers saw: nothing known. A task could run twice at once, or a worker be over its room, just after a sidecar was replaced.

Cause: a run that is being stopped is in neither of the worker's lists for up to 50 ms. The bound for that covered runs that the process had seen listed. A run that vanished just before the first list of a new process was never known to it, so it called itself clean and took work at once. The class again: a conclusion from absence without a bound.

Evidence: found by a review that had not seen the work, with a history: the stop of the former process is carried out 0.5 to 40 ms before the next one's first hold; the task runs elsewhere beside itself. The three new cases of tests/runs/test_replaced.py failed before and pass now.

Change: work is taken, and earlier runs are called gone, from a list on that is younger than the first by what a stop may take; at once where the first list answered an order without a token, since that worker has obeyed no process in this life. A run that a list shows is in doubt no more.

Ruled out: a bound for the report alone; a start on the same worker would go over its room.

--- a/gypsumspoke/runs/guard_holds.py
+++ b/gypsumspoke/runs/guard_holds.py
@@ -162,6 +162,7 @@
         if guarded.phase is Phase.STARTING:
             # The answer to its start is late or lost, but here it is.
             guarded.phase = Phase.RUNNING
+        guarded.in_doubt = False
         # Known to be at work then; without it an older list that came late, on another
         # connection, would make a run whose start got no answer seem to be gone.
         if guarded.start_clock is None or event.clock > guarded.start_clock:
--- a/gypsumspoke/runs/guard_life.py
+++ b/gypsumspoke/runs/guard_life.py
@@ -75,6 +75,7 @@
     state.last_seen = 0
     state.orphans.clear()
     state.list_clock = timedelta()
+    state.quiet_from = timedelta()
     state.failing = 0.0
     state.pace = 0.0
     for guarded in state.runs.values():
--- a/gypsumspoke/runs/guard_orphans.py
+++ b/gypsumspoke/runs/guard_orphans.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+from datetime import timedelta
 
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.guard_state import GuardState
@@ -28,6 +29,8 @@
     """
     unknown = {listed.run for listed in event.running if listed.run not in state.runs}
     fresh = unknown - state.orphans.keys()
+    if state.quiet_from is None:
+        state.quiet_from = _quiet_from(state, event)
     # Answers on different connections overtake each other.
     if event.clock >= state.list_clock:
         state.list_clock = event.clock
@@ -42,6 +45,17 @@
     return effects
 
 
+def _quiet_from(state: GuardState, event: HoldAnswered) -> timedelta:
+    """Return from when on, by the worker's clock, no list hides an unknown run.
+
+    A run may have been in the middle of its stop when the first list was made. A worker
+    that takes an order without a token has obeyed no process in this life.
+    """
+    if event.token == 0:
+        return event.clock
+    return event.clock + state.budget.stop_shows_after
+
+
 def _forget_gone(state: GuardState, event: HoldAnswered) -> None:
     listed = {running.run for running in event.running}
     ended = {end.run for end in event.ended}
--- a/gypsumspoke/runs/guard_report.py
+++ b/gypsumspoke/runs/guard_report.py
@@ -30,7 +30,7 @@
         state.worker is not None
         and state.worker.state is WorkerReady.READY
         and state.draining is None
-        and not state.orphans
+        and state.knows_all_runs
         and state.token > 0
         and state.lease.clock is not None
         and is_answering(state, now)
@@ -75,7 +75,7 @@
         service=worker.service if worker else "",
         labels=worker.labels if worker else (),
         takes_work=takes_work(state, now),
-        clean=state.is_fenced and not state.orphans,
+        clean=state.is_fenced and state.knows_all_runs,
         capacity=capacity,
         free=subtract(capacity, state.held),
         pace=current_pace(state),
--- a/gypsumspoke/runs/guard_state.py
+++ b/gypsumspoke/runs/guard_state.py
@@ -138,6 +138,8 @@
       orphans: runs at the worker that nobody here placed; they are being stopped. With
         the worker's clock of the first list that lacked one; None while it is listed.
       list_clock: the worker's clock of the youngest list of this life.
+      quiet_from: the worker's clock from which on a list hides no run of an earlier
+        process that is being stopped; None before the first list.
       runs: placed runs that have not ended, in order of placement.
       held: room of all runs that are not waiting.
       ended: the latest ends, by the entry that placed the run; two entries that do
@@ -179,6 +181,7 @@
         self.heard_worker: datetime | None = None
         self.orphans: dict[RunId, timedelta | None] = {}
         self.list_clock = timedelta()
+        self.quiet_from: timedelta | None = None
         self.runs: OrderedDict[RunId, GuardedRun] = OrderedDict()
         self.held = NO_ROOM
         self.ended: OrderedDict[tuple[str, RunId], RunEnded] = OrderedDict()
@@ -195,6 +198,13 @@
         self.left = False
         self.directory = directory
 
+    @property
+    def knows_all_runs(self) -> bool:
+        """Whether nothing that an earlier process started is at work any more."""
+        if self.orphans or self.quiet_from is None:
+            return False
+        return self.list_clock >= self.quiet_from
+
     @property
     def worker_id(self) -> str:
         """The worker's id; empty before it has registered."""
--- a/tests/runs/test_replaced.py
+++ b/tests/runs/test_replaced.py
@@ -1,11 +1,14 @@
 """What an entry concludes from the reports of a sidecar's next process."""
 
+import pytest
+
 from gypsumspoke.core.effects import Send
 from gypsumspoke.core.events import Received
 from gypsumspoke.runs.messages import WorkerReport
+from gypsumspoke.runs.orders import StopOrder
 from gypsumspoke.runs.values import JobEnd
 from tests.runs.test_path import settled
-from tests.runs.world import job, ms
+from tests.runs.world import Fate, World, job, ms
 
 
 def test_a_late_report_of_an_earlier_process_ends_no_run_of_the_next():
@@ -37,3 +40,39 @@
     assert not world.broken
     assert world.end_of("r1") is JobEnd.COMPLETED
     assert len(world.starts_of("j1")) == 4
+
+
+RESTART = ms(300)
+
+
+@pytest.mark.parametrize("before", [0.5, 10, 40])
+def test_a_run_in_the_middle_of_its_stop_is_not_taken_for_gone(before):
+    """A sidecar has a run stopped and is killed; the stop is carried out late, just
+    before the next process looks. Its first list shows neither the run nor its end.
+    """
+    world = World(entries=1, sidecars=2)
+    for host in world.workers:
+        world.pace[host] = 15.0
+        world.start_worker(host)
+    world.run(ms(2000))
+    world.submit("entry0", "r1", job("j1", count=1), ms(8000))
+    world.run(ms(50))
+    (host,) = [host for host, worker in world.workers.items() if worker.running]
+    world.workers[host].stuck = True
+    stops = []
+
+    def delay_first_stop(at, order):
+        if at != host or not isinstance(order, StopOrder) or stops:
+            return None
+        stops.append(order)
+        return Fate(arrives=RESTART - ms(before), returns=None)
+
+    world.fate = delay_first_stop
+    while not stops:
+        world.run(ms(1))
+    world.run(ms(5))
+    world.kill(host)
+    world.run(RESTART - ms(5))
+    world.start_sidecar(host)
+    world.run(ms(6000))
+    assert not world.broken
