Sidecars connect to a group of entries, and idle renewals wait longer

Callers saw nearly all answers late on the large deployment: each of 160 sidecars reported to each of 35 entries, some 2,000 reports a second at each entry, whose processor that alone used up.

Each sidecar now draws a group of six entries by rendezvous hashing, replaces those that it can't reach, and grows or shrinks the group by the number of sidecars that its entries state. A connection that is not needed is closed only after its entry has confirmed that it places nothing there. Entries connect to each other along a ring at distances of powers of two, not to all. A worker without runs is asked for its lists each 200 ms instead of each 60 ms; a placement asks at once.

Ruled out: fewer regular reports to entries without runs; an entry then answers too rarely for the silence timeout of the connection, or with more messages than now.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -142,8 +142,8 @@
 def expected_wait(state: CoordinatorState, service: str, priority: int) -> timedelta:
     """Return how long the queued work of the same or higher priority takes.
 
-    An entry sees only its own queue. It assumes that the entries use equal shares of
-    the workers.
+    An entry sees only its own queue. It assumes that all entries connected to a worker
+    use equal shares of it.
     """
     work = 0.0
     for job_id, tasks in state.waiting.items():
@@ -156,10 +156,10 @@
     if not work:
         return timedelta()
     share = sum(
-        view.report.capacity.cpu / view.pace
+        view.report.capacity.cpu / view.pace / view.report.entries
         for view in state.views.values()
         if view.connected and _takes_work(view, service)
-    ) / (len(state.entries) + 1)
+    )
     # Workers that take no work at the moment usually do so again soon.
     return timedelta(seconds=work / share) if share else DEFAULT_RETRY_AFTER
 
--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -33,6 +33,8 @@
 ENTRY_SILENCE_TICKS = 5.0
 LEASE_TICKS = 6.0
 RENEWAL_TICKS = 0.6
+# A worker without runs needs no lease, and a start extends it.
+IDLE_RENEWAL_TICKS = 2.0
 # An older placement was delayed on its way, or its sender was paused.
 MAX_PLACEMENT_AGE_TICKS = 3.5
 # A worker that leaves renewals unanswered for so long gets no new runs.
@@ -110,6 +112,11 @@
         """Longest interval between renewals of a lease."""
         return self.tick * RENEWAL_TICKS
 
+    @property
+    def idle_renewal_interval(self) -> timedelta:
+        """Longest interval between renewals while nothing runs on a worker."""
+        return self.tick * IDLE_RENEWAL_TICKS
+
     @property
     def worker_silence(self) -> timedelta:
         """Silence after which a worker counts as hung or partitioned."""
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -36,6 +36,7 @@
 from gypsumspoke.runs.caller_timeouts import CallerTimeoutsRead
 from gypsumspoke.runs.coordinator_sidecars import (
     check_silent_sidecars,
+    count_sidecars,
     handle_connected,
     handle_connection_lost,
     handle_run_ended,
@@ -281,6 +282,7 @@
 
 @_handle.register
 def _(event: Tick, state: CoordinatorState, now: datetime) -> list[Effect]:
+    count_sidecars(state)
     effects = check_isolation(state, now)
     effects += check_silent_sidecars(state, now)
     effects += _log_refused_unread(state, now)
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -1,6 +1,7 @@
 """How an entry handles connections, reports and silence of its sidecars."""
 
 import logging
+from collections import Counter
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.effects import Effect, Log, Send
@@ -38,7 +39,10 @@
 ) -> list[Effect]:
     """Send a new peer the known entries; ask a known sidecar about its open runs."""
     effects: list[Effect] = [
-        Send(event.incarnation, KnownEntries(state.directory.known)),
+        Send(
+            event.incarnation,
+            KnownEntries(state.directory.known, state.directory.own),
+        ),
         Send(event.incarnation, ConfigurationOffer(state.version)),
     ]
     view = state.views.get(event.incarnation)
@@ -85,7 +89,8 @@
         state.needs_placing_round = True
     if now - view.last_sent_at >= _pulse_interval(state, view):
         view.last_sent_at = now
-        effects.append(Send(sender, Pulse(message.stamp)))
+        count = state.sidecar_counts.get(message.service, 0)
+        effects.append(Send(sender, Pulse(message.stamp, count)))
     if took_work is not message.takes_work:
         effects.append(_log_changed(view))
     if message.clean:
@@ -159,6 +164,15 @@
     return effects
 
 
+def count_sidecars(state: CoordinatorState) -> None:
+    """Count the connected sidecars of each service. Called at each tick."""
+    state.sidecar_counts = Counter(
+        view.report.service
+        for view in state.views.values()
+        if view.connected and view.report is not None
+    )
+
+
 def _forget(state: CoordinatorState, view: SidecarView) -> None:
     del state.views[view.incarnation]
     state.disconnected.discard(view.incarnation)
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -179,6 +179,7 @@
     Attributes:
       views: sidecars by incarnation.
       disconnected: incarnations of the sidecars that are not connected.
+      sidecar_counts: number of connected sidecars by service, as of the latest tick.
       jobs: jobs by id.
       by_request: the job id of each waiting request.
       by_run: the job id of each open run that was not withdrawn.
@@ -222,6 +223,7 @@
         self.started = now
         self.views: dict[str, SidecarView] = {}
         self.disconnected: set[str] = set()
+        self.sidecar_counts: dict[str, int] = {}
         self.jobs: dict[str, JobProgress] = {}
         self.by_request: dict[str, str] = {}
         self.by_run: dict[PlacedRun, str] = {}
--- a/gypsumspoke/runs/messages.py
+++ b/gypsumspoke/runs/messages.py
@@ -27,6 +27,8 @@
       pace: smoothed ratio of run time to estimate; 0 before the first completed run.
       failing: whether most runs fail on the worker.
       taken: number of placements received from this entry on this connection.
+      entries: number of entries that place runs on the worker.
+      partial: whether the sidecar knows entries that it isn't connected to by choice.
     """
 
     stamp: timedelta
@@ -40,12 +42,21 @@
     pace: float
     failing: bool
     taken: int
+    entries: int = 1
+    partial: bool = False
 
 
 class Pulse(NamedTuple):
-    """Entry to sidecar: answers a report and keeps the entry's runs alive."""
+    """Entry to sidecar: answers a report and keeps the entry's runs alive.
+
+    Attributes:
+      heard: as in the module's description.
+      sidecars: number of sidecars of the same service that are connected to the entry;
+        0 if it hasn't counted them yet.
+    """
 
     heard: timedelta
+    sidecars: int = 0
 
 
 class PlaceRun(NamedTuple):
@@ -107,9 +118,14 @@
     """To a peer: the addresses of all entries that the sender knows.
 
     Lets a process find the entries when it can't reach the store.
+
+    Attributes:
+      addresses: the addresses, as HOST:PORT.
+      own: the sender's own address; empty for a sidecar.
     """
 
     addresses: tuple[str, ...]
+    own: str = ""
 
 
 class ConfigurationOffer(NamedTuple):
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -16,6 +16,7 @@
 from gypsumspoke.runs import (
     supervisor_commands,
     supervisor_incarnation,
+    supervisor_links,
     supervisor_renewals,
     supervisor_report,
 )
@@ -72,22 +73,6 @@
     return _handle_message(event.message, event.sender, state, now)
 
 
-@_handle.register
-def _(event: PeerConnected, state: SupervisorState, now: datetime) -> list[Effect]:
-    state.peers.add(event.incarnation)
-    state.taken[event.incarnation] = 0
-    return supervisor_report.report_to(state, event.incarnation, now)
-
-
-@_handle.register
-def _(event: PeerLost, state: SupervisorState, now: datetime) -> list[Effect]:
-    # Its runs go on, since it may reconnect; otherwise its silence ends them.
-    state.peers.discard(event.incarnation)
-    state.taken.pop(event.incarnation, None)
-    state.last_reports.pop(event.incarnation, None)
-    return []
-
-
 @_handle.register
 def _(event: HeartbeatArrived, state: SupervisorState, now: datetime) -> list[Effect]:
     effects = supervisor_incarnation.handle_registration(state, event.registration, now)
@@ -126,6 +111,7 @@
 @_handle.register
 def _(event: Tick, state: SupervisorState, now: datetime) -> list[Effect]:
     effects = _cancel_runs_of_silent_entries(state, now)
+    effects += supervisor_links.update_links(state, now)
     effects += supervisor_renewals.expire_runs(state, now)
     effects += supervisor_commands.retry_stops(state, now)
     effects += supervisor_renewals.next_renewal(state, now)
@@ -160,16 +146,11 @@
     message: Pulse, sender: str, state: SupervisorState, now: datetime
 ) -> list[Effect]:
     record_heard(state, sender, message.heard, now)
+    if sender in state.peers:
+        state.group.record_sidecars(sender, message.sidecars)
     return []
 
 
-@_handle_message.register
-def _(
-    message: KnownEntries, sender: str, state: SupervisorState, now: datetime
-) -> list[Effect]:
-    return state.directory.update_from_peer(message.addresses)
-
-
 def _cancel_runs_of_silent_entries(
     state: SupervisorState, now: datetime
 ) -> list[Effect]:
@@ -191,7 +172,10 @@
     return effects
 
 
+_handle.register(PeerConnected, supervisor_links.handle_connected)
+_handle.register(PeerLost, supervisor_links.handle_connection_lost)
 _handle.register(Drain, begin_stop)
+_handle_message.register(KnownEntries, supervisor_links.handle_known_entries)
 _handle_message.register(PlaceRun, handle_placement)
 _handle_message.register(AskRun, handle_run_query)
 _handle_message.register(WithdrawRun, handle_withdrawal)
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -42,26 +42,36 @@
     runs end by a known time and can be placed elsewhere. Until the worker has seen this
     process's token nothing can start, so those renewals don't wait for an end.
     """
-    interval = state.budget.renewal_interval
+    wait = _renewal_wait(state)
     if state.renewal_sent_at is not None:
-        overdue = state.renewal_sent_at + interval + 2 * COMMAND_TIMEOUT
-        if now < overdue:
+        overdue = state.renewal_sent_at + state.renewal_wait + 2 * COMMAND_TIMEOUT
+        # A renewal from before the first run waits too long to show its progress.
+        if now < overdue and state.renewal_wait <= wait:
             return []
     state.renewal_sent_at = now
+    state.renewal_wait = wait
     state.renewal_number += 1
     lease_end = extend_lease(state, now) if _may_extend_lease(state, now) else None
-    wait = interval if state.is_fenced else timedelta()
     renewal = RenewCommand(
         state.worker_id,
         lease_end,
         state.last_seen,
-        wait,
+        state.renewal_wait,
         state.token,
         number=state.renewal_number,
     )
     return [renewal, *update_lease_withheld(state, now)]
 
 
+def _renewal_wait(state: SupervisorState) -> timedelta:
+    """Return how long the worker may wait for an end before it answers."""
+    if not state.is_fenced:
+        return timedelta()
+    if state.runs or not state.knows_all_runs:
+        return state.budget.renewal_interval
+    return state.budget.idle_renewal_interval
+
+
 def _may_extend_lease(state: SupervisorState, now: datetime) -> bool:
     if state.token == 0 or state.lease.clock is None:
         return False
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -5,7 +5,11 @@
 
 from gypsumspoke.core.effects import Effect, Send
 from gypsumspoke.runs.messages import WorkerReport
-from gypsumspoke.runs.supervisor_state import LastReport, SupervisorState
+from gypsumspoke.runs.supervisor_state import (
+    LastReport,
+    SupervisorState,
+    has_runs_of,
+)
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
 
 # Shortest interval between reports of changed room to one entry, which limits the
@@ -65,6 +69,10 @@
     return can_start(state, now)
 
 
+def _takes_work_of(state: SupervisorState, peer: str, takes_work_now: bool) -> bool:
+    return takes_work_now and peer not in state.leaving
+
+
 def report_to(state: SupervisorState, peer: str, now: datetime) -> list[Effect]:
     """Send a report to one entry."""
     worker = state.worker
@@ -74,14 +82,18 @@
         worker=state.worker_id,
         service=worker.service if worker else "",
         labels=worker.labels if worker else (),
-        takes_work=takes_work(state, now),
+        takes_work=_takes_work_of(state, peer, takes_work(state, now)),
         clean=state.is_fenced and state.knows_all_runs,
         capacity=capacity,
         free=subtract(capacity, state.reserved),
         pace=current_pace(state),
         failing=is_failing(state),
         taken=state.taken.get(peer, 0),
+        entries=max(len(state.peers) - len(state.leaving), 1),
+        partial=state.group.is_partial(state.directory.known),
     )
+    if state.leaving.get(peer, now) is None and not has_runs_of(state, peer):
+        state.leaving[peer] = now
     state.last_reports[peer] = LastReport(now, state.reserved, message.takes_work)
     return [Send(peer, message)]
 
@@ -135,7 +147,8 @@
     takes_work_now = takes_work(state, now)
     for peer in sorted(state.peers):
         last = state.last_reports.get(peer)
-        if last is None or last.takes_work is not takes_work_now:
+        takes_work_of_peer = _takes_work_of(state, peer, takes_work_now)
+        if last is None or last.takes_work is not takes_work_of_peer:
             effects += report_to(state, peer, now)
         elif last.reserved != state.reserved and now - last.at >= interval:
             effects += report_to(state, peer, now)
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -7,6 +7,7 @@
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.messages import RunEnded
 from gypsumspoke.runs.values import (
     NO_ROOM,
@@ -131,6 +132,7 @@
       is_lease_short: whether the lease was too short for a start at the last renewal.
       last_seen: highest number of the listed ends that were processed.
       renewal_sent_at: when the pending renewal was sent; None if none is pending.
+      renewal_wait: how long the worker may wait before it answers that renewal.
       renewal_number: number of the latest renewal.
       is_fenced: whether the worker has seen this sidecar's token, and so refuses
         commands of earlier processes of this sidecar.
@@ -148,6 +150,9 @@
       taken: for each entry, the placements that arrived on its current connection.
       peers: connected entries.
       last_reports: the latest report to each connected entry.
+      group: the entries that this sidecar connects to.
+      leaving: entries whose connection is to be closed; the value is when the first
+        report that says so was sent while no run of the entry was here, or None.
       highest: highest run number accepted for a task, for the latest tasks.
       pace: run time over estimate, smoothed; 0 before the first end.
       failing: smoothed share of failed ends.
@@ -155,7 +160,7 @@
       placement_count: number of runs accepted so far.
       draining_since: when the graceful stop began.
       has_stopped: whether the graceful stop is complete.
-      directory: the entries that this sidecar connects to.
+      directory: the known entries.
     """
 
     def __init__(
@@ -164,6 +169,7 @@
         directory: Directory,
         now: datetime,
         budget: Budget = DEFAULT_BUDGET,
+        group: EntryGroup | None = None,
     ) -> None:
         self.origin = now
         self.budget = budget
@@ -177,6 +183,7 @@
         self.is_lease_short = False
         self.last_seen = 0
         self.renewal_sent_at: datetime | None = None
+        self.renewal_wait = timedelta()
         self.renewal_number = 0
         self.is_fenced = False
         self.worker_answered_at: datetime | None = None
@@ -190,6 +197,8 @@
         self.taken: dict[str, int] = {}
         self.peers: set[str] = set()
         self.last_reports: dict[str, LastReport] = {}
+        self.group = group or EntryGroup("", now)
+        self.leaving: dict[str, datetime | None] = {}
         self.highest: OrderedDict[TaskId, int] = OrderedDict()
         self.pace = 0.0
         self.failing = 0.0
@@ -212,6 +221,11 @@
         return self.worker.id if self.worker else ""
 
 
+def has_runs_of(state: SupervisorState, entry: str) -> bool:
+    """Return whether a run of an entry has not ended here."""
+    return any(local.coordinator == entry for local in state.runs.values())
+
+
 def reserve_room(state: SupervisorState, local: LocalRun) -> None:
     """Reserve a run's room, just before its start is sent."""
     state.reserved = add(state.reserved, local.room)
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -16,7 +16,7 @@
     CoordinatorState,
     FirstConfiguration,
 )
-from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.directory import Directory, neighbours
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
 from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
@@ -83,7 +83,11 @@
         own_address = address_text(settings.peers)
         state = CoordinatorState(
             adapter.parse_configuration,
-            Directory(own_address, settings.known_entries),
+            Directory(
+                own_address,
+                settings.known_entries,
+                partial(neighbours, own_address),
+            ),
             clock.now(),
             settings.budget,
             settings.remote_slowdown,
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -11,7 +11,7 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count, Log, Observe
-from gypsumspoke.runs.directory import DialEntries
+from gypsumspoke.runs.directory import CloseConnection, DialEntries
 from gypsumspoke.runs.settings import RunSettings, parse_address
 from gypsumspoke.shell.deferred_metrics import DeferredMetrics
 from gypsumspoke.shell.early_listeners import EarlyListeners
@@ -129,7 +129,11 @@
     def dial(effect: DialEntries) -> None:
         context.dialler.set_addresses(map(parse_address, effect.addresses))
 
+    def close_connection(effect: CloseConnection) -> None:
+        context.links.disconnect(effect.incarnation)
+
     runtime.add_handler(DialEntries, dial)
+    runtime.add_handler(CloseConnection, close_connection)
     return runtime
 
 
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -8,6 +8,7 @@
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.runs import supervisor
 from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.settings import RunSettings
 from gypsumspoke.runs.supervisor_report import can_start
 from gypsumspoke.runs.supervisor_state import SupervisorState
@@ -62,11 +63,13 @@
     """
     with ExitStack() as stack:
         context = open_run_context(settings, "sidecar", clock, listeners, stack)
+        group = EntryGroup(settings.instance, clock.now())
         state = SupervisorState(
             settings.service,
-            Directory("", settings.known_entries),
+            Directory("", settings.known_entries, group.select),
             clock.now(),
             settings.budget,
+            group,
         )
         runtime = open_runtime(settings, context, supervisor.reduce, state, clock)
         worker = stack.enter_context(
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -348,11 +348,14 @@
   9: double pace
   10: bool failing
   11: i64 taken
+  12: i64 entries
+  13: bool partial
 }
 
 /** Entry to sidecar: answers a report, and keeps the entry's runs alive. */
 struct Pulse {
   1: DurationMicros heard
+  2: i64 sidecars
 }
 
 /** Entry to sidecar: start this run when there is room. */
@@ -388,6 +391,7 @@
 /** To a peer: the addresses of all entries that the sender knows. */
 struct KnownEntries {
   1: list<string> addresses
+  2: string own
 }
 
 /** Between entries: the version of the configuration in force. */
--- a/gypsumspoke/wire/hello.py
+++ b/gypsumspoke/wire/hello.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class Hello(NamedTuple):
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -172,6 +172,12 @@
         for connection in list(self._connections):
             connection.close("aborted")
 
+    def disconnect(self, incarnation: str) -> None:
+        """Close all connections to a peer; queued messages are lost."""
+        peer = self._peers.get(incarnation)
+        for connection in list(peer.connections) if peer else ():
+            connection.close("not needed")
+
     def set_addresses(self, members: Iterable[Member]) -> None:
         """Set the addresses of all peers that may be dialled.
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -36,7 +36,13 @@
     JobArrived,
     JobCallerLeft,
 )
-from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.directory import (
+    CloseConnection,
+    DialEntries,
+    Directory,
+    EntriesRead,
+)
+from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.supervisor_renewals import COMMAND_TIMEOUT
 from gypsumspoke.runs.supervisor_state import SupervisorState
@@ -111,6 +117,7 @@
         self.queue: deque[tuple[datetime, Any]] = deque()
         self.is_busy = False
         self.exited = False
+        self.dialled: frozenset[str] = frozenset()
 
     @property
     def host(self) -> str:
@@ -166,6 +173,7 @@
         self.answered_at: dict[str, datetime] = {}
         self.log: list[tuple[datetime, str, Any]] = []
         self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.all_workers: list[FakeWorker] = []
         self.worker_incarnations: dict[str, int] = {}
@@ -220,17 +228,39 @@
     def start_entry(self, host: str) -> Process:
         """Start an entry, or the next incarnation of one."""
         state = CoordinatorState(
-            lambda text: Failure("none"), Directory("", ()), self.now, self.budget
+            lambda text: Failure("none"),
+            Directory(self.address_of(host), ()),
+            self.now,
+            self.budget,
         )
         process = self._add(host, coordinator.reduce, state)
         table = RoutingTable(CONFIGURATION)
         self.post(process, ConfigurationChanged(table, ""))
+        self._publish_entries()
         return process
 
+    def address_of(self, host: str) -> str:
+        """Return the address of an entry; the same for all its incarnations."""
+        if host not in self.addresses:
+            number = len(self.addresses) + 1
+            self.addresses[host] = f"10.0.{number // 256}.{number % 256}:8166"
+        return self.addresses[host]
+
+    def _publish_entries(self) -> None:
+        """Have all processes read the addresses of all entries."""
+        for process in self.processes.values():
+            self._read_entries(process)
+
+    def _read_entries(self, process: Process) -> None:
+        self.post(process, EntriesRead(tuple(self.addresses.values())))
+
     def start_sidecar(self, host: str) -> Process:
         """Start a sidecar, or the next incarnation of one."""
-        state = SupervisorState(SERVICE, Directory("", ()), self.now, self.budget)
+        group = EntryGroup(host, self.now)
+        directory = Directory("", (), group.select)
+        state = SupervisorState(SERVICE, directory, self.now, self.budget, group)
         process = self._add(host, supervisor.reduce, state)
+        self._read_entries(process)
         self._send_heartbeats(process)
         return process
 
@@ -384,7 +414,8 @@
                 continue
             pair = frozenset((process.name, other.name))
             is_cut = frozenset((process.host, other.host)) in self.cut
-            usable = other.alive and not other.frozen and not is_cut
+            is_dialled = self.addresses[other.host] in process.dialled
+            usable = other.alive and not other.frozen and not is_cut and is_dialled
             if usable and pair not in self._connected:
                 self._connected.add(pair)
                 self.post(process, PeerConnected(other.name))
@@ -417,6 +448,10 @@
                 self._record_answer(effect)
             case StartCommand() | StopCommand() | RenewCommand():
                 self.at(ZERO, lambda: self._send_command(process, effect))
+            case DialEntries(addresses):
+                process.dialled = frozenset(addresses)
+            case CloseConnection(incarnation):
+                self._disconnect(frozenset((process.name, incarnation)))
             case Exit():
                 process.exited = True
                 self.kill(process.host)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -314,6 +314,19 @@
     assert [entry.next_event(Received).message for _ in last] == last
 
 
+def test_a_connection_that_is_not_needed_is_closed_at_both_ends(process):
+    one, other = process("one"), process("other")
+    one.set_peers(other)
+    one.links.send("other", QUERY)
+    other.next_event(Received)
+    one.set_peers()
+    one.links.disconnect("other")
+    assert one.next_event(PeerLost) == PeerLost("other")
+    assert other.next_event(PeerLost) == PeerLost("one")
+    assert one.links.connection_count("other") == 0
+    one.links.disconnect("other")
+
+
 def test_an_ended_member_is_not_dialled(process):
     entry, home = process("entry"), process("home")
     entry.links.set_addresses([member("home", home.port, ended=START)])
