Idle renewals wait 120 ms, and a placement sends no second one

A renewal of 200 ms beside a second one at the first placement left the start of tests/platform without an answer for 30 ms: with two renewals pending, answers of a server that sends header and body apart come some 40 ms late (delayed acknowledgements; traced with the times of each exchange). The runs were then taken for unanswered, and a stopping sidecar's were started anew.

An idle renewal now waits 120 ms, so that the progress of the first run is still seen in time, and there is one renewal at a time, as before.

--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -33,8 +33,9 @@
 ENTRY_SILENCE_TICKS = 5.0
 LEASE_TICKS = 6.0
 RENEWAL_TICKS = 0.6
-# A worker without runs needs no lease, and a start extends it.
-IDLE_RENEWAL_TICKS = 2.0
+# A worker without runs needs no lease, and a start extends it. The progress of the
+# first run is seen only in the answer to a renewal sent before it.
+IDLE_RENEWAL_TICKS = 1.2
 # An older placement was delayed on its way, or its sender was paused.
 MAX_PLACEMENT_AGE_TICKS = 3.5
 # A worker that leaves renewals unanswered for so long gets no new runs.
--- a/gypsumspoke/runs/supervisor_placement.py
+++ b/gypsumspoke/runs/supervisor_placement.py
@@ -8,12 +8,7 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.effects import Count, Effect, Send
-from gypsumspoke.runs import (
-    supervisor_commands,
-    supervisor_ends,
-    supervisor_renewals,
-    supervisor_report,
-)
+from gypsumspoke.runs import supervisor_commands, supervisor_ends, supervisor_report
 from gypsumspoke.runs.messages import AskRun, PlaceRun, RunEnded, WithdrawRun
 from gypsumspoke.runs.supervisor_queue import start_waiting_runs
 from gypsumspoke.runs.supervisor_state import (
@@ -57,8 +52,7 @@
         state.placement_count,
     )
     effects += start_waiting_runs(state, now)
-    effects += _refuse_without_room(state, message.run, now)
-    return [*effects, *supervisor_renewals.next_renewal(state, now)]
+    return [*effects, *_refuse_without_room(state, message.run, now)]
 
 
 def handle_run_query(
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -42,14 +42,12 @@
     runs end by a known time and can be placed elsewhere. Until the worker has seen this
     process's token nothing can start, so those renewals don't wait for an end.
     """
-    wait = _renewal_wait(state)
     if state.renewal_sent_at is not None:
         overdue = state.renewal_sent_at + state.renewal_wait + 2 * COMMAND_TIMEOUT
-        # A renewal from before the first run waits too long to show its progress.
-        if now < overdue and state.renewal_wait <= wait:
+        if now < overdue:
             return []
     state.renewal_sent_at = now
-    state.renewal_wait = wait
+    state.renewal_wait = _renewal_wait(state)
     state.renewal_number += 1
     lease_end = extend_lease(state, now) if _may_extend_lease(state, now) else None
     renewal = RenewCommand(
