Runs wait a little at a full worker instead of being sent back

At 85 % of the workers' room entries place on views that are some milliseconds old, and up to one run was sent back for want of room for each that completed, at a cost of a message, an end, a report and log lines at both ends.

A run that finds no room now waits at the sidecar if runs that are expected to end within 60 ms free it, counts as taken room in reports, and is sent back after 60 ms.

--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -19,6 +19,7 @@
     supervisor_links,
     supervisor_renewals,
     supervisor_report,
+    waiting_room,
 )
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.messages import (
@@ -100,6 +101,7 @@
 def _(event: RenewalAnswered, state: SupervisorState, now: datetime) -> list[Effect]:
     effects = supervisor_renewals.handle_renewal_answer(state, event, now)
     effects += start_waiting_runs(state, now)
+    effects += waiting_room.send_back_overdue(state, now)
     return [*effects, *supervisor_renewals.next_renewal(state, now)]
 
 
@@ -116,6 +118,7 @@
     effects += supervisor_commands.retry_stops(state, now)
     effects += supervisor_renewals.next_renewal(state, now)
     effects += start_waiting_runs(state, now)
+    effects += waiting_room.send_back_overdue(state, now)
     effects += supervisor_report.send_regular_reports(state, now)
     return [*effects, *continue_stop(state, now)]
 
--- a/gypsumspoke/runs/supervisor_placement.py
+++ b/gypsumspoke/runs/supervisor_placement.py
@@ -1,8 +1,9 @@
 """Runs that entries place on this sidecar, query or withdraw.
 
 Several entries place runs on one worker without seeing each other's, so more may arrive
-than fits. What does not fit is refused at once with a current report, so that it can be
-placed elsewhere. Only a run whose task has an older run here waits for its end.
+than fits. What does not fit waits here if room is expected soon (``waiting_room.py``);
+otherwise it is refused at once with a current report, so that it can be placed
+elsewhere. A run whose task has an older run here waits for its end.
 """
 
 from datetime import datetime, timedelta
@@ -19,6 +20,7 @@
     record_highest,
 )
 from gypsumspoke.runs.values import EndReason, RunEnd, RunId, WorkerReady, fits
+from gypsumspoke.runs.waiting_room import expects_room_soon, refuse_for_room
 
 
 def handle_placement(
@@ -139,19 +141,19 @@
 def _refuse_without_room(
     state: SupervisorState, run: RunId, now: datetime
 ) -> list[Effect]:
-    """Refuse a run that found no room, after a current report.
+    """Refuse a run that found no room and will find none soon, after a current report.
 
-    Its entry did not know of the latest placements of other entries. Queued here, the
-    run would wait for this worker while others have room.
+    Its entry did not know of the latest placements of other entries.
     """
     local = state.runs.get(run)
     if local is None or local.phase is not Phase.WAITING:
         return []
     if _has_older_run(state, local):
         return []
-    report = supervisor_report.report_to(state, local.coordinator, now)
-    refused = supervisor_commands.cancel_run(state, local, EndReason.ROOM_TAKEN, now)
-    return [*report, *refused]
+    if expects_room_soon(state, now):
+        local.waits_for_room_since = now
+        return []
+    return refuse_for_room(state, local, now)
 
 
 def _has_older_run(state: SupervisorState, local: LocalRun) -> bool:
--- a/gypsumspoke/runs/supervisor_queue.py
+++ b/gypsumspoke/runs/supervisor_queue.py
@@ -1,7 +1,7 @@
 """Queue of the runs that wait at a sidecar.
 
-They wait for an older run of their task to end, or until the worker may take work, and
-start by priority, then by arrival.
+They wait for an older run of their task to end, for room that is expected soon, or
+until the worker may take work, and start by priority, then by arrival.
 """
 
 from datetime import datetime
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -9,6 +9,7 @@
     LastReport,
     SupervisorState,
     has_runs_of,
+    promised_room,
 )
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
 
@@ -85,7 +86,7 @@
         takes_work=_takes_work_of(state, peer, takes_work(state, now)),
         clean=state.is_fenced and state.knows_all_runs,
         capacity=capacity,
-        free=subtract(capacity, state.reserved),
+        free=subtract(capacity, promised_room(state)),
         pace=current_pace(state),
         failing=is_failing(state),
         taken=state.taken.get(peer, 0),
@@ -94,7 +95,8 @@
     )
     if state.leaving.get(peer, now) is None and not has_runs_of(state, peer):
         state.leaving[peer] = now
-    state.last_reports[peer] = LastReport(now, state.reserved, message.takes_work)
+    promised = subtract(capacity, message.free)
+    state.last_reports[peer] = LastReport(now, promised, message.takes_work)
     return [Send(peer, message)]
 
 
@@ -145,11 +147,12 @@
         1.0, len(state.peers) / ENTRIES_AT_FULL_RATE
     )
     takes_work_now = takes_work(state, now)
+    promised = promised_room(state)
     for peer in sorted(state.peers):
         last = state.last_reports.get(peer)
         takes_work_of_peer = _takes_work_of(state, peer, takes_work_now)
         if last is None or last.takes_work is not takes_work_of_peer:
             effects += report_to(state, peer, now)
-        elif last.reserved != state.reserved and now - last.at >= interval:
+        elif last.promised != promised and now - last.at >= interval:
             effects += report_to(state, peer, now)
     return effects
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -50,7 +50,7 @@
     """The parts of the latest report to an entry that trigger the next one."""
 
     at: datetime
-    reserved: Room
+    promised: Room
     takes_work: bool
 
 
@@ -64,6 +64,7 @@
       start_by: deadline for the start.
       placement_number: rises with each placement; breaks ties within a priority.
       phase: see Phase.
+      waits_for_room_since: when it began to wait for room; None if it doesn't.
       started_at: when the start was sent; once accepted, when it was accepted.
       start_clock: the worker's clock when it last reported the run as running.
       stop_clock: the worker's clock when it accepted the stop.
@@ -99,6 +100,7 @@
         self.spec = spec
         self.start_by = start_by
         self.placement_number = placement_number
+        self.waits_for_room_since: datetime | None = None
         self.phase = Phase.WAITING
         self.started_at: datetime | None = None
         self.start_clock: timedelta | None = None
@@ -231,6 +233,15 @@
     state.reserved = add(state.reserved, local.room)
 
 
+def promised_room(state: SupervisorState) -> Room:
+    """Return the room of all runs here, those that wait included."""
+    room = state.reserved
+    for local in state.runs.values():
+        if local.phase is Phase.WAITING:
+            room = add(room, local.room)
+    return room
+
+
 def record_end(state: SupervisorState, coordinator: str, ended: RunEnded) -> None:
     """Keep an end for later reports, up to ``MAX_KEPT_ENDS``."""
     state.ended[coordinator, ended.run] = ended
--- a/tests/runs/fleet.py
+++ b/tests/runs/fleet.py
@@ -1,24 +1,35 @@
 """A large deployment in virtual time, and the messages that it costs."""
 
 from collections import Counter
-from datetime import timedelta
+from datetime import datetime, timedelta
+from random import Random
 
 from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.directory import CloseConnection
 from gypsumspoke.runs.messages import RunEnded
-from gypsumspoke.runs.values import EndReason, JobEnd
-from tests.runs.world import TASK_TIME, World, job, ms
+from gypsumspoke.runs.values import EndReason, Job, JobEnd, Room, Step
+from tests.runs.world import CAPACITY, TASK_TIME, World, ms
 
 # Tasks that fit on one worker at a time.
-SLOTS_PER_WORKER = 2
+SLOTS_PER_WORKER = 6
+ROOM = Room(CAPACITY.cpu // SLOTS_PER_WORKER, 64, 0)
+MIN_TASK_TIME, MAX_TASK_TIME = ms(120), ms(280)
+PACES = (0.6, 1.0, 1.6)
 CHECK_INTERVAL = ms(50)
 
 
+def small_job(job_id: str, count: int) -> Job:
+    """Return a job whose tasks leave room for others on a worker."""
+    return Job(job_id, "spec", (Step(count, ROOM, TASK_TIME),))
+
+
 class Fleet(World):
     """A world whose guarantees are checked at intervals, as there are many workers."""
 
     def __init__(self, entries: int, sidecars: int, seed: int = 0) -> None:
         self._checked_at: timedelta | None = None
+        self.sent_at: dict[str, datetime] = {}
+        self.task_times = Random(seed)
         super().__init__(entries=entries, sidecars=sidecars, seed=seed)
         self.entry_hosts = [f"entry{number}" for number in range(entries)]
         self.sidecar_hosts = [f"side{number}" for number in range(sidecars)]
@@ -29,6 +40,18 @@
             self._checked_at = self.now
             super()._check()
 
+    def start_worker(self, host: str) -> None:
+        """Start a worker whose tasks take unequal times."""
+        self.pace.setdefault(host, PACES[len(self.pace) % len(PACES)])
+        super().start_worker(host)
+        self.workers[host].rooms = lambda task: ROOM
+        pace = self.pace[host]
+        self.workers[host].run_time = lambda task: self._task_time() * pace
+
+    def _task_time(self) -> timedelta:
+        share = self.task_times.random()
+        return MIN_TASK_TIME + (MAX_TASK_TIME - MIN_TASK_TIME) * share
+
     # Load
 
     def submit_for(
@@ -54,7 +77,8 @@
             self.requests += 1
             request = f"r{self.requests}"
             host = self.random.choice(hosts)
-            self.submit(host, request, job(f"j{self.requests}", count=2))
+            self.submit(host, request, small_job(f"j{self.requests}", 2))
+            self.sent_at[request] = self.now
             requests.append(request)
         return requests
 
@@ -63,8 +87,19 @@
         ends = [self.end_of(request) for request in requests]
         return ends.count(JobEnd.COMPLETED) / len(ends)
 
+    def job_times(self, requests: list[str]) -> list[timedelta]:
+        """Return the times within which jobs were answered, in ascending order."""
+        return sorted(
+            self.answered_at[request] - self.sent_at[request] for request in requests
+        )
+
     # Connections and messages
 
+    @property
+    def connected(self) -> set[frozenset[str]]:
+        """The pairs of connected processes."""
+        return self._connected
+
     def sidecars_of(self, entry: str) -> int:
         """Return the number of sidecars that are connected to an entry."""
         name = self.processes[entry].name
