A label that no connected worker has is no final refusal

An entry that is connected to a part of the workers refused a job whose label none of them has with 503, which is final for many callers, although others have it. It now answers 504 with the reason no_worker_in_group, so that the caller comes back to another entry, if a sidecar says that it leaves out known entries; where it knows all workers, the refusal stays.

Expected waits divide by the entries that share each worker, as its sidecar states them, and a report that states none counts as one.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -16,7 +16,7 @@
 )
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace
-from gypsumspoke.runs.values import RefusalReason
+from gypsumspoke.runs.values import RefusalReason, Step
 
 # Bounds the memory of one entry.
 MAX_JOBS = 2000
@@ -76,10 +76,23 @@
         return Refusal(RefusalReason.NO_WORKER, DEFAULT_RETRY_AFTER)
     for step in event.job.steps:
         if not any(serves(view, event.route.service, step) for view in views):
-            return Refusal(RefusalReason.NO_WORKER_FITS, MAX_RETRY_AFTER)
+            return _refuse_unfit(views, event.route.service, step)
     return None
 
 
+def _refuse_unfit(views: list[SidecarView], service: str, step: Step) -> Refusal:
+    """Refuse a job with a step that no connected worker can run.
+
+    Only a label may be found elsewhere: an entry that is connected to a part of the
+    workers only may know none that has it.
+    """
+    is_partial = any(view.report.partial for view in views)
+    unlabelled = step._replace(label="")
+    if is_partial and any(serves(view, service, unlabelled) for view in views):
+        return Refusal(RefusalReason.NO_WORKER_IN_GROUP, DEFAULT_RETRY_AFTER)
+    return Refusal(RefusalReason.NO_WORKER_FITS, MAX_RETRY_AFTER)
+
+
 def configuration_timeout(state: CoordinatorState, now: datetime) -> timedelta:
     """Return how long a request may wait for the first configuration.
 
@@ -156,7 +169,7 @@
     if not work:
         return timedelta()
     share = sum(
-        view.report.capacity.cpu / view.pace / view.report.entries
+        view.report.capacity.cpu / view.pace / max(view.report.entries, 1)
         for view in state.views.values()
         if view.connected and _takes_work(view, service)
     )
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -68,6 +68,9 @@
 # One log line covers all refusals of an interval: a line costs more than a refusal.
 REFUSED_LOG_INTERVAL = timedelta(seconds=1)
 
+# "Not run" is final for many callers, but another entry may serve such a job.
+_ENDS_OF_REFUSALS = {RefusalReason.NO_WORKER_IN_GROUP: JobEnd.GIVEN_UP}
+
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -140,7 +143,8 @@
     refusal = refuse_unservable(state, event, now)
     refusal = refusal or refuse_long_queue(state, event, now)
     if refusal is not None:
-        return refuse(event.request, event.job.id, refusal)
+        end = _ENDS_OF_REFUSALS.get(refusal.reason, JobEnd.NOT_RUN)
+        return refuse(event.request, event.job.id, refusal, end)
     progress = JobProgress(event, now, _waited_elsewhere(state, event, now))
     state.jobs[progress.id] = progress
     state.by_request[event.request] = progress.id
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -262,6 +262,7 @@
     NO_WORKER = "no_worker"
     ISOLATED = "isolated"
     NO_WORKER_FITS = "no_worker_fits"
+    NO_WORKER_IN_GROUP = "no_worker_in_group"
     TOO_LATE = "too_late"
     ENTRY_BEHIND = "entry_behind"
     TOO_MANY_JOBS = "too_many_jobs"
--- a/tests/runs/test_fleet.py
+++ b/tests/runs/test_fleet.py
@@ -10,7 +10,9 @@
     EntryGroup,
 )
 from gypsumspoke.runs.values import JobEnd
+from gypsumspoke.runs.worker_commands import HeartbeatArrived
 from tests.runs.fleet import Fleet
+from tests.runs.lone_sidecar import registration
 from tests.runs.world import job, ms
 
 ENTRIES, SIDECARS = 35, 160
@@ -126,3 +128,35 @@
     tasks = [run.task for worker in fleet.all_workers for run in worker.starts]
     assert len(tasks) == len(set(tasks))
     assert not fleet.violations
+
+
+def labelled_fleet(entries):
+    """Return a fleet of whose workers one has a label of its own."""
+    fleet = settled_fleet(entries, 60)
+    host = fleet.sidecar_hosts[0]
+    event = HeartbeatArrived(registration()._replace(labels=("rare",)))
+    fleet.post(fleet.processes[host], event)
+    fleet.run(ms(300))
+    return fleet, host
+
+
+def test_a_label_that_no_connected_worker_has_is_no_final_refusal():
+    """Another entry may know a worker with the label; its callers should go there."""
+    fleet, host = labelled_fleet(entries=12)
+    sent = job("j", count=1, label="rare")
+    for number, entry in enumerate(fleet.entry_hosts):
+        fleet.submit(entry, f"r{number}", sent._replace(id=f"j{number}"))
+    fleet.run(ms(1000))
+    name = fleet.processes[host].name
+    for number, entry in enumerate(fleet.entry_hosts):
+        pair = frozenset((name, fleet.processes[entry].name))
+        is_connected = pair in fleet.connected
+        expected = JobEnd.COMPLETED if is_connected else JobEnd.GIVEN_UP
+        assert fleet.end_of(f"r{number}") is expected
+
+
+def test_a_label_that_no_worker_has_is_refused_by_an_entry_that_knows_all():
+    fleet, _ = labelled_fleet(entries=4)
+    fleet.submit(fleet.entry_hosts[0], "r", job("j", count=1, label="none"))
+    fleet.run(ms(1000))
+    assert fleet.end_of("r") is JobEnd.NOT_RUN
