--- a/gypsumspoke/runs/entry_group.py
+++ b/gypsumspoke/runs/entry_group.py
@@ -69,6 +69,12 @@
         """Number of entries that the sidecar wants to be connected to."""
         return self._size
 
+    @property
+    def sidecars_per_entry(self) -> float:
+        """Mean number of sidecars that the connected entries have; 0 if unknown."""
+        counts = self._sidecars.values()
+        return sum(counts) / len(counts) if counts else 0.0
+
     @property
     def surplus(self) -> tuple[str, ...]:
         """Incarnations of connected entries that are not needed any more."""
@@ -141,13 +147,19 @@
         if count > 0:
             self._sidecars[incarnation] = count
 
-    def advance(self, now: datetime) -> None:
-        """Advance the time and adapt the size to the entries' numbers of sidecars."""
+    def advance(self, now: datetime) -> bool:
+        """Advance the time and adapt the size to the entries' numbers of sidecars.
+
+        Returns:
+          Whether the size has changed.
+        """
         self._now = now
         if now - self._resized_at < RESIZE_INTERVAL:
-            return
+            return False
         self._resized_at = now
-        self._size = adapted_size(self._size, self._sidecars.values())
+        previous = self._size
+        self._size = adapted_size(previous, self._sidecars.values())
+        return self._size != previous
 
 
 def adapted_size(size: int, counts: Iterable[int]) -> int:
--- a/gypsumspoke/runs/supervisor_links.py
+++ b/gypsumspoke/runs/supervisor_links.py
@@ -7,9 +7,10 @@
 all placements that it sent before have then arrived, and it has all ends of its runs.
 """
 
+import logging
 from datetime import datetime
 
-from gypsumspoke.core.effects import Effect
+from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.core.events import PeerConnected, PeerLost
 from gypsumspoke.runs import supervisor_report
 from gypsumspoke.runs.directory import CloseConnection
@@ -52,8 +53,8 @@
 
 def update_links(state: SupervisorState, now: datetime) -> list[Effect]:
     """Adapt the connections to the group. Called at each tick."""
-    state.group.advance(now)
-    effects = state.directory.refresh()
+    effects = _log_resized(state) if state.group.advance(now) else []
+    effects += state.directory.refresh()
     surplus = state.group.surplus
     for entry in [entry for entry in state.leaving if entry not in surplus]:
         del state.leaving[entry]
@@ -64,6 +65,15 @@
     return effects
 
 
+def _log_resized(state: SupervisorState) -> list[Effect]:
+    fields = (
+        ("entries", state.group.size),
+        ("known", len(state.directory.known)),
+        ("sidecars_per_entry", round(state.group.sidecars_per_entry, 1)),
+    )
+    return [Log(logging.INFO, "entry group resized", fields=fields)]
+
+
 def _may_close(state: SupervisorState, entry: str) -> bool:
     """Return whether nothing between the entry and this sidecar is under way."""
     if has_runs_of(state, entry):
@@ -77,5 +87,6 @@
 def _close(state: SupervisorState, entry: str, now: datetime) -> list[Effect]:
     del state.leaving[entry]
     state.group.record_lost(entry, now)
+    log = Log(logging.INFO, "entry left", fields=(("entry", entry),))
     # Dialling stops first, so that the closed connection is not replaced.
-    return [*state.directory.refresh(), CloseConnection(entry)]
+    return [*state.directory.refresh(), CloseConnection(entry), log]
--- a/gypsumspoke/shell/link_metrics.py
+++ b/gypsumspoke/shell/link_metrics.py
@@ -39,3 +39,8 @@
         metrics.gauge(
             f"link_{name}", description, partial(links.counts.__getitem__, name)
         )
+    metrics.gauge(
+        "link_open_connections",
+        "Open connections to peers.",
+        lambda: links.open_connections,
+    )
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -119,6 +119,11 @@
         """Counters of messages, bytes, drops, refusals and closed connections."""
         return self._counts
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections to all peers."""
+        return len(self._connections)
+
     def connection_count(self, incarnation: str) -> int:
         """Return the number of open connections to a peer."""
         peer = self._peers.get(incarnation)
--- a/tests/runs/fleet.py
+++ b/tests/runs/fleet.py
@@ -26,11 +26,11 @@
 class Fleet(World):
     """A world whose guarantees are checked at intervals, as there are many workers."""
 
-    def __init__(self, entries: int, sidecars: int, seed: int = 0) -> None:
+    def __init__(self, entries: int, sidecars: int, seed: int = 0, **more) -> None:
         self._checked_at: timedelta | None = None
         self.sent_at: dict[str, datetime] = {}
         self.task_times = Random(seed)
-        super().__init__(entries=entries, sidecars=sidecars, seed=seed)
+        super().__init__(entries, sidecars, seed, **more)
         self.entry_hosts = [f"entry{number}" for number in range(entries)]
         self.sidecar_hosts = [f"side{number}" for number in range(sidecars)]
         self.requests = 0
--- a/tests/runs/test_fleet.py
+++ b/tests/runs/test_fleet.py
@@ -7,11 +7,11 @@
     MAX_SIDECARS_PER_ENTRY,
     SUBSTITUTE_DELAY,
     SURPLUS_DELAY,
-    EntryGroup,
 )
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.runs.worker_commands import HeartbeatArrived
 from tests.runs.fleet import Fleet
+from tests.runs.groups import RedrawnGroup
 from tests.runs.lone_sidecar import registration
 from tests.runs.world import job, ms
 
@@ -101,21 +101,11 @@
     assert fleet.end_of("r") is JobEnd.COMPLETED
 
 
-class RedrawnGroup(EntryGroup):
-    """A group that can be drawn anew, as if all entries had changed."""
-
-    def redraw(self, seed):
-        self._seed = seed
-        self._ranked_from = ()
-
-
 def test_connections_close_without_loss_of_runs():
     """A connection that was closed while a run was on its way lost the run to its entry
     until the time budget ended.
     """
-    fleet = Fleet(12, 60)
-    for host in fleet.sidecar_hosts:
-        fleet.processes[host].state.group.__class__ = RedrawnGroup
+    fleet = Fleet(12, 60, group=RedrawnGroup)
     fleet.run(ms(3000))
     requests = []
     for number in range(3):
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.runs.walk import CommandFaultWalk, IsolationWalk, Walk
+from tests.runs.walk import CommandFaultWalk, GroupWalk, IsolationWalk, Walk
 
 # 26: a worker restarted between two renewals; a run on its new incarnation was taken
 # for lost with those of the old one and placed a second time.
@@ -21,6 +21,12 @@
     assert IsolationWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_changing_groups_break_no_guarantee(seed):
+    """Sidecars leave entries whose runs are live, beside losses of both."""
+    assert GroupWalk(seed).play() == []
+
+
 # 9: a start was carried out, its answer lost, and the worker restarted; the job was
 # answered as not run.
 @pytest.mark.parametrize("seed", [*range(4), 9])
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -18,8 +18,10 @@
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.coordinator_state import AnswerJob
+from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
+from tests.runs.groups import SingleEntryGroup
 from tests.runs.world import Delivery, World, job, ms
 
 ENTRIES = ("entry0", "entry1")
@@ -35,10 +37,11 @@
     """
 
     STEPS = 40
+    GROUP: Callable[..., EntryGroup] = EntryGroup
 
     def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
         self.random = random.Random(seed)
-        self.world = World(entries=2, sidecars=3, seed=seed, budget=budget)
+        self.world = World(2, 3, seed, budget, self.GROUP)
         self.requests = 0
         self.jobs = 0
         self.tries: dict[str, list[str]] = {}
@@ -229,6 +232,31 @@
             self.world.at(after, partial(self.world.heal, entry, side))
 
 
+class GroupWalk(Walk):
+    """A walk on which each sidecar is connected to one entry, and often to another.
+
+    Connections are left while runs are live and processes are lost; an entry may have
+    no sidecar for a while.
+    """
+
+    STEPS = 80
+    GROUP = SingleEntryGroup
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [*super()._steps(), *[self._redraw] * 6]
+
+    def _redraw(self) -> None:
+        """Draw the groups of some sidecars anew."""
+        for host in self.random.sample(SIDES, self.random.randint(1, len(SIDES))):
+            group = self.world.processes[host].state.group
+            group.redraw(str(self.random.random()))
+
+    def _check_service(self) -> None:
+        for host in SIDES:
+            self.world.processes[host].state.group.widen()
+        super()._check_service()
+
+
 class FaultKind(Enum):
     """What happens to a command."""
 
@@ -447,14 +475,19 @@
         self.faults.clear()
 
 
-KINDS = {"": Walk, "cut-off": IsolationWalk, "orders": CommandFaultWalk}
+KINDS = {
+    "": Walk,
+    "cut-off": IsolationWalk,
+    "orders": CommandFaultWalk,
+    "groups": GroupWalk,
+}
 
 
 def main() -> None:
     """Play the seeds from the first to the second argument.
 
-    A third argument, ``cut-off`` or ``orders``, plays the walks of ``IsolationWalk`` or
-    ``CommandFaultWalk``.
+    A third argument, ``cut-off``, ``orders`` or ``groups``, plays the walks of
+    ``IsolationWalk``, ``CommandFaultWalk`` or ``GroupWalk``.
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     kind = KINDS[sys.argv[3] if sys.argv[3:] else ""]
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -156,6 +156,7 @@
       entries, sidecars: number of each.
       seed: seed of the random faults.
       budget: the time budget of all processes.
+      group: makes the group of a sidecar from its host and the time.
     """
 
     def __init__(
@@ -164,7 +165,9 @@
         sidecars: int = 2,
         seed: int = 0,
         budget: Budget = DEFAULT_BUDGET,
+        group: Callable[[str, datetime], EntryGroup] = EntryGroup,
     ) -> None:
+        self._make_group = group
         self.budget = budget
         self.now = START
         self.random = random.Random(seed)
@@ -256,7 +259,7 @@
 
     def start_sidecar(self, host: str) -> Process:
         """Start a sidecar, or the next incarnation of one."""
-        group = EntryGroup(host, self.now)
+        group = self._make_group(host, self.now)
         directory = Directory("", (), group.select)
         state = SupervisorState(SERVICE, directory, self.now, self.budget, group)
         process = self._add(host, supervisor.reduce, state)
