--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -28,7 +28,7 @@
 # Relative error by which a worker's clock may be slow, given by the platform.
 WORKER_CLOCK_ERROR = 0.02
 
-# In ticks. Reports and pulses come about once a tick, so four of them may be lost or
+# In ticks. Reports and acks come about once a tick, so four of them may be lost or
 # late before an entry counts as silent, and nine renewals before a lease ends.
 ENTRY_SILENCE_TICKS = 5.0
 LEASE_TICKS = 6.0
@@ -42,7 +42,7 @@
 WORKER_SILENCE_TICKS = 4.0
 # A run started on a shorter lease would be lost if a stop stays unanswered.
 MIN_LEASE_SHARE = 0.5
-PULSE_TICKS = 0.8
+ACK_TICKS = 0.8
 
 # Upper bound, which saves processor time where the platform allows longer ticks.
 MAX_TICK = timedelta(milliseconds=100)
@@ -137,9 +137,9 @@
         return self.bounds.stop * 1.2
 
     @property
-    def pulse_interval(self) -> timedelta:
-        """Time after an entry's last message to a sidecar until a pulse is due."""
-        return self.tick * PULSE_TICKS
+    def ack_interval(self) -> timedelta:
+        """Time after an entry's last message to a sidecar until an ack is due."""
+        return self.tick * ACK_TICKS
 
     @property
     def run_expiry(self) -> timedelta:
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -12,7 +12,7 @@
     AskRun,
     ConfigurationOffer,
     KnownEntries,
-    Pulse,
+    ReportAck,
     RunEnded,
     WithdrawRun,
     WorkerReport,
@@ -30,8 +30,8 @@
 
 # Time after which a disconnected sidecar is dropped from the state.
 FORGET_DELAY = timedelta(seconds=30)
-# Pulses to a sidecar without runs of this entry only keep the connection alive.
-IDLE_PULSE_INTERVAL = timedelta(milliseconds=250)
+# Acks to a sidecar without runs of this entry only keep the connection alive.
+IDLE_ACK_INTERVAL = timedelta(milliseconds=250)
 
 
 def handle_connected(
@@ -74,7 +74,7 @@
 def handle_worker_report(
     message: WorkerReport, sender: str, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
-    """Update the view of a sidecar and decide whether to answer with a pulse."""
+    """Update the view of a sidecar and decide whether to answer with an ack."""
     view = state.views.get(sender)
     effects = end_isolation(state)
     if view is None:
@@ -87,10 +87,10 @@
     update_report(view, message, state.arrival.read)
     if state.waiting and may_allow_placement(make_offer(view, now), previous):
         state.needs_placing_round = True
-    if now - view.last_sent_at >= _pulse_interval(state, view):
+    if now - view.last_sent_at >= _ack_interval(state, view):
         view.last_sent_at = now
         count = state.sidecar_counts.get(message.service, 0)
-        effects.append(Send(sender, Pulse(message.stamp, count)))
+        effects.append(Send(sender, ReportAck(message.stamp, count)))
     if took_work is not message.takes_work:
         effects.append(_log_changed(view))
     if message.clean:
@@ -98,10 +98,10 @@
     return effects
 
 
-def _pulse_interval(state: CoordinatorState, view: SidecarView) -> timedelta:
-    """Return the time after the last message to a sidecar until a pulse is due."""
-    interval = state.budget.pulse_interval
-    return interval if view.open_runs else max(interval, IDLE_PULSE_INTERVAL)
+def _ack_interval(state: CoordinatorState, view: SidecarView) -> timedelta:
+    """Return the time after the last message to a sidecar until an ack is due."""
+    interval = state.budget.ack_interval
+    return interval if view.open_runs else max(interval, IDLE_ACK_INTERVAL)
 
 
 def _log_changed(view: SidecarView) -> Log:
--- a/gypsumspoke/runs/messages.py
+++ b/gypsumspoke/runs/messages.py
@@ -46,8 +46,8 @@
     partial: bool = False
 
 
-class Pulse(NamedTuple):
-    """Entry to sidecar: answers a report and keeps the entry's runs alive.
+class ReportAck(NamedTuple):
+    """Entry to sidecar: acknowledges a report and keeps the entry's runs alive.
 
     Attributes:
       heard: as in the module's description.
@@ -147,7 +147,7 @@
 
 RunMessage = (
     WorkerReport
-    | Pulse
+    | ReportAck
     | PlaceRun
     | WithdrawRun
     | AskRun
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -37,7 +37,7 @@
       incarnation, host: the process, and the name of the instance that runs it.
       first_seen: when this entry first heard of the process.
       reported_at: when its latest report was read.
-      last_sent_at: when this entry last sent it a pulse or a placement.
+      last_sent_at: when this entry last sent it an ack or a placement.
       connected: whether a connection is up.
       sent: number of placements sent on this connection.
       unreported: placements that the latest report does not include.
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -26,7 +26,7 @@
     AskRun,
     KnownEntries,
     PlaceRun,
-    Pulse,
+    ReportAck,
     RunMessage,
     WithdrawRun,
 )
@@ -146,7 +146,7 @@
 
 @_handle_message.register
 def _(
-    message: Pulse, sender: str, state: SupervisorState, now: datetime
+    message: ReportAck, sender: str, state: SupervisorState, now: datetime
 ) -> list[Effect]:
     record_heard(state, sender, message.heard, now)
     if sender in state.peers:
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -23,7 +23,7 @@
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
 from gypsumspoke.wire.links import PeerLinks
 
-# Reports and pulses are sent several times a second, so a connection silent for this
+# Reports and acks are sent several times a second, so a connection silent for this
 # long is dead; it is replaced before the entry's runs would be stopped.
 MAX_SILENCE = timedelta(milliseconds=750)
 # Best-effort jobs have no homes. The hello carries this count, so processes with homes
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -352,8 +352,8 @@
   13: bool partial
 }
 
-/** Entry to sidecar: answers a report, and keeps the entry's runs alive. */
-struct Pulse {
+/** Entry to sidecar: acknowledges a report, and keeps the entry's runs alive. */
+struct ReportAck {
   1: DurationMicros heard
   2: i64 sidecars
 }
@@ -435,7 +435,7 @@
   22: ManifestUpdate manifest_update
   23: TeamUsage team_usage
   24: WorkerReport worker_report
-  25: Pulse pulse
+  25: ReportAck report_ack
   26: PlaceRun place_run
   27: WithdrawRun withdraw_run
   28: AskRun ask_run
--- a/tests/runs/test_budget.py
+++ b/tests/runs/test_budget.py
@@ -40,7 +40,7 @@
 @given(resend=st.integers(400, 5000).map(ms))
 def test_some_messages_may_be_lost_before_anything_counts_as_silent(resend):
     budget = budget_for(DEFAULT_BOUNDS._replace(resend=resend)).unwrap()
-    assert budget.entry_silence >= 4 * (budget.tick + budget.pulse_interval) / 2
+    assert budget.entry_silence >= 4 * (budget.tick + budget.ack_interval) / 2
     assert budget.lease >= 4 * budget.renewal_interval
     assert budget.worker_silence < budget.lease
 
--- a/tests/runs/test_fleet.py
+++ b/tests/runs/test_fleet.py
@@ -41,9 +41,9 @@
     reports_per_second = 10
     for host, group in zip(fleet.entry_hosts, groups):
         assert received[host] <= (group + 1) * reports_per_second
-    pulses_per_second = 4
+    acks_per_second = 4
     for host in fleet.sidecar_hosts:
-        assert received[host] <= (INITIAL_SIZE + 1) * pulses_per_second
+        assert received[host] <= (INITIAL_SIZE + 1) * acks_per_second
 
 
 @pytest.mark.parametrize("entries, sidecars", [(4, 11), (9, 54), (ENTRIES, SIDECARS)])
--- a/tests/runs/test_incarnations.py
+++ b/tests/runs/test_incarnations.py
@@ -6,7 +6,7 @@
 from gypsumspoke.core.events import PeerConnected, Received, Tick
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS, DEFAULT_BUDGET, budget_for
 from gypsumspoke.runs.directory import Directory
-from gypsumspoke.runs.messages import PlaceRun, Pulse, RunEnded, WithdrawRun
+from gypsumspoke.runs.messages import PlaceRun, ReportAck, RunEnded, WithdrawRun
 from gypsumspoke.runs.supervisor_commands import STOP_RETRY_INTERVAL
 from gypsumspoke.runs.supervisor_state import SupervisorState
 from gypsumspoke.runs.values import RunEnd, RunId, TaskId
@@ -79,7 +79,7 @@
     )
     started = []
     for at in (ms(60), ms(50) + budget.max_lease_on_slow_clock):
-        sidecar.handle(at, Received(ENTRY, Pulse(at)))
+        sidecar.handle(at, Received(ENTRY, ReportAck(at)))
         sidecar.handle_list(at, listed_at=NEW_CLOCK + at, incarnation=INCARNATION + 1)
         run = RunId(TaskId(f"j{len(started)}", 0, 0), 1)
         message = PlaceRun(at, run, TASK_ROOM, 1, TASK_TIME, ms(9000), "x")
--- a/tests/runs/test_lease.py
+++ b/tests/runs/test_lease.py
@@ -2,7 +2,7 @@
 
 from gypsumspoke.core.events import PeerConnected, Received, Tick
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, WORKER_CLOCK_ERROR
-from gypsumspoke.runs.messages import PlaceRun, Pulse, RunEnded
+from gypsumspoke.runs.messages import PlaceRun, ReportAck, RunEnded
 from gypsumspoke.runs.values import RunId, TaskId
 from gypsumspoke.runs.worker_commands import (
     CommandAnswered,
@@ -46,7 +46,7 @@
     reported: list[RunEnded] = []
     dead = PLACED + DEFAULT_BUDGET.lease_on_slow_clock + DEFAULT_BUDGET.bounds.stop
     for at in (dead - ms(40), dead - ms(1)):
-        sidecar.handle(at, Received(ENTRY, Pulse(at)))
+        sidecar.handle(at, Received(ENTRY, ReportAck(at)))
         reported += ends(sidecar.handle(at, Tick()))
     assert reported == []
     (end,) = ends(sidecar.handle(dead + ms(1), Tick()))
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -2,7 +2,7 @@
 
 from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.budget import MAX_TICK
-from gypsumspoke.runs.messages import Pulse, WorkerReport
+from gypsumspoke.runs.messages import ReportAck, WorkerReport
 from gypsumspoke.runs.supervisor_report import CHANGE_REPORT_INTERVAL
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.shell.run_role import MAX_SILENCE
@@ -40,13 +40,13 @@
     assert view.report.free.cpu == 5000
 
 
-def pulse_times(world, entry):
-    """Return when an entry sent pulses to sidecars."""
+def ack_times(world, entry):
+    """Return when an entry sent acks to sidecars."""
     return [
         time
         for time, name, effect in world.log
         if isinstance(effect, Send)
-        and isinstance(effect.message, Pulse)
+        and isinstance(effect.message, ReportAck)
         and name.startswith(entry)
     ]
 
@@ -56,7 +56,7 @@
     world = settled(sidecars=1)
     start = world.now
     world.run(ms(3000))
-    times = [time for time in pulse_times(world, "entry0") if time > start]
+    times = [time for time in ack_times(world, "entry0") if time > start]
     assert len(times) <= 3 * 4
     gaps = [later - time for time, later in zip(times, times[1:])]
     assert max(gaps) <= MAX_SILENCE / 2
@@ -70,7 +70,7 @@
     world.run(ms(30))
     start = world.now
     world.run(ms(800))
-    times = [time for time in pulse_times(world, "entry0") if time > start]
+    times = [time for time in ack_times(world, "entry0") if time > start]
     gaps = [later - time for time, later in zip([start, *times], times)]
     assert max(gaps) <= 2 * MAX_TICK
     assert len(times) >= 6
