A run placed while its sidecar leaves keeps the connection until its end is acknowledged

A sidecar told an entry that it takes no work; a run that the entry had placed before it knew could start and end between two ticks. The entry's answer to the earlier report then let the connection close in the same moment in which the run's end was sent, and a reset could lose it: the entry would have taken the run for lost only after the time budget. Found by reading; the test fails without the change.

A placement now makes the sidecar wait for the answer to a later report.

--- a/gypsumspoke/runs/supervisor_placement.py
+++ b/gypsumspoke/runs/supervisor_placement.py
@@ -29,6 +29,9 @@
     """Start a run, queue it behind an older one of its task, or refuse it."""
     if sender in state.taken:
         state.taken[sender] += 1
+    if sender in state.leaving:
+        # Its end must be acknowledged too before the connection is closed.
+        state.leaving[sender] = None
     record_heard(state, sender, message.heard, now)
     known = _report_known_run(state, message.run, sender)
     if known is not None:
