--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -3,7 +3,7 @@
 import json
 import os
 import random
-from contextlib import ExitStack
+from contextlib import ExitStack, closing
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,7 @@
 from tests.standins.platform_store import PlatformStore
 from tests.standins.platform_worker import PlatformWorker
 from tests.standins.processes import Process, Processes
+from tests.standins.relay import Relay
 
 TIMEOUT_SECONDS = 20
 HOST = "pots.example"
@@ -63,10 +64,22 @@
     Args:
       folder: directory for settings and logs.
       entries, sidecars: number of processes.
+      relayed: whether relays stand between entries, sidecars, workers and the store.
+
+    Attributes:
+      relays: the relays, by the name of the server behind each.
     """
 
-    def __init__(self, folder: Path, entries: int = 2, sidecars: int = 2) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 2,
+        sidecars: int = 2,
+        relayed: bool = False,
+    ) -> None:
         self._folder = folder
+        self._relayed = relayed
+        self.relays: dict[str, Relay] = {}
         self._stack = ExitStack()
         self._net = f"127.{random.SystemRandom().randrange(1, 255)}"
         self._net += f".{random.SystemRandom().randrange(1, 255)}"
@@ -97,35 +110,55 @@
         """Start or restart an entry."""
         ip = self._ip(10 + number)
         front, ready, control, _ = self._ports
+        announced, listening = (ip, control), (self._ip(110 + number), control)
+        if self._relayed:
+            self._relay(f"front-{number}", listening, announced)
         settings = self._settings(f"front-{number}", ip, ["front", "control"])
         settings["listen"] = {
             "front": f"{ip}:{front}",
             "ready": f"{ip}:{ready}",
             "control": f"{ip}:{control}",
         }
-        return self._start("entry", settings)
+        if not self._relayed:
+            return self._start(settings, "gypsumspoke.platform", "entry")
+        addresses = (f"{host}:{port}" for host, port in (announced, listening))
+        return self._start(settings, "tests.standins.relayed_role", *addresses)
 
     def start_sidecar(self, number: int) -> Process:
         """Start or restart a sidecar."""
         ip = self._ip(20 + number)
         settings = self._settings(f"side-{number}", ip, ["side"])
         settings["listen"] = {"control": f"{ip}:{self._ports[2]}"}
-        host, port = self.workers[number].address
+        host, port = self._relay(f"w{number}", self.workers[number].address)
         settings["app"] = f"{host}:{port}"
         settings["service"] = "estimate"
-        return self._start("sidecar", settings)
+        return self._start(settings, "gypsumspoke.platform", "sidecar")
 
-    def _start(self, role: str, settings: dict) -> Process:
+    def _relay(
+        self,
+        name: str,
+        target: tuple[str, int],
+        listen: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> tuple[str, int]:
+        """Return the address at which a server is reached."""
+        if not self._relayed:
+            return target
+        if name not in self.relays:
+            relay = self._stack.enter_context(closing(Relay(target, listen)))
+            self.relays[name] = relay
+        return self.relays[name].address
+
+    def _start(self, settings: dict, *arguments: str) -> Process:
         path = self._folder / f"{settings['node']}.json"
         path.write_text(json.dumps(settings))
         os.environ["GYPSUMSPOKE_SETTINGS"] = str(path)
         try:
-            return self._processes.start("gypsumspoke.platform", role)
+            return self._processes.start(*arguments)
         finally:
             del os.environ["GYPSUMSPOKE_SETTINGS"]
 
     def _settings(self, node: str, ip: str, serves: list[str]) -> dict:
-        host, port = self.store.address
+        host, port = self._relay("store", self.store.address)
         seed = f"{self._ip(10)}:{self._ports[2]}"
         return {
             "node": node,
