One request without an answer discards all idle connections that are unproven

Cause: a client took one dead connection for the fault of that one alone. It kept up to eight idle connections and tried them one after another, each for the whole timeout, which grows on the way; a worker's starts and renewals, and the store's calls, went unanswered eight times in a row.

Ruled out: a smaller pool (a busy worker would connect for each start), and dropping connections in use or that answered meanwhile (a slow worker would lose all of them at each timeout; the second test).

--- a/gypsumspoke/shell/keep_alive.py
+++ b/gypsumspoke/shell/keep_alive.py
@@ -3,6 +3,10 @@
 As in ``shell/http_exchange.py``, a request is sent once: without an answer it may have
 taken effect, and only the caller knows whether it may be repeated. An idle connection
 on which the server has sent bytes, or has closed, is not reused.
+
+Connections may go silent without being closed, often all at once, when something on the
+way has lost track of them. A new connection then works. So after a request without an
+answer no other connection is reused that has not answered since that request was sent.
 """
 
 from collections import deque
@@ -25,6 +29,7 @@
 # Connections kept open per address; concurrent requests beyond it open temporary ones.
 MAX_IDLE_CONNECTIONS = 8
 _READ_BYTES = 64 * 1024
+_UNANSWERED: Result[HttpAnswer, ExchangeError] = Failure(ExchangeError.TIMEOUT)
 
 
 class Request(NamedTuple):
@@ -42,6 +47,13 @@
     body: bytes = b""
 
 
+class _Idle(NamedTuple):
+    """An idle connection, and the number of the latest request when it answered."""
+
+    sock: socket
+    answered: int
+
+
 class KeepAliveClient:
     """Sends requests to one address over persistent connections.
 
@@ -60,12 +72,13 @@
         self._address = address
         self._connect_timeout = connect_timeout
         self._max_answer_bytes = max_answer_bytes
-        self._idle: deque[socket] = deque()
+        self._idle: deque[_Idle] = deque()
+        self._requests = 0
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            self._idle.pop().close()
+            self._idle.pop().sock.close()
 
     def send(
         self, request: Request, timeout: timedelta
@@ -82,25 +95,37 @@
         sock = self._take_idle() or self._connect()
         if sock is None:
             return Failure(ExchangeError.NOT_SENT)
+        self._requests += 1
+        number = self._requests
         keep = False
         try:
             answer, keep = self._exchange(sock, request, timeout)
+            if answer == _UNANSWERED:
+                self._close_unproven(number)
             return answer
         finally:
             if keep and len(self._idle) < MAX_IDLE_CONNECTIONS:
-                self._idle.append(sock)
+                self._idle.append(_Idle(sock, self._requests))
             else:
                 sock.close()
 
     def _take_idle(self) -> socket | None:
         """Return an idle connection that is still usable, or None."""
         while self._idle:
-            sock = self._idle.pop()
+            sock = self._idle.pop().sock
             if _is_quiet(sock):
                 return sock
             sock.close()
         return None
 
+    def _close_unproven(self, number: int) -> None:
+        """Close the idle connections that have not answered since a request."""
+        proven = [idle for idle in self._idle if idle.answered >= number]
+        for idle in self._idle:
+            if idle.answered < number:
+                idle.sock.close()
+        self._idle = deque(proven)
+
     def _connect(self) -> socket | None:
         sock = socket(AF_INET, SOCK_STREAM)
         sock.settimeout(self._connect_timeout.total_seconds())
@@ -134,7 +159,7 @@
                 keep = response.message_complete and not response.should_close()
                 return answer, keep
         except gevent.Timeout:
-            return Failure(ExchangeError.TIMEOUT), False
+            return _UNANSWERED, False
         except (OSError, HTTPParseError, ValueError):
             return Failure(ExchangeError.BROKEN), False
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -20,7 +20,7 @@
 
 
 def test_a_run_goes_on_while_all_connections_are_replaced(system):
-    """Sidecars must not stop the runs of an entry that still answers new connections."""
+    """Sidecars must not stop runs of an entry that still answers new connections."""
     for worker in system.workers:
         worker.task_duration = timedelta(seconds=1.5)
     before = sum(len(each.worker.starts) for each in system.workers)
--- a/tests/shell/test_keep_alive.py
+++ b/tests/shell/test_keep_alive.py
@@ -9,6 +9,7 @@
 
 from gypsumspoke.shell.http_exchange import ExchangeError
 from gypsumspoke.shell.keep_alive import KeepAliveClient, Request, success
+from tests.standins.relay import Relay
 from tests.standins.sockets import Server, closed_port
 
 SECOND = timedelta(seconds=1)
@@ -53,6 +54,37 @@
     assert len(set(server.client_ports)) == 2
 
 
+@pytest.fixture
+def relay(server):
+    relay = Relay(server.address)
+    yield relay
+    relay.close()
+
+
+def test_one_request_finds_that_all_idle_connections_are_silent(relay):
+    """Requests must not try one dead connection after another."""
+    client = client_of(relay.address)
+    calls = [gevent.spawn(client.send, REQUEST, SECOND) for _ in range(3)]
+    assert all(is_successful(call.get()) for call in calls)
+    assert relay.accepted == 3
+    relay.stall_connections()
+    timeout = timedelta(milliseconds=50)
+    assert client.send(REQUEST, timeout).failure() is ExchangeError.TIMEOUT
+    assert client.send(REQUEST, SECOND).unwrap().body == b"ok"
+
+
+def test_a_connection_that_answered_during_a_timeout_is_kept(server):
+    """A slow request says nothing of connections that worked meanwhile."""
+    client = client_of(server.address)
+    slow = REQUEST._replace(path="/slow")
+    timeout = timedelta(milliseconds=200)
+    calls = [gevent.spawn(client.send, each, timeout) for each in (slow, REQUEST)]
+    assert is_successful(calls[1].get())
+    assert calls[0].get().failure() is ExchangeError.TIMEOUT
+    assert client.send(REQUEST, SECOND).unwrap().body == b"ok"
+    assert len(set(server.client_ports)) == 2
+
+
 def test_a_refused_connection_is_reported_as_not_sent():
     answer = client_of(closed_port()).send(REQUEST, SECOND)
     assert answer.failure() is ExchangeError.NOT_SENT
