Place nothing on a report of an earlier connection

What callers saw: after each reconnection of a sidecar some tasks were sent back (order_stale) and started some milliseconds later than they could.

Cause: on a new connection an entry took the sidecar's last report, of the old connection, as just heard. A placement then named its stamp, which was older than a sidecar accepts.

The test fails before. Ruled out: that the connection itself was slow, as the first report on it came in the same millisecond.

--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -39,6 +39,7 @@
       reported_at: when its latest report was read.
       last_sent_at: when this entry last sent it an ack or a placement.
       connected: whether a connection is up.
+      has_reported: whether a report has arrived on it.
       sent: number of placements sent on this connection.
       unreported: placements that the latest report does not include.
       freed: room of runs that ended since the latest report.
@@ -64,6 +65,7 @@
         self.reported_at = now
         self.last_sent_at = now
         self.connected = True
+        self.has_reported = False
         self.sent = 0
         self.unreported: deque[tuple[int, Placement]] = deque()
         self.freed = NO_ROOM
@@ -110,6 +112,7 @@
       read: when the report was read, which may be well before it is handled.
     """
     view.report = report
+    view.has_reported = True
     view.reported_at = read
     view.freed = NO_ROOM
     while view.unreported and view.unreported[0][0] <= report.taken:
@@ -146,6 +149,7 @@
 def restart_connection(view: SidecarView, read: datetime) -> None:
     """Reset the count of placements, as the sidecar does on a new connection."""
     view.connected = True
+    view.has_reported = False
     view.sent = 0
     view.unreported.clear()
     view.reported_at = read
@@ -156,7 +160,7 @@
     """Return whether new runs may be placed there."""
     return (
         view.connected
-        and view.report is not None
+        and view.has_reported
         and view.report.takes_work
         # The sidecar refuses placements that are based on an older report.
         and now - view.reported_at < view.max_report_age
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -1,8 +1,9 @@
 """Reports of a worker's room to entries, and placements that find no room."""
 
 from gypsumspoke.core.effects import Send
+from gypsumspoke.core.events import PeerConnected
 from gypsumspoke.runs.budget import MAX_TICK
-from gypsumspoke.runs.messages import ReportAck, WorkerReport
+from gypsumspoke.runs.messages import PlaceRun, ReportAck, WorkerReport
 from gypsumspoke.runs.supervisor_report import CHANGE_REPORT_INTERVAL
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.shell.run_role import MAX_SILENCE
@@ -134,3 +135,23 @@
     assert len(reports) < 400
     world.run(ms(500))
     assert {world.end_of(f"r{number}") for number in range(200)} == {JobEnd.COMPLETED}
+
+
+def test_nothing_is_placed_on_a_report_of_an_earlier_connection():
+    """Such a placement names an old stamp, and the sidecar refuses it as delayed."""
+    world = settled(sidecars=1)
+    world.cut_off("entry0", "side0")
+    world.run(ms(450))
+    world.heal("entry0", "side0")
+    name = world.processes["side0"].name
+    world.post(world.processes["entry0"], PeerConnected(name))
+    world.submit("entry0", "r0", job("j0", count=1))
+    placed = [
+        effect
+        for _, process, effect in world.log
+        if isinstance(effect, Send) and isinstance(effect.message, PlaceRun)
+    ]
+    assert not placed
+    world.run(ms(600))
+    assert world.end_of("r0") is JobEnd.COMPLETED
+    assert len(world.starts_of("j0")) == 1
