Send acks by the age of the proof of life that a sidecar has

What callers saw: nothing yet. A sidecar went up to 300 ms of the 500 ms at which it stops an entry's runs without a fresh proof that the entry is alive, on connections without any fault.

Cause: a placement counted as a proof sent now, and put the next ack off. But it carries the stamp of the latest report, which may be 150 ms old.

Ruled out: acks to each report (ten a second more at rest).

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -18,7 +18,12 @@
 )
 from gypsumspoke.runs.messages import PlaceRun
 from gypsumspoke.runs.placement import Choice, PlacementRequest, choose, is_open_to
-from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace, record_placement
+from gypsumspoke.runs.sidecar_views import (
+    SidecarView,
+    fastest_pace,
+    record_placement,
+    record_proof,
+)
 from gypsumspoke.runs.values import RunId
 
 # Jobs without a placement after which a round ends; each costs a scan of all workers.
@@ -152,7 +157,7 @@
     progress.placed += 1
     state.by_run[PlacedRun(view.incarnation, run)] = progress.id
     record_placement(view, choice.placement)
-    view.last_sent_at = now
+    record_proof(view, now)
     message = PlaceRun(
         view.report.stamp,
         run,
--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -43,7 +43,8 @@
 # A run started on a shorter lease would be lost if a stop stays unanswered.
 MIN_LEASE_SHARE = 0.5
 ACK_TICKS = 0.8
-
+# Acks to a sidecar without runs of the entry only keep the connection alive.
+IDLE_ACK_INTERVAL = timedelta(milliseconds=250)
 # Upper bound, which saves processor time where the platform allows longer ticks.
 MAX_TICK = timedelta(milliseconds=100)
 # The platform may suspend a process for the rest of a period of 100 ms. With a shorter
@@ -141,6 +142,11 @@
         """Time after an entry's last message to a sidecar until an ack is due."""
         return self.tick * ACK_TICKS
 
+    @property
+    def idle_ack_interval(self) -> timedelta:
+        """The same for a sidecar that has no runs of the entry."""
+        return max(self.ack_interval, IDLE_ACK_INTERVAL)
+
     @property
     def run_expiry(self) -> timedelta:
         """Time from an entry's last sign of life until all of its runs have ended."""
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -22,6 +22,7 @@
     SidecarView,
     make_offer,
     may_allow_placement,
+    record_proof,
     record_run_end,
     restart_connection,
     update_report,
@@ -30,8 +31,6 @@
 
 # Time after which a disconnected sidecar is dropped from the state.
 FORGET_DELAY = timedelta(seconds=30)
-# Acks to a sidecar without runs of this entry only keep the connection alive.
-IDLE_ACK_INTERVAL = timedelta(milliseconds=250)
 
 
 def handle_connected(
@@ -87,8 +86,8 @@
     update_report(view, message, state.arrival.read)
     if state.waiting and may_allow_placement(make_offer(view, now), previous):
         state.needs_placing_round = True
-    if now - view.last_sent_at >= _ack_interval(state, view):
-        view.last_sent_at = now
+    if _is_ack_due(state, view):
+        record_proof(view, now)
         count = state.sidecar_counts.get(message.service, 0)
         effects.append(Send(sender, ReportAck(message.stamp, count)))
     if took_work is not message.takes_work:
@@ -98,10 +97,17 @@
     return effects
 
 
-def _ack_interval(state: CoordinatorState, view: SidecarView) -> timedelta:
-    """Return the time after the last message to a sidecar until an ack is due."""
-    interval = state.budget.ack_interval
-    return interval if view.open_runs else max(interval, IDLE_ACK_INTERVAL)
+def _is_ack_due(state: CoordinatorState, view: SidecarView) -> bool:
+    """Return whether a sidecar needs a new proof that this entry is alive.
+
+    The latest proof is as old as the report whose stamp it carried; a placement carries
+    the stamp of a report that may be old already.
+    """
+    if view.proof_read_at is None:
+        return True
+    budget = state.budget
+    interval = budget.ack_interval if view.open_runs else budget.idle_ack_interval
+    return view.reported_at - view.proof_read_at >= interval
 
 
 def _log_changed(view: SidecarView) -> Log:
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -38,6 +38,8 @@
       first_seen: when this entry first heard of the process.
       reported_at: when its latest report was read.
       last_sent_at: when this entry last sent it an ack or a placement.
+      proof_read_at: when the report was read whose stamp that message carried; None
+        before the first on this connection.
       connected: whether a connection is up.
       has_reported: whether a report has arrived on it.
       sent: number of placements sent on this connection.
@@ -64,6 +66,7 @@
         self.first_seen = now
         self.reported_at = now
         self.last_sent_at = now
+        self.proof_read_at: datetime | None = None
         self.connected = True
         self.has_reported = False
         self.sent = 0
@@ -120,6 +123,12 @@
     view.invalidate_free()
 
 
+def record_proof(view: SidecarView, now: datetime) -> None:
+    """Record a message that carries the stamp of the latest report."""
+    view.last_sent_at = now
+    view.proof_read_at = view.reported_at
+
+
 def record_placement(view: SidecarView, placement: Placement) -> None:
     """Record a placement that is being sent."""
     view.sent += 1
@@ -150,6 +159,7 @@
     """Reset the count of placements, as the sidecar does on a new connection."""
     view.connected = True
     view.has_reported = False
+    view.proof_read_at = None
     view.sent = 0
     view.unreported.clear()
     view.reported_at = read
--- a/tests/runs/test_reports.py
+++ b/tests/runs/test_reports.py
@@ -137,6 +137,25 @@
     assert {world.end_of(f"r{number}") for number in range(200)} == {JobEnd.COMPLETED}
 
 
+def test_placements_do_not_delay_the_proof_of_life():
+    """A placement carries the stamp of an old report. An ack that was put off after it
+    came so late that runs of the entry were nearly stopped.
+    """
+    world = settled(sidecars=1)
+    world.workers["side0"].run_time = lambda task: ms(230)
+    sidecar = world.processes["side0"].state
+    entry = world.processes["entry0"].name
+    ages = []
+    for number in range(400):
+        if number % 42 == 0:
+            world.submit("entry0", f"r{number}", job(f"j{number}", count=1))
+        world.run(ms(5))
+        if any(local.coordinator == entry for local in sidecar.runs.values()):
+            ages.append(world.now - sidecar.heard[entry])
+    budget = sidecar.budget
+    assert max(ages) <= budget.ack_interval + budget.tick * 1.5
+
+
 def test_nothing_is_placed_on_a_report_of_an_earlier_connection():
     """Such a placement names an old stamp, and the sidecar refuses it as delayed."""
     world = settled(sidecars=1)
