Replace silent connections to entries before their runs are stopped

What callers saw: when the open connections between sidecars and entries went silent, all runs were stopped and started again, jobs waited for up to 5 s, some ended with 503 and 504, and 1 of 130 was in time while that came once a second.

Cause: failure detection slower than the decisions that rest on it. An entry's runs are stopped after 500 ms without a proof that it lives; a silent connection was closed after 750 ms, looked at each 250 ms, and dialled again only then.

A sidecar that waits for acks for three ticks (4.5 without runs of the entry) connects anew beside the old connection, which is given up only when the entry has answered on the new one. The decision is the reducer's; the dialler carries it out.

--- a/gypsumspoke/runs/budget.py
+++ b/gypsumspoke/runs/budget.py
@@ -43,8 +43,16 @@
 # A run started on a shorter lease would be lost if a stop stays unanswered.
 MIN_LEASE_SHARE = 0.5
 ACK_TICKS = 0.8
+# The longest that a sidecar goes without reporting to an entry.
+REPORT_TICKS = 1.5
+# Longer than acks ever take, and two ticks before the entry's runs would be stopped,
+# which is the time for a new connection and the first ack on it.
+LINK_SILENCE_TICKS = 3.0
 # Acks to a sidecar without runs of the entry only keep the connection alive.
 IDLE_ACK_INTERVAL = timedelta(milliseconds=250)
+# Beyond the report that an ack answers, for a late timer.
+LATE_TICKS = 0.5
+
 # Upper bound, which saves processor time where the platform allows longer ticks.
 MAX_TICK = timedelta(milliseconds=100)
 # The platform may suspend a process for the rest of a period of 100 ms. With a shorter
@@ -147,6 +155,17 @@
         """The same for a sidecar that has no runs of the entry."""
         return max(self.ack_interval, IDLE_ACK_INTERVAL)
 
+    @property
+    def link_silence(self) -> timedelta:
+        """Silence of an entry with runs here after which its connection is replaced."""
+        return self.tick * LINK_SILENCE_TICKS
+
+    @property
+    def idle_link_silence(self) -> timedelta:
+        """The same for an entry without runs here."""
+        late = self.tick * (REPORT_TICKS + LATE_TICKS)
+        return max(self.link_silence, self.idle_ack_interval + late)
+
     @property
     def run_expiry(self) -> timedelta:
         """Time from an entry's last sign of life until all of its runs have ended."""
--- a/gypsumspoke/runs/directory.py
+++ b/gypsumspoke/runs/directory.py
@@ -44,6 +44,15 @@
     incarnation: str
 
 
+class ReplaceConnection(NamedTuple):
+    """Effect: connect to a peer anew beside the present connection.
+
+    The new connection replaces it as soon as the peer answers there.
+    """
+
+    incarnation: str
+
+
 class Directory:
     """The known addresses of entries.
 
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -14,6 +14,7 @@
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.core.events import Drain, PeerConnected, PeerLost, Received, Tick
 from gypsumspoke.runs import (
+    silent_links,
     supervisor_commands,
     supervisor_incarnation,
     supervisor_links,
@@ -113,6 +114,7 @@
 @_handle.register
 def _(event: Tick, state: SupervisorState, now: datetime) -> list[Effect]:
     effects = _cancel_runs_of_silent_entries(state, now)
+    effects += silent_links.replace_silent(state, now)
     effects += supervisor_links.update_links(state, now)
     effects += supervisor_renewals.expire_runs(state, now)
     effects += supervisor_commands.retry_stops(state, now)
@@ -149,9 +151,10 @@
     message: ReportAck, sender: str, state: SupervisorState, now: datetime
 ) -> list[Effect]:
     record_heard(state, sender, message.heard, now)
-    if sender in state.peers:
-        state.group.record_sidecars(sender, message.sidecars)
-    return []
+    if sender not in state.peers:
+        return []
+    state.group.record_sidecars(sender, message.sidecars)
+    return silent_links.handle_ack(state, sender, now)
 
 
 def _cancel_runs_of_silent_entries(
--- a/gypsumspoke/runs/supervisor_links.py
+++ b/gypsumspoke/runs/supervisor_links.py
@@ -12,7 +12,7 @@
 
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.core.events import PeerConnected, PeerLost
-from gypsumspoke.runs import supervisor_report
+from gypsumspoke.runs import silent_links, supervisor_report
 from gypsumspoke.runs.directory import CloseConnection
 from gypsumspoke.runs.messages import KnownEntries
 from gypsumspoke.runs.supervisor_state import SupervisorState, has_runs_of
@@ -22,8 +22,9 @@
     event: PeerConnected, state: SupervisorState, now: datetime
 ) -> list[Effect]:
     """Report to a new peer."""
-    state.peers.add(event.incarnation)
+    state.peers[event.incarnation] = now
     state.taken[event.incarnation] = 0
+    silent_links.handle_connected(state, event.incarnation, now)
     return supervisor_report.report_to(state, event.incarnation, now)
 
 
@@ -34,7 +35,7 @@
 
     Runs of the entry go on, since it may reconnect; otherwise its silence ends them.
     """
-    state.peers.discard(event.incarnation)
+    state.peers.pop(event.incarnation, None)
     state.taken.pop(event.incarnation, None)
     state.last_reports.pop(event.incarnation, None)
     state.leaving.pop(event.incarnation, None)
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -150,7 +150,10 @@
       ended: the latest ends by entry and run; entries number their runs independently.
       heard: for each entry, the latest time at which it was known to be alive.
       taken: for each entry, the placements that arrived on its current connection.
-      peers: connected entries.
+      peers: connected entries, with the time of the latest connection.
+      replacements: entries whose connection was found silent lately; the value is the
+        earliest time of the next replacement.
+      ticked_at: when the latest tick was handled.
       last_reports: the latest report to each connected entry.
       group: the entries that this sidecar connects to.
       leaving: entries whose connection is to be closed; the value is when the first
@@ -197,7 +200,9 @@
         self.ended: OrderedDict[tuple[str, RunId], RunEnded] = OrderedDict()
         self.heard: dict[str, datetime] = {}
         self.taken: dict[str, int] = {}
-        self.peers: set[str] = set()
+        self.peers: dict[str, datetime] = {}
+        self.replacements: dict[str, datetime] = {}
+        self.ticked_at = now
         self.last_reports: dict[str, LastReport] = {}
         self.group = group or EntryGroup("", now)
         self.leaving: dict[str, datetime | None] = {}
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -11,7 +11,11 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count, Log, Observe
-from gypsumspoke.runs.directory import CloseConnection, DialEntries
+from gypsumspoke.runs.directory import (
+    CloseConnection,
+    DialEntries,
+    ReplaceConnection,
+)
 from gypsumspoke.runs.settings import RunSettings, parse_address
 from gypsumspoke.shell.deferred_metrics import DeferredMetrics
 from gypsumspoke.shell.early_listeners import EarlyListeners
@@ -24,7 +28,7 @@
 from gypsumspoke.wire.links import PeerLinks
 
 # Reports and acks are sent several times a second, so a connection silent for this
-# long is dead; it is replaced before the entry's runs would be stopped.
+# long is dead. Sidecars replace theirs earlier (``runs/silent_links.py``).
 MAX_SILENCE = timedelta(milliseconds=750)
 # Best-effort jobs have no homes. The hello carries this count, so processes with homes
 # are refused as peers.
@@ -133,7 +137,12 @@
         context.links.disconnect(effect.incarnation)
 
     runtime.add_handler(DialEntries, dial)
+
+    def replace_connection(effect: ReplaceConnection) -> None:
+        context.dialler.replace(effect.incarnation)
+
     runtime.add_handler(CloseConnection, close_connection)
+    runtime.add_handler(ReplaceConnection, replace_connection)
     return runtime
 
 
--- a/gypsumspoke/wire/connection.py
+++ b/gypsumspoke/wire/connection.py
@@ -8,7 +8,7 @@
 import socket as standard_socket
 from collections import deque
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import NamedTuple
 
 from gevent import get_hub
@@ -72,6 +72,7 @@
         self._drained = Event()
         self._drained.set()
         self._ended = Event()
+        self._identified = Event()
         self._closed = False
         self._peer: Hello | None = None
         self._opened = clock.now()
@@ -121,6 +122,12 @@
     def accept_peer(self, hello: Hello) -> None:
         """Record the peer's valid hello."""
         self._peer = hello
+        self._identified.set()
+
+    def wait_identified(self, timeout: timedelta) -> bool:
+        """Wait for the peer's hello; return whether it came within the timeout."""
+        self._identified.wait(timeout.total_seconds())
+        return self._peer is not None and not self._closed
 
     def wait_closed(self) -> None:
         """Wait until the connection has ended."""
@@ -185,6 +192,7 @@
         self._queued_bytes = 0
         self._drained.set()
         self._ended.set()
+        self._identified.set()
         for watcher in (self._readable, self._writable):
             watcher.stop()
             watcher.close()
--- a/gypsumspoke/wire/dialler.py
+++ b/gypsumspoke/wire/dialler.py
@@ -16,14 +16,40 @@
 from gevent.socket import socket
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.wire.connection import Connection
 from gypsumspoke.wire.links import PeerLinks
-from gypsumspoke.wire.redial import RedialBackoff
+from gypsumspoke.wire.redial import MIN_CONNECT_TIMEOUT, RedialBackoff
 
 Address = tuple[str, int]
 
+# A peer that doesn't answer so soon on a new connection is slow or paused, and its
+# present connection may be good.
+IDENTIFY_TIMEOUT = timedelta(milliseconds=100)
+
 _log = logging.getLogger(__name__)
 
 
+class _Target:
+    """One address: its greenlet, and the connection to it."""
+
+    def __init__(self) -> None:
+        self.greenlet: gevent.Greenlet | None = None
+        self.connection: Connection | None = None
+        self.replacing: gevent.Greenlet | None = None
+
+    def stop(self) -> None:
+        """Stop dialling; an open connection is kept."""
+        for greenlet in (self.greenlet, self.replacing):
+            if greenlet is not None:
+                greenlet.kill(block=False)
+        self.greenlet = self.replacing = None
+
+    def wait_closed(self) -> None:
+        """Wait until the connection and what has replaced it are closed."""
+        while not self.connection.closed:
+            self.connection.wait_closed()
+
+
 class Dialler:
     """Connects to addresses and reconnects.
 
@@ -40,15 +66,15 @@
         self._clock = clock
         self._random = random.Random(seed)
         self._started = False
-        self._targets: dict[Address, gevent.Greenlet | None] = {}
+        self._targets: dict[Address, _Target] = {}
 
     def set_addresses(self, addresses: Iterable[Address]) -> None:
         """Set the addresses to dial; open connections to other addresses are kept."""
         wanted = set(addresses)
         for address in wanted - self._targets.keys():
-            self._targets[address] = None
+            self._targets[address] = _Target()
         for address in self._targets.keys() - wanted:
-            _stop(self._targets.pop(address))
+            self._targets.pop(address).stop()
         if self._started:
             self._spawn_missing()
 
@@ -60,35 +86,63 @@
     def close(self) -> None:
         """Stop dialling; open connections are kept."""
         self._started = False
-        for address, greenlet in self._targets.items():
-            _stop(greenlet)
-            self._targets[address] = None
+        for target in self._targets.values():
+            target.stop()
+
+    def replace(self, incarnation: str) -> None:
+        """Make a second connection to a peer whose present one may be dead.
+
+        The present connection is kept until the peer has answered on the new one.
+
+        Args:
+          incarnation: the connected peer; another one is ignored.
+        """
+        for address, target in self._targets.items():
+            connection = target.connection
+            if connection is None or connection.closed or target.replacing:
+                continue
+            if connection.peer and connection.peer.incarnation == incarnation:
+                target.replacing = gevent.spawn(self._replace, address, target)
+
+    def _replace(self, address: Address, target: _Target) -> None:
+        present = target.connection
+        try:
+            sock = _connect(address, MIN_CONNECT_TIMEOUT)
+        except OSError as error:
+            _log_failure(address, error)
+            return
+        finally:
+            target.replacing = None
+        replacement = target.connection = self._links.adopt(sock)
+        if not replacement.wait_identified(IDENTIFY_TIMEOUT):
+            if not present.closed:
+                target.connection = present
+            replacement.close("not answered")
 
     def _spawn_missing(self) -> None:
-        for address, greenlet in self._targets.items():
-            if greenlet is None:
-                self._targets[address] = gevent.spawn(self._keep_connected, address)
+        for address, target in self._targets.items():
+            if target.greenlet is None:
+                keep = gevent.spawn(self._keep_connected, address, target)
+                target.greenlet = keep
 
-    def _keep_connected(self, address: Address) -> NoReturn:
+    def _keep_connected(self, address: Address, target: _Target) -> NoReturn:
         """Dial an address whenever it has no connection."""
         backoff = RedialBackoff()
         while True:
-            gevent.sleep(self._dial(address, backoff).total_seconds())
+            delay = self._dial(address, target, backoff)
+            gevent.sleep(delay.total_seconds())
 
-    def _dial(self, address: Address, backoff: RedialBackoff) -> timedelta:
+    def _dial(
+        self, address: Address, target: _Target, backoff: RedialBackoff
+    ) -> timedelta:
         """Connect and wait for the connection to close; return the delay to redial."""
-        with ExitStack() as stack:
-            try:
-                sock = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
-                stack.callback(sock.close)
-                sock.settimeout(backoff.connect_timeout.total_seconds())
-                sock.connect(address)
-            except OSError as error:
-                return self._record_failure(address, backoff, error)
-            sock.settimeout(None)
-            stack.pop_all()
+        try:
+            sock = _connect(address, backoff.connect_timeout)
+        except OSError as error:
+            return self._record_failure(address, backoff, error)
         due = self._clock.now() + backoff.record_connected()
-        self._links.adopt(sock).wait_closed()
+        target.connection = self._links.adopt(sock)
+        target.wait_closed()
         return max(due - self._clock.now(), timedelta())
 
     def _record_failure(
@@ -96,8 +150,7 @@
     ) -> timedelta:
         """Log the first failed dial; return the delay until the next one."""
         if backoff.is_first:
-            details = {"address": f"{address[0]}:{address[1]}", "reason": str(error)}
-            _log.info({"message": "dial failed", "details": details})
+            _log_failure(address, error)
         if isinstance(error, ConnectionRefusedError):
             delay = backoff.record_refused()
         else:
@@ -105,6 +158,22 @@
         return delay * self._random.uniform(0.5, 1.0)
 
 
-def _stop(greenlet: gevent.Greenlet | None) -> None:
-    if greenlet is not None:
-        greenlet.kill(block=False)
+def _connect(address: Address, timeout: timedelta) -> socket:
+    """Return a connected socket.
+
+    Raises:
+      OSError: the connection can't be made within the timeout.
+    """
+    with ExitStack() as stack:
+        sock = socket(standard_socket.AF_INET, standard_socket.SOCK_STREAM)
+        stack.callback(sock.close)
+        sock.settimeout(timeout.total_seconds())
+        sock.connect(address)
+        sock.settimeout(None)
+        stack.pop_all()
+        return sock
+
+
+def _log_failure(address: Address, error: OSError) -> None:
+    details = {"address": f"{address[0]}:{address[1]}", "reason": str(error)}
+    _log.info({"message": "dial failed", "details": details})
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from tests.runs.walk import CommandFaultWalk, GroupWalk, IsolationWalk, Walk
+from tests.runs.walk import (
+    CommandFaultWalk,
+    GroupWalk,
+    IsolationWalk,
+    SilenceWalk,
+    Walk,
+)
 
 # 26: a worker restarted between two renewals; a run on its new incarnation was taken
 # for lost with those of the old one and placed a second time.
@@ -21,6 +27,12 @@
     assert IsolationWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_silent_connections_break_no_guarantee(seed):
+    """Connections are replaced to entries that are live, paused, cut off or lost."""
+    assert SilenceWalk(seed).play() == []
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_changing_groups_break_no_guarantee(seed):
     """Sidecars leave entries whose runs are live, beside losses of both."""
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -232,6 +232,19 @@
             self.world.at(after, partial(self.world.heal, entry, side))
 
 
+class SilenceWalk(Walk):
+    """A walk on which open connections go silent for good while new ones work.
+
+    Without another fault no run is stopped for it: see ``test_silent_links.py``.
+    """
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [*super()._steps(), *[self._silence_links] * 4]
+
+    def _silence_links(self) -> None:
+        self.world.silence_links(self.random.choice((0.3, 1.0)))
+
+
 class GroupWalk(Walk):
     """A walk on which each sidecar is connected to one entry, and often to another.
 
@@ -480,14 +493,14 @@
     "cut-off": IsolationWalk,
     "orders": CommandFaultWalk,
     "groups": GroupWalk,
+    "silence": SilenceWalk,
 }
 
 
 def main() -> None:
     """Play the seeds from the first to the second argument.
 
-    A third argument, ``cut-off``, ``orders`` or ``groups``, plays the walks of
-    ``IsolationWalk``, ``CommandFaultWalk`` or ``GroupWalk``.
+    A third argument names another kind of walk: see ``KINDS``.
     """
     first, last = int(sys.argv[1]), int(sys.argv[2])
     kind = KINDS[sys.argv[3] if sys.argv[3:] else ""]
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -9,9 +9,10 @@
 import heapq
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from datetime import datetime, timedelta, timezone
+from functools import partial
 from typing import Any, NamedTuple
 
 from returns.result import Failure
@@ -41,6 +42,7 @@
     DialEntries,
     Directory,
     EntriesRead,
+    ReplaceConnection,
 )
 from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.routing import RoutingTable
@@ -69,10 +71,15 @@
     StartCommand,
     StopCommand,
 )
+from gypsumspoke.shell.run_role import MAX_SILENCE
 from tests.runs.worker import ZERO, FakeWorker
 
 START = datetime(2030, 1, 1, tzinfo=timezone.utc)
 ONE_WAY = timedelta(milliseconds=1)
+# A new connection and a hello in both directions.
+DIAL_TIME = 4 * ONE_WAY
+# The silence timeout of connections, and half the interval of its checks.
+SILENCE_TIMEOUT = MAX_SILENCE + timedelta(milliseconds=125)
 MILLISECOND = timedelta(milliseconds=1)
 SERVICE = "estimate"
 ROUTE = Route(
@@ -200,6 +207,8 @@
         self.drained_at: dict[str, datetime] = {}
         self.tick_on_wake = False
         self._connected: set[frozenset[str]] = set()
+        self._silent: set[frozenset[str]] = set()
+        self._connections: Counter[frozenset[str]] = Counter()
         self._queue: list[tuple[datetime, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._incarnations = itertools.count(1)
@@ -325,6 +334,17 @@
         pair = frozenset((self.processes[one].name, self.processes[other].name))
         self._disconnect(pair)
 
+    def silence_links(self, share: float = 1.0) -> None:
+        """Let open connections between processes go silent for good; new ones work."""
+        for pair in sorted(self._connected, key=sorted):
+            if self.random.random() < share:
+                self._silent.add(pair)
+                self.at(SILENCE_TIMEOUT, partial(self._close_silent, pair))
+
+    def _close_silent(self, pair: frozenset[str]) -> None:
+        if pair in self._silent:
+            self._disconnect(pair)
+
     def crash_worker(self, host: str) -> None:
         """Crash a worker; its next incarnation starts at once."""
         self.start_worker(host)
@@ -416,18 +436,37 @@
             if not isinstance(other.state, CoordinatorState):
                 continue
             pair = frozenset((process.name, other.name))
-            is_cut = frozenset((process.host, other.host)) in self.cut
             is_dialled = self.addresses[other.host] in process.dialled
-            usable = other.alive and not other.frozen and not is_cut and is_dialled
+            usable = is_dialled and self._answers(process, other)
             if usable and pair not in self._connected:
-                self._connected.add(pair)
-                self.post(process, PeerConnected(other.name))
-                self.post(other, PeerConnected(process.name))
+                self._connect(process, other)
+
+    def _answers(self, process: Process, other: Process) -> bool:
+        """Return whether a process answers on a new connection of another."""
+        is_cut = frozenset((process.host, other.host)) in self.cut
+        return other.alive and not other.frozen and not is_cut
+
+    def _connect(self, process: Process, other: Process) -> None:
+        pair = frozenset((process.name, other.name))
+        self._connected.add(pair)
+        self._connections[pair] += 1
+        self.post(process, PeerConnected(other.name))
+        self.post(other, PeerConnected(process.name))
+
+    def _replace_connection(self, process: Process, incarnation: str) -> None:
+        other = self._by_name(incarnation)
+        pair = frozenset((process.name, incarnation))
+        if other is None or pair not in self._connected or not process.alive:
+            return
+        if self._answers(process, other):
+            self._disconnect(pair)
+            self._connect(process, other)
 
     def _disconnect(self, pair: frozenset[str]) -> None:
         if pair not in self._connected:
             return
         self._connected.discard(pair)
+        self._silent.discard(pair)
         for name in pair:
             (other,) = pair - {name}
             process = self._by_name(name)
@@ -446,7 +485,8 @@
             case Send(to, message):
                 pair = frozenset((process.name, to))
                 event = Received(process.name, message)
-                self.at(ONE_WAY, lambda: self._deliver(pair, to, event))
+                number = self._connections[pair]
+                self.at(ONE_WAY, lambda: self._deliver(pair, number, to, event))
             case AnswerJob():
                 self._record_answer(effect)
             case StartCommand() | StopCommand() | RenewCommand():
@@ -455,18 +495,27 @@
                 process.dialled = frozenset(addresses)
             case CloseConnection(incarnation):
                 self._disconnect(frozenset((process.name, incarnation)))
+            case ReplaceConnection(incarnation):
+                self.at(
+                    DIAL_TIME, lambda: self._replace_connection(process, incarnation)
+                )
             case Exit():
                 process.exited = True
                 self.kill(process.host)
 
-    def _deliver(self, pair: frozenset[str], to: str, event: Received) -> None:
+    def _deliver(
+        self, pair: frozenset[str], number: int, to: str, event: Received
+    ) -> None:
+        """Deliver a message if its connection is still open."""
         process = self._by_name(to)
-        if process is None or pair not in self._connected:
+        if process is None or pair not in self._connected or pair in self._silent:
+            return
+        if number != self._connections[pair]:
             return
         hosts = frozenset(name.rpartition("-")[0] for name in pair)
         if hosts in self.cut:
             # Data on a partitioned link arrives after it, unless the connection closes.
-            self.at(ms(50), lambda: self._deliver(pair, to, event))
+            self.at(ms(50), lambda: self._deliver(pair, number, to, event))
             return
         self.post(process, event)
 
--- a/tests/wire/test_dialler.py
+++ b/tests/wire/test_dialler.py
@@ -8,11 +8,13 @@
 from gevent.socket import socket
 
 from gypsumspoke.core.clock import SteadyClock
-from gypsumspoke.core.events import PeerConnected, Received
+from gypsumspoke.core.events import PeerConnected, PeerLost, Received
 from gypsumspoke.runs.messages import KnownEntries
 from gypsumspoke.wire.dialler import Dialler
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
 from gypsumspoke.wire.links import PeerLinks
+from tests.standins.relay import Relay
+from tests.standins.sockets import closed_port
 
 TIMEOUT_SECONDS = 5
 
@@ -30,6 +32,9 @@
     def has(self, event) -> bool:
         return event in self.events
 
+    def count(self, event_type) -> int:
+        return sum(isinstance(event, event_type) for event in self.events)
+
 
 def wait_until(holds) -> None:
     with gevent.Timeout(TIMEOUT_SECONDS):
@@ -78,6 +83,65 @@
     entry.links.close()
 
 
+@pytest.fixture
+def relayed(dialling):
+    """A sidecar's links and dialler, and an entry behind a relay."""
+    entry = Peer("entry-1")
+    relay = Relay(("127.0.0.1", entry.links.listen("127.0.0.1", 0)))
+    entry.start()
+    sidecar, dialler = dialling
+    dialler.set_addresses([relay.address])
+    wait_until(lambda: sidecar.has(PeerConnected("entry-1")))
+    with closing(entry.links), closing(relay):
+        yield sidecar, dialler, entry, relay
+
+
+def test_a_silent_connection_is_replaced_before_it_is_closed(relayed):
+    """Waiting until a dead connection is closed outlasts the runs on it."""
+    sidecar, dialler, entry, relay = relayed
+    relay.stall_connections()
+    sidecar.events.clear()
+    dialler.replace("entry-1")
+    wait_until(lambda: len(sidecar.events) == 2)
+    assert list(map(type, sidecar.events)) == [PeerLost, PeerConnected]
+    sidecar.links.send("entry-1", KnownEntries(("a:1",)))
+    wait_until(lambda: entry.has(Received("sidecar", KnownEntries(("a:1",)))))
+    assert sidecar.links.connection_count("entry-1") == 1
+    assert relay.accepted == 2
+
+
+def test_a_connection_can_be_replaced_again(relayed):
+    sidecar, dialler, _, relay = relayed
+    for number in (2, 3, 4):
+        relay.stall_connections()
+        dialler.replace("entry-1")
+        wait_until(lambda: sidecar.count(PeerConnected) == number)
+    gevent.sleep(0.3)
+    assert relay.accepted == 4
+
+
+def test_a_peer_that_answers_no_new_connection_keeps_the_present_one(relayed):
+    """A paused or cut off peer may come back on the connection that it has."""
+    sidecar, dialler, entry, relay = relayed
+    sidecar.events.clear()
+    relay.set_target(closed_port())
+    dialler.replace("entry-1")
+    gevent.sleep(0.3)
+    assert sidecar.events == []
+    sidecar.links.send("entry-1", KnownEntries(("a:1",)))
+    wait_until(lambda: entry.has(Received("sidecar", KnownEntries(("a:1",)))))
+
+
+def test_a_replaced_connection_that_closes_is_dialled_again(relayed):
+    sidecar, dialler, entry, relay = relayed
+    relay.stall_connections()
+    dialler.replace("entry-1")
+    wait_until(lambda: sidecar.count(PeerConnected) == 2)
+    entry.links.disconnect("sidecar")
+    wait_until(lambda: sidecar.count(PeerConnected) == 3)
+    assert relay.accepted == 3
+
+
 class CountingClock(SteadyClock):
     """A clock that counts how often it is read."""
 
