Send a start again that got no answer and shows no run

What callers saw: a task whose start was lost came 0.1 s late, as the run was stopped, the stop awaited for 60 ms, and the task placed elsewhere. Three such starts in a row made a healthy worker count as failing, with one run at a time.

Cause: an unanswered start was taken for the worker's fault, though the list that the worker answers right after it shows that it is well. Starts are lost with silent connections, and the worker runs each number once, so that the start may be repeated.

Change: after the first list without the run the start is sent once more; if that has no answer either, or any but an acceptance, the run is stopped as before, since the first start may still be carried out. No repeat after a list that was not answered, or when the worker restarted.

--- a/gypsumspoke/runs/supervisor_commands.py
+++ b/gypsumspoke/runs/supervisor_commands.py
@@ -43,14 +43,43 @@
     reserve_room(state, local)
     if is_failing(state):
         state.next_probe = now + PROBE_INTERVAL
-    command = StartCommand(
+    return [_start_command(state, local, now)]
+
+
+def resend_start(
+    state: SupervisorState, local: LocalRun, now: datetime
+) -> list[Effect]:
+    """Send a start again that got no answer and shows no run.
+
+    The first one may still be carried out. The worker runs each number once, and an
+    answer other than an acceptance doesn't show that the run never started.
+    """
+    local.was_resent = True
+    local.is_uncertain = False
+    local.started_at = now
+    local.progressed_at = now
+    fields = (
+        ("job", local.run.task.job),
+        ("step", local.run.task.step),
+        ("run", local.run.number),
+        ("entry", local.coordinator),
+    )
+    log = Log(
+        logging.INFO, "start sent again", task=local.run.task.index, fields=fields
+    )
+    return [_start_command(state, local, now), log]
+
+
+def _start_command(
+    state: SupervisorState, local: LocalRun, now: datetime
+) -> StartCommand:
+    return StartCommand(
         local.run,
         local.spec,
         state.worker.id,
         extend_lease(state, now),
         state.token,
     )
-    return [command]
 
 
 def cancel_run(
@@ -101,9 +130,23 @@
         return _handle_stop_answer(state, local, event, now)
     if event.result is CommandResult.ACCEPTED:
         local.start_clock = event.clock
+    elif local.was_resent:
+        return _handle_refused_resend(state, local, event.result, now)
     return _START_ANSWERS[event.result](state, local, now)
 
 
+def _handle_refused_resend(
+    state: SupervisorState, local: LocalRun, result: CommandResult, now: datetime
+) -> list[Effect]:
+    """Stop a run whose start was sent twice: the first may have been carried out."""
+    if result is CommandResult.FENCED:
+        raise_token(state, now)
+    if local.phase is not Phase.STARTING:
+        return []
+    local.is_uncertain = True
+    return stop_uncertain_run(state, local, now)
+
+
 def _handle_stop_answer(
     state: SupervisorState, local: LocalRun, event: CommandAnswered, now: datetime
 ) -> list[Effect]:
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -3,7 +3,11 @@
 from datetime import datetime, timedelta
 
 from gypsumspoke.core.effects import Effect
-from gypsumspoke.runs.supervisor_commands import cancel_run, stop_uncertain_run
+from gypsumspoke.runs.supervisor_commands import (
+    cancel_run,
+    resend_start,
+    stop_uncertain_run,
+)
 from gypsumspoke.runs.supervisor_ends import finish, update_failure_share
 from gypsumspoke.runs.supervisor_incarnation import (
     handle_new_incarnation,
@@ -12,8 +16,13 @@
     raise_token,
     record_worker_clock,
 )
-from gypsumspoke.runs.supervisor_lease import extend_lease, update_lease_withheld
+from gypsumspoke.runs.supervisor_lease import (
+    extend_lease,
+    lease_allows_run,
+    update_lease_withheld,
+)
 from gypsumspoke.runs.supervisor_orphans import stop_orphans
+from gypsumspoke.runs.supervisor_report import can_start
 from gypsumspoke.runs.supervisor_state import LocalRun, Phase, SupervisorState
 from gypsumspoke.runs.values import EndReason, RunEnd
 from gypsumspoke.runs.worker_commands import (
@@ -96,7 +105,10 @@
     if event.result is CommandResult.FENCED:
         raise_refused_token(state, event.token, now)
     if event.is_extra:
-        return _stop_uncertain_runs(state, now, now)
+        effects: list[Effect] = []
+        for local in _uncertain_runs(state):
+            effects += stop_uncertain_run(state, local, now)
+        return effects
     _clear_pending_renewal(state, event.number)
     if event.result is CommandResult.UNANSWERED or state.token > token:
         return next_renewal(state, now)
@@ -135,7 +147,7 @@
     for ended in event.ended:
         effects += _handle_listed_end(state, ended, now)
     _update_progress(state, event, now)
-    effects += _stop_uncertain_runs(state, event.sent, now)
+    effects += _settle_uncertain_runs(state, event.sent, now)
     effects += _end_unlisted_runs(state, event, now)
     effects += _stop_stalled(state, now)
     return [*effects, *stop_orphans(state, event, is_first)]
@@ -190,18 +202,43 @@
             local.lists_since_progress = 0
 
 
-def _stop_uncertain_runs(
-    state: SupervisorState, requested_at: datetime, now: datetime
+def _settle_uncertain_runs(
+    state: SupervisorState, listed_at: datetime, now: datetime
 ) -> list[Effect]:
-    """Stop uncertain runs that are missing from a list requested since."""
+    """Settle uncertain runs that are missing from a list requested since.
+
+    Their start is sent again, since most often it was lost with its connection. If that
+    doesn't succeed either, they are stopped.
+    """
     effects: list[Effect] = []
-    for local in list(state.runs.values()):
-        if local.phase is Phase.STARTING and local.is_uncertain:
-            if local.uncertain_since <= requested_at:
-                effects += stop_uncertain_run(state, local, now)
+    for local in _uncertain_runs(state):
+        if local.uncertain_since > listed_at:
+            continue
+        if _may_resend_start(state, local, now):
+            effects += resend_start(state, local, now)
+        else:
+            effects += stop_uncertain_run(state, local, now)
     return effects
 
 
+def _uncertain_runs(state: SupervisorState) -> list[LocalRun]:
+    return [
+        local
+        for local in state.runs.values()
+        if local.phase is Phase.STARTING and local.is_uncertain
+    ]
+
+
+def _may_resend_start(state: SupervisorState, local: LocalRun, now: datetime) -> bool:
+    return (
+        not local.was_resent
+        and not local.worker_restarted
+        and now < local.start_by
+        and can_start(state, now)
+        and lease_allows_run(state, local, now)
+    )
+
+
 def _end_unlisted_runs(
     state: SupervisorState, event: RenewalAnswered, now: datetime
 ) -> list[Effect]:
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -77,6 +77,7 @@
       heard_before_stop: when its coordinator was last heard before that.
       stop_sent_at: when the latest stop was sent.
       is_uncertain: the start was not answered, so it may or may not have run.
+      was_resent: the start was sent a second time.
       worker_restarted: the worker has restarted since the start was sent.
       uncertain_since: when the start was found to be unanswered.
     """
@@ -114,6 +115,7 @@
         self.heard_before_stop: datetime | None = None
         self.stop_sent_at: datetime | None = None
         self.is_uncertain = False
+        self.was_resent = False
         self.worker_restarted = False
         self.uncertain_since: datetime | None = None
 
