--- a/gypsumspoke/platform/jobs.py
+++ b/gypsumspoke/platform/jobs.py
@@ -11,7 +11,8 @@
 
 # Specified by the platform.
 MAX_SPEC_BYTES = 4000
-# A larger job would block the entry's event loop while it is placed.
+# Many times the widest job that callers send. A larger one would block the entry's
+# event loop while it is placed, and so delay all others.
 MAX_TASKS = 1000
 MAX_STEPS = 100
 
--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -22,6 +22,7 @@
 _JSON = {"Content-Type": "application/json"}
 _CONNECT_TIMEOUT = timedelta(milliseconds=500)
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Many times what an answer usually takes, since the store may be slow.
 CALL_TIMEOUT = timedelta(milliseconds=800)
 # Bounds the number of calls during an outage: calls are priced and rate-limited.
 RETRY_DELAY = timedelta(milliseconds=400)
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -18,15 +18,18 @@
 from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace
 from gypsumspoke.runs.values import RefusalReason, Step
 
-# Bounds the memory of one entry.
+# Bounds the memory of one entry: each job takes some kilobytes.
 MAX_JOBS = 2000
+# Most faults last seconds, so no caller is told to wait for longer.
 MAX_RETRY_AFTER = timedelta(seconds=10)
-# Used where no wait can be estimated.
+# Used where no wait can be estimated, such as before any worker is known.
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 
-# Time after an entry's start in which its workers register through their sidecars.
+# Time after an entry's start in which its workers register through their sidecars: they
+# register with a new sidecar within a second or two, and it finds an entry in a tenth.
 WORKER_DISCOVERY_TIMEOUT = timedelta(seconds=2.5)
-# Time after an entry's start in which the store or a peer sends a configuration.
+# Time after an entry's start in which the store or a peer sends a configuration. It
+# comes with one answer, but the store may be slow.
 FIRST_CONFIGURATION_TIMEOUT = timedelta(seconds=1)
 
 
--- a/gypsumspoke/runs/caller_timeouts.py
+++ b/gypsumspoke/runs/caller_timeouts.py
@@ -17,7 +17,8 @@
 # Latest requests that an estimate uses, and requests between two estimates.
 MAX_SAMPLES = 200
 SAMPLES_PER_UPDATE = 40
-# The usual minimum is this quantile of the samples, so that no single caller sets it.
+# The usual minimum is this quantile of the samples, so that no single caller sets it. A
+# higher one would take many first requests for resubmissions.
 USUAL_QUANTILE = 0.02
 # Stored values are used for this long after a start, when many requests are
 # resubmissions.
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -29,7 +29,8 @@
 )
 from gypsumspoke.runs.values import EndReason, RunEnd
 
-# Time after which a disconnected sidecar is dropped from the state.
+# Time after which a disconnected sidecar is dropped from the state. Its runs have ended
+# long before.
 FORGET_DELAY = timedelta(seconds=30)
 
 
--- a/gypsumspoke/runs/coordinator_stop.py
+++ b/gypsumspoke/runs/coordinator_stop.py
@@ -14,6 +14,7 @@
 from gypsumspoke.runs.values import RefusalReason
 
 # The load balancer sends nothing new after two failed readiness checks, a second apart.
+# Until then a stopping entry takes requests on open connections.
 MIN_DRAIN = timedelta(seconds=2.6)
 # Ends before the platform sends SIGKILL.
 MAX_DRAIN = timedelta(seconds=5.4)
--- a/gypsumspoke/runs/directory.py
+++ b/gypsumspoke/runs/directory.py
@@ -14,6 +14,7 @@
 from gypsumspoke.core.effects import Effect
 
 # Addresses are never removed; the bound limits memory and the size of messages.
+# Dialling one that is gone for good costs a few packets a second.
 MAX_ADDRESSES = 4096
 _MAX_PORT = 65535
 
--- a/gypsumspoke/runs/load.py
+++ b/gypsumspoke/runs/load.py
@@ -13,7 +13,8 @@
 # The standing lag is the minimum over the current and the previous window.
 WINDOW_TICKS = 2.0
 # The refused share grows from none to all jobs between these standing lags. At the
-# upper one, sidecars still accept placements that are based on their latest reports.
+# upper one, sidecars still accept placements that are based on their latest reports:
+# a report may be a tick and a half old, and the placement is decided a tick later.
 MIN_REFUSING_LAG_TICKS = 0.25
 FULL_REFUSING_LAG_TICKS = 1.0
 
--- a/gypsumspoke/runs/supervisor_ends.py
+++ b/gypsumspoke/runs/supervisor_ends.py
@@ -13,7 +13,8 @@
 )
 from gypsumspoke.runs.values import EndReason, RunEnd, subtract
 
-# Weights of the newest end in the smoothed pace and share of failures.
+# Weights of the newest end in the smoothed pace and share of failures: about the last
+# ten ends decide the pace, the last three whether the worker is failing.
 PACE_WEIGHT = 0.1
 FAILING_WEIGHT = 0.25
 
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -36,8 +36,9 @@
 # Longest time until the shell has an answer to a command or gives it up; a renewal's
 # own wait comes on top.
 COMMAND_TIMEOUT = timedelta(milliseconds=120)
-# A run is stalled without progress for this long and this share of its estimate; even
-# slow workers advance by a percent within that share.
+# A run is stalled without progress for this long and this share of its estimate. A
+# healthy worker shows progress in each list, and one that is eight times slower
+# advances by a percent in a twelfth of the estimate.
 MIN_STALL_DURATION = timedelta(milliseconds=220)
 STALL_SHARE = 0.15
 # Lists that must show the same progress before a run counts as stalled.
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -25,7 +25,8 @@
 # by at least this factor, since single estimates are inaccurate.
 MIN_PACE_RUNS = 3
 MIN_PACE_CHANGE = 2.0
-# A worker with a larger smoothed share of failed ends counts as failing.
+# A worker with a larger smoothed share of failed ends fails nearly everything, and
+# counts as failing.
 MAX_FAILURE_SHARE = 0.5
 
 
--- a/gypsumspoke/shell/caller_server.py
+++ b/gypsumspoke/shell/caller_server.py
@@ -23,7 +23,8 @@
 SOCKET_KEY = "gypsumspoke.socket"
 MAX_CONNECTIONS = 3_000
 IDLE_TIMEOUT_SECONDS = 60.0
-# Default time from the end of the request line to the end of the header.
+# Default time from the end of the request line to the end of the header, which comes
+# in one or two packets.
 HEADER_TIMEOUT = timedelta(seconds=10)
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 DISCARD_TIMEOUT_SECONDS = 5.0
--- a/gypsumspoke/shell/log_stream.py
+++ b/gypsumspoke/shell/log_stream.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 BUFFER_BYTES = 256 * 1024
+# Several times what a busy process writes.
 LINES_PER_SECOND = 500
 BURST_LINES = 1000
 
