An entry that hears no sidecar is not ready before it gives its jobs up

What callers saw: an entry cut off from all sidecars got callers for as long as it kept its jobs, 1.25 s, and then until the load balancer had missed two readiness checks a second apart; all of them ended with 504.

Cause: readiness and giving up were one decision. The one costs nothing if it is wrong, the other ends jobs.

The test fails before. Ruled out: giving up earlier as well (sidecars that are all restarted at once need about a second).

--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -118,7 +118,9 @@
     An entry that has just started is ready with its first worker, or without one after
     ``WORKER_DISCOVERY_TIMEOUT``, when it can refuse jobs for lack of workers.
     """
-    if state.table is None or state.draining is not None or state.isolated:
+    if state.table is None or state.draining is not None:
+        return False
+    if not state.hears_sidecars:
         return False
     return has_worker(state) or now - state.started >= WORKER_DISCOVERY_TIMEOUT
 
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -195,7 +195,8 @@
       refused_unread_logged_at: when that line was written.
       last_tick: time of the latest tick.
       running_since: when this process started or resumed after its latest pause.
-      isolated: whether all sidecars are silent.
+      hears_sidecars: whether a sidecar was heard lately, or none is known.
+      isolated: whether jobs are given up since all sidecars are silent.
       draining: when the graceful stop began; None before.
       stopped: whether the graceful stop is complete.
       entries: connected entries.
@@ -238,6 +239,7 @@
         self.refused_unread_logged_at = now
         self.last_tick = now
         self.running_since = now
+        self.hears_sidecars = True
         self.isolated = False
         self.draining: datetime | None = None
         self.stopped = False
--- a/gypsumspoke/runs/isolation.py
+++ b/gypsumspoke/runs/isolation.py
@@ -4,6 +4,9 @@
 jobs at once, so that their callers can use other entries. It doesn't claim that these
 jobs have not run; callers send them again after the time budget, when the old runs have
 ended.
+
+It reports that it is not ready well before that: the load balancer takes seconds to
+move callers elsewhere, and if the sidecars are heard again nothing is lost.
 """
 
 import logging
@@ -16,6 +19,8 @@
 
 # Longer than replacing all silent connections takes.
 ISOLATION_TIMEOUT = timedelta(milliseconds=1250)
+# Beyond the silence after which sidecars replace their connections.
+UNREADY_MARGIN_TICKS = 1.5
 # After such a pause between two ticks, messages of the sidecars may still be unread.
 MIN_PROCESS_PAUSE = timedelta(milliseconds=500)
 
@@ -30,6 +35,8 @@
     last_report = max(view.reported_at for view in state.views.values())
     # Unread messages don't count as silence.
     silence = state.arrival.heard - max(last_report, state.running_since)
+    margin = state.budget.tick * UNREADY_MARGIN_TICKS
+    state.hears_sidecars = silence < state.budget.idle_link_silence + margin
     if silence < ISOLATION_TIMEOUT:
         return []
     state.isolated = True
@@ -47,6 +54,7 @@
 
 def end_isolation(state: CoordinatorState) -> list[Effect]:
     """Accept jobs again after a message from a sidecar."""
+    state.hears_sidecars = True
     if not state.isolated:
         return []
     state.isolated = False
--- a/tests/runs/test_faults.py
+++ b/tests/runs/test_faults.py
@@ -309,6 +309,32 @@
     assert not world.violations
 
 
+def test_an_entry_without_sidecars_is_not_ready_before_it_gives_up():
+    """The load balancer sent callers to a cut off entry for as long as it kept jobs."""
+    world = settled()
+    entry = world.processes["entry0"]
+    long_tasks(world)
+    world.submit("entry0", "r1", job("j1"), ms(9000))
+    world.cut_off("entry0", "side0")
+    world.cut_off("entry0", "side1")
+    world.run(ms(900))
+    assert not is_ready(entry.state, world.now)
+    assert world.end_of("r1") is None
+    world.heal("entry0", "side0")
+    world.run(ms(200))
+    assert is_ready(entry.state, world.now)
+
+
+def test_an_entry_is_ready_while_silent_connections_are_replaced():
+    """An entry that only replaces its connections serves on."""
+    world = settled()
+    entry = world.processes["entry0"]
+    world.silence_links()
+    for _ in range(15):
+        world.run(ms(100))
+        assert is_ready(entry.state, world.now)
+
+
 def test_an_entry_that_wakes_does_not_take_itself_for_isolated():
     """After a pause of the entry the reports of that time are still unread; that must
     not count as silence.
