Counters and log lines for repeated starts and replaced connections

What is new: gypsumspoke_sidecar_retries_total by reason, and the line "connections without proof closed" of clients of the worker and the store.

--- a/gypsumspoke/runs/silent_links.py
+++ b/gypsumspoke/runs/silent_links.py
@@ -14,9 +14,10 @@
 import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.effects import Effect, Log
+from gypsumspoke.core.effects import Count, Effect, Log
 from gypsumspoke.runs.directory import ReplaceConnection
 from gypsumspoke.runs.supervisor_state import SupervisorState, has_runs_of
+from gypsumspoke.runs.values import SidecarRetry
 
 # Until then a replacement has succeeded, or its packets were lost.
 RETRY_TICKS = 2.0
@@ -96,4 +97,4 @@
         ("has_runs", has_runs_of(state, entry)),
     )
     log = Log(logging.WARNING, "silent connection", fields=fields)
-    return [ReplaceConnection(entry), log]
+    return [ReplaceConnection(entry), Count(SidecarRetry.CONNECTION_SILENT), log]
--- a/gypsumspoke/runs/supervisor_commands.py
+++ b/gypsumspoke/runs/supervisor_commands.py
@@ -4,7 +4,7 @@
 from datetime import datetime, timedelta
 from functools import partial
 
-from gypsumspoke.core.effects import Effect, Log
+from gypsumspoke.core.effects import Count, Effect, Log
 from gypsumspoke.runs.supervisor_ends import finish, update_failure_share
 from gypsumspoke.runs.supervisor_incarnation import (
     is_from_current_incarnation,
@@ -19,7 +19,7 @@
     SupervisorState,
     reserve_room,
 )
-from gypsumspoke.runs.values import EndReason, RunEnd
+from gypsumspoke.runs.values import EndReason, RunEnd, SidecarRetry
 from gypsumspoke.runs.worker_commands import (
     CommandAnswered,
     CommandKind,
@@ -67,7 +67,8 @@
     log = Log(
         logging.INFO, "start sent again", task=local.run.task.index, fields=fields
     )
-    return [_start_command(state, local, now), log]
+    count = Count(SidecarRetry.START_UNANSWERED)
+    return [_start_command(state, local, now), count, log]
 
 
 def _start_command(
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -242,6 +242,17 @@
     WITHHELD = "withheld"
 
 
+class SidecarRetry(Enum):
+    """Reason why a sidecar repeats something; each has a counter.
+
+    CONNECTION_SILENT: it makes a second connection to an entry. START_UNANSWERED: it
+    sends a start again.
+    """
+
+    CONNECTION_SILENT = "connection_silent"
+    START_UNANSWERED = "start_unanswered"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/shell/keep_alive.py
+++ b/gypsumspoke/shell/keep_alive.py
@@ -9,6 +9,7 @@
 answer no other connection is reused that has not answered since that request was sent.
 """
 
+import logging
 from collections import deque
 from collections.abc import Mapping
 from datetime import timedelta
@@ -29,6 +30,8 @@
 # Connections kept open per address; concurrent requests beyond it open temporary ones.
 MAX_IDLE_CONNECTIONS = 8
 _READ_BYTES = 64 * 1024
+
+_log = logging.getLogger(__name__)
 _UNANSWERED: Result[HttpAnswer, ExchangeError] = Failure(ExchangeError.TIMEOUT)
 
 
@@ -120,11 +123,15 @@
 
     def _close_unproven(self, number: int) -> None:
         """Close the idle connections that have not answered since a request."""
-        proven = [idle for idle in self._idle if idle.answered >= number]
-        for idle in self._idle:
-            if idle.answered < number:
-                idle.sock.close()
-        self._idle = deque(proven)
+        unproven = [idle for idle in self._idle if idle.answered < number]
+        if not unproven:
+            return
+        self._idle = deque(idle for idle in self._idle if idle.answered >= number)
+        for idle in unproven:
+            idle.sock.close()
+        host, port = self._address
+        details = {"server": f"{host}:{port}", "connections": len(unproven)}
+        _log.info({"message": "connections without proof closed", "details": details})
 
     def _connect(self) -> socket | None:
         sock = socket(AF_INET, SOCK_STREAM)
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -22,7 +22,7 @@
 from gypsumspoke.core.counters import Counter, RetryReason
 from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason
+from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason, SidecarRetry
 from gypsumspoke.shell.logs import log
 
 NAMESPACE = "gypsumspoke"
@@ -98,6 +98,9 @@
         self._lease_events = self._counter(
             "lease_events", "What happened to the worker's lease.", "event"
         )
+        self._sidecar_retries = self._counter(
+            "sidecar_retries", "Starts and connections repeated.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -161,6 +164,7 @@
             (self._run_ends, EndReason),
             (self._job_refusals, RefusalReason),
             (self._lease_events, LeaseEvent),
+            (self._sidecar_retries, SidecarRetry),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -221,6 +225,11 @@
     return metrics._lease_events
 
 
+@_family.register
+def _(what: SidecarRetry, metrics: Metrics) -> CounterMetric:
+    return metrics._sidecar_retries
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/runs/test_silent_links.py
+++ b/tests/runs/test_silent_links.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from gypsumspoke.core.effects import Send
+from gypsumspoke.core.effects import Count, Send
 from gypsumspoke.core.events import Tick
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS, Bounds, budget_for
 from gypsumspoke.runs.directory import ReplaceConnection
 from gypsumspoke.runs.messages import RunEnded
 from gypsumspoke.runs.supervisor import reduce
-from gypsumspoke.runs.values import EndReason, JobEnd
+from gypsumspoke.runs.values import EndReason, JobEnd, SidecarRetry
 from tests.runs.fleet import Fleet
 from tests.runs.test_faults import long_tasks
 from tests.runs.test_job_lifecycle import settled
@@ -137,5 +137,11 @@
     fleet.run(ms(2000))
     assert {fleet.end_of(request) for request in requests} == {JobEnd.COMPLETED}
     assert fleet.job_times(requests)[len(requests) * 95 // 100] < ms(500)
+    counted = sum(
+        effect.what is SidecarRetry.CONNECTION_SILENT
+        for _, _, effect in fleet.log
+        if isinstance(effect, Count)
+    )
+    assert counted == len(replacements(fleet)) > 0
     last = max(time for time, _ in replacements(fleet) if time > start)
     assert last - start < timedelta(milliseconds=600)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,7 +6,12 @@
 
 from gypsumspoke.core.counters import Counter, RetryReason
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason
+from gypsumspoke.runs.values import (
+    EndReason,
+    LeaseEvent,
+    RefusalReason,
+    SidecarRetry,
+)
 from gypsumspoke.shell.metrics import HISTOGRAMS
 from gypsumspoke.shell.runtime import (
     EXIT_DONE,
@@ -20,7 +25,16 @@
 
 
 @pytest.mark.parametrize(
-    "words", [ErrorKind, RetryReason, Counter, EndReason, LeaseEvent, RefusalReason]
+    "words",
+    [
+        ErrorKind,
+        RetryReason,
+        Counter,
+        EndReason,
+        LeaseEvent,
+        RefusalReason,
+        SidecarRetry,
+    ],
 )
 def test_every_word_has_its_line(words):
     assert [word.value for word in words if f"`{word.value}`" not in PAGE] == []
