Callers of whole processes are served while connections go silent each second

A seeded test of 3 entries and 6 sidecars with relays between them, 9 s: all connections go silent seven times.

--- a/tests/platform/silence.py
+++ b/tests/platform/silence.py
@@ -1,7 +1,7 @@
 """Serves callers while open connections go silent, and prints what they get.
 
 ``python -m tests.platform.silence SCENARIO [SEED]`` starts whole processes with relays
-between them. ``--help`` lists the scenarios.
+between them; without a scenario they are listed.
 """
 
 import random
@@ -91,21 +91,32 @@
         self.answers.append(Answer(sent - self._start, status, took))
 
 
-def play(scenario: str, seed: int, folder: Path) -> list[Answer]:
-    """Play a scenario.
+class Outcome(NamedTuple):
+    """What came of a play.
 
-    Returns:
-      What the callers got.
+    Attributes:
+      answers: what the callers got.
+      ends: the ends of runs, the closed connections and rare log lines, counted.
+      violations: promises that the workers saw broken.
     """
+
+    answers: list[Answer]
+    ends: Counter[str]
+    violations: list[str]
+
+
+def play(
+    silences: tuple[Silence, ...], seconds: float, seed: int, folder: Path
+) -> Outcome:
+    """Serve callers for a time while connections go silent."""
     with PlatformSystem(folder, ENTRIES, SIDECARS, relayed=True) as system:
         system.wait_until_serving()
-        for silence in SCENARIOS[scenario]:
+        for silence in silences:
             gevent.spawn_later(silence.at, _silence, system, silence)
         load = Load(system, seed)
-        load.run(SECONDS)
-        twice = [each for w in system.workers for each in w.worker.violations]
-        _print(load.answers, _ends(system), twice)
-        return load.answers
+        load.run(seconds)
+        violations = [each for w in system.workers for each in w.worker.violations]
+        return Outcome(load.answers, _ends(system), violations)
 
 
 def _silence(system: PlatformSystem, silence: Silence) -> None:
@@ -127,10 +138,10 @@
     return counts
 
 
-def _print(answers: list[Answer], ends: Counter[str], twice: list[str]) -> None:
+def _print(outcome: Outcome) -> None:
     print("second  sent  200  in time  slowest ms  statuses")
     for second in range(SECONDS):
-        sent = [each for each in answers if int(each.sent) == second]
+        sent = [each for each in outcome.answers if int(each.sent) == second]
         done = [each for each in sent if each.status == 200]
         in_time = sum(each.took <= OBJECTIVE_SECONDS for each in done)
         slowest = max((each.took for each in sent), default=0.0) * 1000
@@ -139,9 +150,9 @@
             f"{second:6} {len(sent):5} {len(done):4} {in_time:8} {slowest:11.0f}"
             f"  {others or ''}"
         )
-    for reason, count in ends.most_common():
+    for reason, count in outcome.ends.most_common():
         print(f"{count:6} {reason}")
-    for each in twice:
+    for each in outcome.violations:
         print(f"broken: {each}")
 
 
@@ -152,7 +163,7 @@
         sys.exit(2)
     seed = int(arguments[1]) if len(arguments) > 1 else 0
     with tempfile.TemporaryDirectory() as folder:
-        play(arguments[0], seed, Path(folder))
+        _print(play(SCENARIOS[arguments[0]], SECONDS, seed, Path(folder)))
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from tests.platform.silence import Silence, play
 from tests.platform.system import TIMEOUT_SECONDS, PlatformSystem
 
 
@@ -32,3 +33,12 @@
     assert (status, body) == (200, {"state": "completed"})
     starts = sum(len(each.worker.starts) for each in system.workers)
     assert starts - before == 2
+
+
+def test_callers_are_served_while_connections_go_silent_again_and_again(tmp_path):
+    """Jobs waited for seconds, and some were given up."""
+    silences = tuple(Silence(at, ("front", "w", "store")) for at in range(1, 8))
+    outcome = play(silences, seconds=9, seed=0, folder=tmp_path)
+    assert {answer.status for answer in outcome.answers} == {200}
+    assert not outcome.ends["run ended: coordinator_silent"]
+    assert not outcome.violations
