--- a/gypsumspoke/runs/silent_links.py
+++ b/gypsumspoke/runs/silent_links.py
@@ -5,9 +5,9 @@
 once it has been silent for too long, so its connection is replaced before that: a new
 one is made beside the old one, and the old one is given up only when the entry has
 answered on the new one. An entry that is down or cut off loses nothing by that, and one
-that is only slow keeps its connection.
+that is only slow gets few new connections.
 
-A silent entry is one whose acks stay out. They prove that both directions work, which
+An entry is silent while its acks stay out. They prove that both directions work, which
 data that still arrives does not.
 """
 
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -349,9 +349,9 @@
         """Make this the newest connection of its peer."""
         peer = self._peers.setdefault(incarnation, _Peer())
         was_connected = bool(peer.connections)
-        # A peer dials only without an open connection. A second connection dialled by
-        # the same side means that the older one is closed at the other end, so there
-        # are never more than two.
+        # A peer dials only without an open connection, or to replace a silent one. So a
+        # second connection dialled by the same side means that the older one is closed
+        # at the other end or carries nothing, and there are never more than two.
         replaced = [
             older
             for older in peer.connections
