Cordon failure domains on the operators' request

Entries read the cordons with the configuration and hand them on in the offer that each new peer gets; a sidecar in a cordoned domain reports that it takes no work, refuses placements and what waits, and sends no start again. A set replaces another one only with a higher revision of the store; it counts as changed too if it may have changed in between, since others may hold a copy from that time. Jobs that only cordoned workers could run are refused at once: 503, or 504 where the entry doesn't know all workers.

Found by the new walk on the way: a peer that connected but had not reported yet missed a change; a domain cordoned again between two reads was lifted by an old copy.

No new kind of message: an older process would close the connection on it. Fields that a message lacks take their defaults, so that a fleet can be upgraded one by one.

--- a/gypsumspoke/platform/entry_store.py
+++ b/gypsumspoke/platform/entry_store.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Any
 
-from gypsumspoke.platform.store import Store, Watch
+from gypsumspoke.platform.store import Store, Table, Watch
 from gypsumspoke.runs.caller_timeouts import CallerTimeoutsRead, StoreCallerTimeouts
 from gypsumspoke.runs.settings import RunSettings
 
@@ -42,8 +42,8 @@
         self.put(CALLER_TIMEOUTS_TABLE, self._instance, json.dumps(timeouts).encode())
 
 
-def _on_caller_timeouts(post: Callable[[Any], None], rows: dict[str, bytes]) -> None:
-    stored = [timeouts for timeouts in map(_decode, rows.values()) if timeouts]
+def _on_caller_timeouts(post: Callable[[Any], None], table: Table) -> None:
+    stored = [timeouts for timeouts in map(_decode, table.rows.values()) if timeouts]
     post(CallerTimeoutsRead(tuple(stored)))
 
 
--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -12,9 +12,10 @@
 
 from gypsumspoke.core.clock import SteadyClock
 from gypsumspoke.platform.configuration import parse_configuration
+from gypsumspoke.platform.cordons import parse_cordons
 from gypsumspoke.platform.entry_store import EntryStore
 from gypsumspoke.platform.settings import read_settings, settings_path
-from gypsumspoke.platform.store import Store, Watch
+from gypsumspoke.platform.store import Store, Table, Watch
 from gypsumspoke.runs.coordinator_state import ConfigurationChanged
 from gypsumspoke.runs.directory import EntriesRead
 from gypsumspoke.runs.routing import RoutingTable
@@ -111,10 +112,12 @@
     return Store(settings.store, (watch,))
 
 
-def _on_operator_rows(post: Callable[[Any], None], rows: dict[str, bytes]) -> None:
-    if "config" not in rows:
+def _on_operator_rows(post: Callable[[Any], None], table: Table) -> None:
+    # The cordons come first, so that no job is placed without them.
+    post(parse_cordons(table))
+    if "config" not in table.rows:
         return
-    text = rows["config"].decode()
+    text = table.rows["config"].decode(errors="replace")
     parsed = parse_configuration(text)
     if not is_successful(parsed):
         details = {"reason": parsed.failure()}
@@ -123,5 +126,8 @@
     post(ConfigurationChanged(RoutingTable(parsed.unwrap()), text))
 
 
-def _on_entry_rows(post: Callable[[Any], None], rows: dict[str, bytes]) -> None:
-    post(EntriesRead(tuple(rows[key].decode() for key in sorted(rows))))
+def _on_entry_rows(post: Callable[[Any], None], table: Table) -> None:
+    addresses = (
+        value.decode(errors="replace") for _, value in sorted(table.rows.items())
+    )
+    post(EntriesRead(tuple(addresses)))
--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -37,6 +37,21 @@
     value: bytes | None
 
 
+class Table(NamedTuple):
+    """The rows of a table.
+
+    Attributes:
+      rows: all values by key.
+      revision: the store's revision as of which these are the rows.
+      changed: keys of the rows written or removed since the previous state that the
+        same watch got; None if that is unknown.
+    """
+
+    rows: dict[str, bytes]
+    revision: int
+    changed: frozenset[str] | None = None
+
+
 class Watch(NamedTuple):
     """A table to follow for changes.
 
@@ -50,7 +65,7 @@
 
     table: str
     wait: timedelta
-    on_rows: Callable[[dict[str, bytes]], None]
+    on_rows: Callable[[Table], None]
 
 
 class Store:
@@ -89,9 +104,7 @@
         if not is_being_written:
             self._greenlets.append(gevent.spawn(self._put, table, key))
 
-    def read_once(
-        self, table: str, on_rows: Callable[[dict[str, bytes]], None]
-    ) -> None:
+    def read_once(self, table: str, on_rows: Callable[[Table], None]) -> None:
         """Read a table once in the background, repeated until the store answers.
 
         Args:
@@ -100,15 +113,12 @@
         """
         self._greenlets.append(gevent.spawn(self._read_once, table, on_rows))
 
-    def _read_once(
-        self, table: str, on_rows: Callable[[dict[str, bytes]], None]
-    ) -> None:
+    def _read_once(self, table: str, on_rows: Callable[[Table], None]) -> None:
         read = self._read_table(table)
         while not is_successful(read):
             gevent.sleep(RETRY_DELAY.total_seconds())
             read = self._read_table(table)
-        rows, _ = read.unwrap()
-        on_rows(rows)
+        on_rows(read.unwrap())
 
     def _put(self, table: str, key: str) -> None:
         """Write the latest value of a row, again if it changes during the write."""
@@ -144,13 +154,14 @@
         read = self._read_table(watch.table)
         if not is_successful(read):
             return
-        rows, version = read.unwrap()
-        watch.on_rows(rows)
+        table = read.unwrap()
+        watch.on_rows(table)
+        rows, revision = table.rows, table.revision
         while True:
-            changed = self._read_changes(watch, version)
+            changed = self._read_changes(watch, revision)
             if not is_successful(changed):
                 return
-            changes, version = changed.unwrap()
+            changes, revision = changed.unwrap()
             if not changes:
                 continue
             for row in changes:
@@ -158,16 +169,17 @@
                     rows.pop(row.key, None)
                 else:
                     rows[row.key] = row.value
-            watch.on_rows(rows)
+            keys = frozenset(row.key for row in changes)
+            watch.on_rows(Table(rows, revision, keys))
 
-    def _read_table(self, table: str) -> Result[tuple[dict[str, bytes], int], str]:
-        """Return all rows of a table and the version from which to follow changes.
+    def _read_table(self, table: str) -> Result[Table, str]:
+        """Return all rows of a table.
 
-        This is the first page's version, so that the feed includes any change made
-        between two pages.
+        Its revision is that of the first page, so that the feed from there includes any
+        change made between two pages.
         """
         rows: dict[str, bytes] = {}
-        version = None
+        revision = None
         query = {"table": table, "part": ""}
         while True:
             request = Request("GET", "/v1/rows-get?" + urlencode(query), {})
@@ -177,18 +189,18 @@
             fields = answer.unwrap()
             page = _rows(fields)
             rows.update({row.key: row.value for row in page})
-            version = fields["ver"] if version is None else version
+            revision = fields["ver"] if revision is None else revision
             if not fields["more_pages"]:
-                return Success((rows, version))
+                return Success(Table(rows, revision))
             # The range includes its start, so continue at the next possible key.
             query["from"] = fields["rows"][-1]["key"] + "\x00"
 
     def _read_changes(
-        self, watch: Watch, version: int
+        self, watch: Watch, revision: int
     ) -> Result[tuple[list[StoredRow], int], str]:
         query = {
             "table": watch.table,
-            "after": version,
+            "after": revision,
             "wait_ms": watch.wait // timedelta(milliseconds=1),
         }
         request = Request("GET", "/v1/rows-feed?" + urlencode(query), {})
@@ -230,7 +242,7 @@
 
 
 def _rows(fields: dict[str, Any]) -> list[StoredRow]:
-    """Decode the rows, skipping malformed ones."""
+    """Decode the rows, skipping those without a key."""
     rows = []
     for each in fields["rows"]:
         try:
@@ -243,6 +255,15 @@
 
 
 def _row(fields: dict[str, Any]) -> StoredRow:
+    key = fields["key"]
+    if not isinstance(key, str):
+        raise TypeError(f"the key {key!r} is not a text")
     if fields.get("removed"):
-        return StoredRow(fields["key"], None)
-    return StoredRow(fields["key"], base64.b64decode(fields["value"], validate=True))
+        return StoredRow(key, None)
+    try:
+        return StoredRow(key, base64.b64decode(fields["value"], validate=True))
+    except (KeyError, TypeError, ValueError) as error:
+        # The row exists all the same, which alone says something for some keys.
+        details = {"key": key, "reason": repr(error)}
+        _log.error({"message": "unreadable value", "details": details})
+        return StoredRow(key, b"")
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -5,6 +5,7 @@
 room of jobs that can still meet their deadlines.
 """
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -70,20 +71,45 @@
         return Refusal(RefusalReason.TOO_MANY_JOBS, DEFAULT_RETRY_AFTER)
     if _is_discovering_workers(state, event.route.service, now):
         return None
+    return refuse_unfit(state, event.route.service, event.job.steps)
+
+
+def refuse_unfit(
+    state: CoordinatorState, service: str, steps: Iterable[Step]
+) -> Refusal | None:
+    """Return a refusal if a step fits on no worker that may take work, or None."""
     views = [
         view
         for view in state.views.values()
-        if view.report is not None and view.report.service == event.route.service
+        if view.report is not None and view.report.service == service
     ]
     if not views:
         return Refusal(RefusalReason.NO_WORKER, DEFAULT_RETRY_AFTER)
-    for step in event.job.steps:
-        if not any(serves(view, event.route.service, step) for view in views):
-            return _refuse_unfit(views, event.route.service, step)
+    open_views = [view for view in views if not view.report.cordoned]
+    for step in steps:
+        if any(serves(view, service, step) for view in open_views):
+            continue
+        if any(serves(view, service, step) for view in views):
+            return _refuse_cordoned(views)
+        return _refuse_unknown_fit(views, service, step)
     return None
 
 
-def _refuse_unfit(views: list[SidecarView], service: str, step: Step) -> Refusal:
+def _refuse_cordoned(views: list[SidecarView]) -> Refusal:
+    """Refuse a job that only workers in cordoned failure domains could run.
+
+    An entry that is connected to a part of the workers only may not know the others.
+    """
+    is_partial = any(view.report.partial for view in views)
+    reason = (
+        RefusalReason.NO_WORKER_IN_GROUP
+        if is_partial
+        else RefusalReason.DOMAINS_CORDONED
+    )
+    return Refusal(reason, DEFAULT_RETRY_AFTER)
+
+
+def _refuse_unknown_fit(views: list[SidecarView], service: str, step: Step) -> Refusal:
     """Refuse a job with a step that no connected worker can run.
 
     Only a label may be found elsewhere: an entry that is connected to a part of the
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -22,13 +22,14 @@
     Timed,
     TurnEnded,
 )
-from gypsumspoke.runs import coordinator_configuration
+from gypsumspoke.runs import coordinator_configuration, coordinator_cordons
 from gypsumspoke.runs.admission import (
     DEFAULT_RETRY_AFTER,
     WORKER_DISCOVERY_TIMEOUT,
     Refusal,
     has_worker,
     refuse_long_queue,
+    refuse_unfit,
     refuse_unreachable_deadline,
     refuse_unservable,
 )
@@ -51,9 +52,17 @@
     JobProgress,
 )
 from gypsumspoke.runs.coordinator_stop import begin_stop, continue_stop
+from gypsumspoke.runs.cordons import CordonsRead
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.isolation import check_isolation
-from gypsumspoke.runs.job_ends import finish, give_up, may_have_run, refuse
+from gypsumspoke.runs.job_ends import (
+    end_of_refusal,
+    finish,
+    give_up,
+    has_open_run,
+    may_have_run,
+    refuse,
+)
 from gypsumspoke.runs.messages import (
     ConfigurationOffer,
     ConfigurationRequest,
@@ -68,8 +77,7 @@
 # One log line covers all refusals of an interval: a line costs more than a refusal.
 REFUSED_LOG_INTERVAL = timedelta(seconds=1)
 
-# "Not run" is final for many callers, but another entry may serve such a job.
-_ENDS_OF_REFUSALS = {RefusalReason.NO_WORKER_IN_GROUP: JobEnd.GIVEN_UP}
+_CORDONED = (RefusalReason.DOMAINS_CORDONED, RefusalReason.NO_WORKER_IN_GROUP)
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -145,7 +153,7 @@
     refusal = refuse_unservable(state, event, now)
     refusal = refusal or refuse_long_queue(state, event, now)
     if refusal is not None:
-        end = _ENDS_OF_REFUSALS.get(refusal.reason, JobEnd.NOT_RUN)
+        end = end_of_refusal(refusal.reason)
         return refuse(event.request, event.job.id, refusal, end)
     progress = JobProgress(event, now, _waited_elsewhere(state, event, now))
     state.jobs[progress.id] = progress
@@ -239,6 +247,7 @@
 _handle.register(PeerConnected, handle_connected)
 _handle.register(PeerLost, handle_connection_lost)
 _handle.register(ConfigurationChanged, coordinator_configuration.handle_changed)
+_handle.register(CordonsRead, coordinator_cordons.handle_read)
 _handle.register(Drain, begin_stop)
 _handle_message.register(WorkerReport, handle_worker_report)
 _handle_message.register(RunEnded, handle_run_ended)
@@ -322,9 +331,24 @@
         if now >= progress.deadline:
             reason = RefusalReason.DEADLINE_EXCEEDED
             effects += give_up(state, progress, reason, now)
-        elif not may_have_run(progress):
-            refusal = refuse_unreachable_deadline(state, progress, now)
+        else:
+            refusal = _refuse_waiting(state, progress, now)
             if refusal is not None:
                 wait = refusal.retry_after
                 effects += give_up(state, progress, refusal.reason, now, wait)
     return effects
+
+
+def _refuse_waiting(
+    state: CoordinatorState, progress: JobProgress, now: datetime
+) -> Refusal | None:
+    """Return a refusal if a job in progress can't be completed any more, or None."""
+    if state.cordons.domains and not has_open_run(progress):
+        tasks = state.waiting.get(progress.id, ())
+        steps = {progress.job.steps[task.id.step] for task in tasks}
+        refusal = refuse_unfit(state, progress.route.service, steps)
+        if refusal is not None and refusal.reason in _CORDONED:
+            return refusal
+    if may_have_run(progress):
+        return None
+    return refuse_unreachable_deadline(state, progress, now)
--- a/gypsumspoke/runs/coordinator_configuration.py
+++ b/gypsumspoke/runs/coordinator_configuration.py
@@ -10,6 +10,7 @@
 from returns.pipeline import is_successful
 
 from gypsumspoke.core.effects import Effect, Log, Send
+from gypsumspoke.runs.coordinator_cordons import update_cordons
 from gypsumspoke.runs.coordinator_state import (
     ConfigurationChanged,
     CoordinatorState,
@@ -45,18 +46,19 @@
     if current == 0:
         effects.append(FirstConfiguration())
     for entry in sorted(state.entries):
-        effects.append(Send(entry, ConfigurationOffer(version)))
+        effects.append(Send(entry, ConfigurationOffer(version, state.cordons)))
     return effects
 
 
 def handle_offer(
     message: ConfigurationOffer, sender: str, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
-    """Request the configuration of another entry if it is newer."""
+    """Apply newer cordons of another entry; request a newer configuration."""
     state.entries.add(sender)
+    effects = update_cordons(state, message.cordons, sender)
     if message.version <= state.version:
-        return []
-    return [Send(sender, ConfigurationRequest())]
+        return effects
+    return [*effects, Send(sender, ConfigurationRequest())]
 
 
 def handle_request(
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -38,12 +38,13 @@
     event: PeerConnected, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
     """Send a new peer the known entries; ask a known sidecar about its open runs."""
+    state.peers.add(event.incarnation)
     effects: list[Effect] = [
         Send(
             event.incarnation,
             KnownEntries(state.directory.known, state.directory.own),
         ),
-        Send(event.incarnation, ConfigurationOffer(state.version)),
+        Send(event.incarnation, ConfigurationOffer(state.version, state.cordons)),
     ]
     view = state.views.get(event.incarnation)
     if view is not None:
@@ -61,6 +62,7 @@
     event: PeerLost, state: CoordinatorState, now: datetime
 ) -> list[Effect]:
     """Mark a sidecar as disconnected; its runs count until they must have ended."""
+    state.peers.discard(event.incarnation)
     state.entries.discard(event.incarnation)
     view = state.views.get(event.incarnation)
     if view is None:
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -9,6 +9,7 @@
 from gypsumspoke.core.events import Arrival
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.caller_timeouts import CallerTimeouts
+from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.load import LoadShedder
 from gypsumspoke.runs.routing import RoutingTable
@@ -189,6 +190,7 @@
         placing round.
       table: the configuration in force; None before the first.
       configuration_text: its text as the operators wrote it.
+      cordons: the cordoned failure domains.
       arrival: arrival times of the current event.
       load_shedder: decides which jobs are refused while this entry is overloaded.
       refused_unread: jobs refused by it since the latest log line about them.
@@ -199,6 +201,7 @@
       isolated: whether jobs are given up since all sidecars are silent.
       draining: when the graceful stop began; None before.
       stopped: whether the graceful stop is complete.
+      peers: connected entries and sidecars.
       entries: connected entries.
       caller_timeouts: the usual timeouts of callers, by route.
 
@@ -233,6 +236,7 @@
         self.needs_placing_round = False
         self.table: RoutingTable | None = None
         self.configuration_text = ""
+        self.cordons = NO_CORDONS
         self.arrival = Arrival(now, now, now)
         self.load_shedder = LoadShedder(budget.tick, now)
         self.refused_unread = 0
@@ -243,6 +247,7 @@
         self.isolated = False
         self.draining: datetime | None = None
         self.stopped = False
+        self.peers: set[str] = set()
         self.entries: set[str] = set()
         self.caller_timeouts = CallerTimeouts(budget.bounds.resend, now)
         self.directory = directory
--- a/gypsumspoke/runs/job_ends.py
+++ b/gypsumspoke/runs/job_ends.py
@@ -37,6 +37,13 @@
     ]
 
 
+def end_of_refusal(reason: RefusalReason) -> JobEnd:
+    """Return how a job that has not run is answered when it is refused."""
+    # "Not run" is final for many callers, but another entry may serve such a job.
+    is_local = reason is RefusalReason.NO_WORKER_IN_GROUP
+    return JobEnd.GIVEN_UP if is_local else JobEnd.NOT_RUN
+
+
 def give_up(
     state: CoordinatorState,
     progress: JobProgress,
@@ -45,7 +52,9 @@
     retry_after: timedelta = DEFAULT_RETRY_AFTER,
 ) -> list[Effect]:
     """End a job early, as "not run" only if none of its runs can have started."""
-    end = JobEnd.GIVEN_UP if may_have_run(progress) else JobEnd.NOT_RUN
+    end = end_of_refusal(reason)
+    if may_have_run(progress):
+        end = JobEnd.GIVEN_UP
     return finish(state, progress, end, reason, now, retry_after)
 
 
@@ -58,6 +67,15 @@
     )
 
 
+def has_open_run(progress: JobProgress) -> bool:
+    """Return whether a run of the job may be at work."""
+    return any(
+        task.run is not None and not task.done
+        for tasks in progress.tasks
+        for task in tasks
+    )
+
+
 def finish(
     state: CoordinatorState,
     progress: JobProgress,
--- a/gypsumspoke/runs/messages.py
+++ b/gypsumspoke/runs/messages.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from gypsumspoke.runs.cordons import NO_CORDONS, Cordons
 from gypsumspoke.runs.values import EndReason, Room, RunEnd, RunId
 
 
@@ -29,6 +30,7 @@
       taken: number of placements received from this entry on this connection.
       entries: number of entries that place runs on the worker.
       partial: whether the sidecar knows entries that it isn't connected to by choice.
+      cordoned: whether operators have cordoned the worker's failure domain.
     """
 
     stamp: timedelta
@@ -44,6 +46,7 @@
     taken: int
     entries: int = 1
     partial: bool = False
+    cordoned: bool = False
 
 
 class ReportAck(NamedTuple):
@@ -129,9 +132,15 @@
 
 
 class ConfigurationOffer(NamedTuple):
-    """Between entries: the version of the configuration in force at the sender."""
+    """Entry to a peer: the configuration and the cordons in force at the sender.
+
+    Attributes:
+      version: version of the configuration; sidecars ignore it.
+      cordons: the cordoned failure domains.
+    """
 
     version: int
+    cordons: Cordons = NO_CORDONS
 
 
 class ConfigurationRequest(NamedTuple):
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -16,6 +16,7 @@
 from gypsumspoke.runs import (
     silent_links,
     supervisor_commands,
+    supervisor_cordons,
     supervisor_incarnation,
     supervisor_links,
     supervisor_renewals,
@@ -25,6 +26,7 @@
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
 from gypsumspoke.runs.messages import (
     AskRun,
+    ConfigurationOffer,
     KnownEntries,
     PlaceRun,
     ReportAck,
@@ -122,6 +124,7 @@
     effects += start_waiting_runs(state, now)
     effects += waiting_room.send_back_overdue(state, now)
     effects += supervisor_report.send_regular_reports(state, now)
+    effects += supervisor_cordons.note_empty(state, now)
     return [*effects, *continue_stop(state, now)]
 
 
@@ -182,6 +185,7 @@
 _handle.register(PeerLost, supervisor_links.handle_connection_lost)
 _handle.register(Drain, begin_stop)
 _handle_message.register(KnownEntries, supervisor_links.handle_known_entries)
+_handle_message.register(ConfigurationOffer, supervisor_cordons.handle_offer)
 _handle_message.register(PlaceRun, handle_placement)
 _handle_message.register(AskRun, handle_run_query)
 _handle_message.register(WithdrawRun, handle_withdrawal)
--- a/gypsumspoke/runs/supervisor_placement.py
+++ b/gypsumspoke/runs/supervisor_placement.py
@@ -120,6 +120,8 @@
         return EndReason.WORKER_UNKNOWN
     if state.worker.state is WorkerReady.DRAINING:
         return EndReason.WORKER_DRAINING
+    if state.is_cordoned:
+        return EndReason.DOMAIN_CORDONED
     if not fits(message.room, state.worker.capacity):
         return EndReason.NO_ROOM_EVER
     # Another entry that coordinated the job before has used this number already; the
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -42,6 +42,7 @@
         and is_answering(state, now)
         and may_probe(state, now)
         and not state.is_lease_short
+        and not state.is_cordoned
     )
 
 
@@ -93,6 +94,7 @@
         taken=state.taken.get(peer, 0),
         entries=max(len(state.peers) - len(state.leaving), 1),
         partial=state.group.is_partial(state.directory.known),
+        cordoned=state.is_cordoned,
     )
     if state.leaving.get(peer, now) is None and not has_runs_of(state, peer):
         state.leaving[peer] = now
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
+from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.messages import RunEnded
@@ -158,6 +159,10 @@
       ticked_at: when the latest tick was handled.
       last_reports: the latest report to each connected entry.
       group: the entries that this sidecar connects to.
+      failure_domain: the worker's failure domain.
+      cordons: the cordoned failure domains.
+      cordoned_at: when this one became cordoned; None if it isn't.
+      is_empty: whether no run is left since then.
       leaving: entries whose connection is to be closed; the value is when the first
         report that says so was sent while no run of the entry was here, or None.
       highest: highest run number accepted for a task, for the latest tasks.
@@ -177,6 +182,7 @@
         now: datetime,
         budget: Budget = DEFAULT_BUDGET,
         group: EntryGroup | None = None,
+        failure_domain: str = "",
     ) -> None:
         self.origin = now
         self.budget = budget
@@ -208,6 +214,10 @@
         self.last_reports: dict[str, LastReport] = {}
         self.group = group or EntryGroup("", now)
         self.leaving: dict[str, datetime | None] = {}
+        self.failure_domain = failure_domain
+        self.cordons = NO_CORDONS
+        self.cordoned_at: datetime | None = None
+        self.is_empty = False
         self.highest: OrderedDict[TaskId, int] = OrderedDict()
         self.pace = 0.0
         self.failing = 0.0
@@ -217,6 +227,11 @@
         self.has_stopped = False
         self.directory = directory
 
+    @property
+    def is_cordoned(self) -> bool:
+        """Whether operators have cordoned the worker's failure domain."""
+        return self.failure_domain in self.cordons.domains
+
     @property
     def knows_all_runs(self) -> bool:
         """Whether no run of an earlier process can still be running."""
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -100,6 +100,11 @@
         )
         runtime.add_handler(AnswerJob, callers.deliver)
         runtime.add_handler(FirstConfiguration, callers.on_first_configuration)
+        context.metrics.gauge(
+            "cordoned_domains",
+            "Failure domains that operators have cordoned.",
+            lambda: len(state.cordons.domains),
+        )
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, context.metrics, is_ready, stack)
         readiness = adapter.readiness(is_ready)
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -16,6 +16,7 @@
 from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_http_server, open_metrics
 from gypsumspoke.shell.run_role import (
+    RunContext,
     StorePort,
     open_run_context,
     open_runtime,
@@ -70,6 +71,7 @@
             clock.now(),
             settings.budget,
             group,
+            settings.failure_domain,
         )
         runtime = open_runtime(settings, context, supervisor.reduce, state, clock)
         worker = stack.enter_context(
@@ -78,6 +80,7 @@
         runtime.add_handler(StartCommand, worker.start)
         runtime.add_handler(StopCommand, worker.stop)
         runtime.add_handler(RenewCommand, worker.renew)
+        _add_gauges(context, state)
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, context.metrics, is_ready, stack)
         registration = adapter.registration(runtime.post)
@@ -93,5 +96,16 @@
         )
 
 
+def _add_gauges(context: RunContext, state: SupervisorState) -> None:
+    context.metrics.gauge(
+        "runs", "Runs on the worker that have not ended.", lambda: len(state.runs)
+    )
+    context.metrics.gauge(
+        "cordoned",
+        "Whether operators have cordoned the failure domain.",
+        lambda: state.is_cordoned,
+    )
+
+
 def _is_ready(state: SupervisorState, clock: Clock) -> bool:
     return can_start(state, clock.now())
--- a/gypsumspoke/wire/codec.py
+++ b/gypsumspoke/wire/codec.py
@@ -39,6 +39,11 @@
 _Convert = Callable[[Any], Any]
 
 
+# A field without a default; another one may be absent, as in messages of processes of
+# an earlier version.
+_REQUIRED = object()
+
+
 class InvalidField(ValueError):
     """A field is absent or its value is not valid for its type."""
 
@@ -56,6 +61,7 @@
     wire_name: str
     optional: bool
     converter: _Converter
+    default: Any = _REQUIRED
 
 
 def _time_to_wire(time: datetime) -> int:
@@ -124,13 +130,15 @@
     )
 
 
-def _field(name: str, annotation: Any) -> _Field:
+def _field(name: str, annotation: Any, default: Any) -> _Field:
     optional = typing.get_origin(annotation) in (types.UnionType, typing.Union)
     if optional:
         kinds = typing.get_args(annotation)
         annotation = next(kind for kind in kinds if kind is not types.NoneType)
     wire_name = _RESERVED_WORDS.get(name, name)
-    return _Field(wire_name, optional, _converter(annotation))
+    return _Field(
+        wire_name, optional, _converter(annotation), None if optional else default
+    )
 
 
 def _struct_converter(kind: type) -> _Converter:
@@ -141,13 +149,16 @@
     """
     struct = getattr(ttypes, kind.__name__)
     hints = typing.get_type_hints(kind)
-    fields = [_field(name, hints[name]) for name in kind._fields]
+    fields = [
+        _field(name, hints[name], kind._field_defaults.get(name, _REQUIRED))
+        for name in kind._fields
+    ]
     wire_names = [entry[2] for entry in struct.thrift_spec if entry]
     if wire_names != [field.wire_name for field in fields]:
         raise TypeError(f"the IDL's {kind.__name__} has fields {wire_names}")
     writers = [field.converter.to_wire for field in fields]
     readers = [
-        (field.wire_name, field.optional, field.converter.from_wire) for field in fields
+        (field.wire_name, field.default, field.converter.from_wire) for field in fields
     ]
 
     def to_wire(value: Any) -> Any:
@@ -160,10 +171,11 @@
 
     def from_wire(value: Any) -> Any:
         items = []
-        for name, optional, read in readers:
+        for name, default, read in readers:
             item = getattr(value, name)
             if item is None:
-                if not optional:
+                item = default
+                if item is _REQUIRED:
                     raise InvalidField(f"{kind.__name__}.{name} is absent")
             elif read is not None:
                 item = read(item)
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -350,6 +350,7 @@
   11: i64 taken
   12: i64 entries
   13: bool partial
+  14: bool cordoned
 }
 
 /** Entry to sidecar: acknowledges a report, and keeps the entry's runs alive. */
@@ -394,9 +395,17 @@
   2: string own
 }
 
-/** Between entries: the version of the configuration in force. */
+/** The failure domains that take no new runs, as of a revision of the store. */
+struct Cordons {
+  1: i64 revision
+  2: i64 since
+  3: list<string> domains
+}
+
+/** Entry to a peer: the version of the configuration in force, and the cordons. */
 struct ConfigurationOffer {
   1: i64 version
+  2: Cordons cordons
 }
 
 /** Between entries: send the text of your configuration. */
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -65,6 +65,7 @@
       folder: directory for settings and logs.
       entries, sidecars: number of processes.
       relayed: whether relays stand between entries, sidecars, workers and the store.
+      domains: failure domains that the sidecars are in by turns.
 
     Attributes:
       relays: the relays, by the name of the server behind each.
@@ -76,15 +77,18 @@
         entries: int = 2,
         sidecars: int = 2,
         relayed: bool = False,
+        domains: tuple[str, ...] = ("a",),
     ) -> None:
         self._folder = folder
         self._relayed = relayed
+        self._domains = domains
         self.relays: dict[str, Relay] = {}
         self._stack = ExitStack()
         self._net = f"127.{random.SystemRandom().randrange(1, 255)}"
         self._net += f".{random.SystemRandom().randrange(1, 255)}"
         self._ports = [_free_port() for _ in range(4)]
         self._counts = (entries, sidecars)
+        self._jobs = 0
         self.store = PlatformStore()
         self.workers: list[PlatformWorker] = []
         self.entries: list[Process] = []
@@ -132,6 +136,7 @@
         host, port = self._relay(f"w{number}", self.workers[number].address)
         settings["app"] = f"{host}:{port}"
         settings["service"] = "estimate"
+        settings["zone"] = self._domains[number % len(self._domains)]
         return self._start(settings, "gypsumspoke.platform", "sidecar")
 
     def _relay(
@@ -213,6 +218,11 @@
         """Submit a job to an entry."""
         return self.call(number, "POST", PREFIX + job_id, job_body(**more))
 
+    def next_job(self) -> int:
+        """Return a number for a job that none had before."""
+        self._jobs += 1
+        return self._jobs
+
     def is_ready(self, number: int) -> bool:
         """Return whether an entry's readiness probe succeeds."""
         address = (self._ip(10 + number), self._ports[1])
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -4,6 +4,7 @@
 
 from tests.runs.walk import (
     CommandFaultWalk,
+    CordonWalk,
     GroupWalk,
     IsolationWalk,
     SilenceWalk,
@@ -39,6 +40,12 @@
     assert GroupWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_cordoned_failure_domains_get_no_new_runs(seed):
+    """Cordons come and go beside losses, cuts and entries that read the store late."""
+    assert CordonWalk(seed).play() == []
+
+
 # 9: a start was carried out, its answer lost, and the worker restarted; the job was
 # answered as not run.
 @pytest.mark.parametrize("seed", [*range(4), 9])
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -11,18 +11,19 @@
 import random
 import sys
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
 from functools import partial
 from typing import Any, NamedTuple
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.coordinator_state import AnswerJob
+from gypsumspoke.runs.cordons import Cordons
 from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
 from tests.runs.groups import SingleEntryGroup
-from tests.runs.world import Delivery, World, job, ms
+from tests.runs.world import Delivery, Process, World, job, ms
 
 ENTRIES = ("entry0", "entry1")
 SIDES = ("side0", "side1", "side2")
@@ -270,6 +271,69 @@
         super()._check_service()
 
 
+class CordonWalk(GroupWalk):
+    """A walk on which failure domains are cordoned and the cordons lifted.
+
+    Entries read the store late. A sidecar that has heard an entry since the entry knows
+    a cordon knows it too, and starts nothing in a cordoned domain.
+    """
+
+    DOMAINS = {"side0": "north", "side1": "north", "side2": "south"}
+
+    def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
+        super().__init__(seed, budget)
+        self.world.failure_domains.update(self.DOMAINS)
+        for host in SIDES:
+            self.world.kill(host)
+            self.world.start_sidecar(host)
+        self._learned: dict[str, tuple[Cordons, datetime]] = {}
+        self.world.on_start = self._check_start
+
+    def _steps(self) -> list[Callable[[], None]]:
+        cordons = [*[self._cordon] * 4, *[self._lift] * 3]
+        return [*super()._steps(), *cordons, *[self._cut_from_store] * 2]
+
+    def _cordon(self) -> None:
+        self.world.cordon(self.random.choice(("north", "south")))
+
+    def _lift(self) -> None:
+        self.world.lift(self.random.choice(("north", "south")))
+
+    def _cut_from_store(self) -> None:
+        """Let an entry read the store late."""
+        host = self.random.choice(ENTRIES)
+        self.world.cut_from_store.add(host)
+        after = ms(self.random.choice((300, 1800, 6000)))
+        self.world.at(after, partial(self._reach_store, host))
+
+    def _reach_store(self, host: str) -> None:
+        self.world.cut_from_store.discard(host)
+        self.world.read_cordons(host)
+
+    def _check_start(self, sidecar: Process) -> None:
+        state = sidecar.state
+        for host in ENTRIES:
+            entry = self.world.processes[host]
+            cordons = entry.state.cordons
+            known, learned = self._learned.get(entry.name, (None, self.world.now))
+            if known != cordons:
+                learned = self.world.now
+                self._learned[entry.name] = (cordons, learned)
+            is_told = state.heard.get(entry.name, learned) > learned
+            if is_told and state.cordons.revision < cordons.revision:
+                self._report(sidecar, "has missed a cordon")
+        if state.is_cordoned:
+            self._report(sidecar, "starts a run in a cordoned domain")
+
+    def _report(self, sidecar: Process, what: str) -> None:
+        self.world.violations.append(f"{self.world.now}: {sidecar.name} {what}")
+
+    def _clear_faults(self) -> None:
+        super()._clear_faults()
+        self.world.cut_from_store.clear()
+        self.world.lift("north", "south")
+
+
 class FaultKind(Enum):
     """What happens to a command."""
 
@@ -493,6 +557,7 @@
     "cut-off": IsolationWalk,
     "orders": CommandFaultWalk,
     "groups": GroupWalk,
+    "cordons": CordonWalk,
     "silence": SilenceWalk,
 }
 
