Encode and decode the message tuples themselves

The C extension now reads into one plain object and writes the tuple itself. The bytes are the same; a test compares them with those of the generated structs for each message.

A message with a second one behind it in the frame is refused as before.

--- a/gypsumspoke/core/messages.py
+++ b/gypsumspoke/core/messages.py
@@ -309,18 +309,26 @@
     text: str
 
 
+class TeamRates(NamedTuple):
+    """Rates of one team: tasks per second offered, and admitted."""
+
+    team: str
+    offered: float
+    admitted: float
+
+
 class TeamUsage(NamedTuple):
     """Entry to other entries: each team's rate of tasks over the last interval.
 
     Attributes:
       incarnation: the reporting entry.
       sequence: incremented with each report.
-      usage: (team, tasks per second offered, tasks per second admitted).
+      usage: the rates of each team.
     """
 
     incarnation: str
     sequence: int
-    usage: tuple[tuple[str, float, float], ...]
+    usage: tuple[TeamRates, ...]
 
 
 Message = (
--- a/gypsumspoke/core/quota.py
+++ b/gypsumspoke/core/quota.py
@@ -24,7 +24,7 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from gypsumspoke.core.messages import TeamUsage
+from gypsumspoke.core.messages import TeamRates, TeamUsage
 from gypsumspoke.core.policy import TeamPolicy
 
 REPORT_INTERVAL = timedelta(seconds=1)
@@ -180,7 +180,7 @@
         admitted = bucket.admitted / seconds
         bucket.demand = bucket.offered / seconds
         if bucket.offered:
-            usage.append((name, bucket.demand, admitted))
+            usage.append(TeamRates(name, bucket.demand, admitted))
         bucket.offered = 0
         bucket.admitted = 0
     _update_rates(state, now)
--- a/gypsumspoke/wire/codec.py
+++ b/gypsumspoke/wire/codec.py
@@ -1,25 +1,26 @@
 """Encodes and decodes messages with thrift's compact protocol.
 
-The message tuples of ``core`` and ``runs/messages.py`` don't depend on thrift. Each is
-converted to and from the generated struct with the same fields. The converters are
-built from the tuples' annotations at import, so a field that the IDL lacks is an error
-at import instead of being dropped silently.
+The message tuples of ``core`` and ``runs/messages.py`` don't depend on thrift. Its C
+extension reads and writes them itself, by specifications that are built at import from
+the IDL's structs and the tuples' annotations. So a field that the IDL lacks is an error
+at import instead of being dropped silently, and no second object is made for each
+message.
 
-Thrift's C extension is required: the pure Python implementation is too slow.
+The extension is required: the pure Python implementation is too slow.
 """
 
 import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta, timezone
 from enum import Enum
+from operator import attrgetter
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
 from thrift.protocol import fastbinary
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.protocol.TProtocol import TProtocolException
-from thrift.Thrift import TException
+from thrift.Thrift import TException, TType
 from thrift.transport.TTransport import TMemoryBuffer
 
 from gypsumspoke.core.messages import Message
@@ -33,35 +34,38 @@
 _MICROSECOND = timedelta(microseconds=1)
 _RESERVED_WORDS = {"service": "service_name"}
 
-# The only unnamed tuple type in a message.
-_TEAM_RATES = tuple[str, float, float]
+# The type of a struct field, and the end of a struct, in the compact protocol.
+_STRUCT_FIELD = 0x0C
+_STOP = b"\x00"
+# A larger number of a union's member follows the byte with its type.
+_MAX_SHORT_NUMBER = 15
 
 _Convert = Callable[[Any], Any]
 
 
-# A field without a default; another one may be absent, as in messages of processes of
-# an earlier version.
-_REQUIRED = object()
+class _Spec(NamedTuple):
+    """How the extension reads and writes one type of tuple.
 
+    Attributes:
+      target: see ``_target``.
+      fields: for each field its number, type, name, type arguments and default.
+      to_wire: converts a tuple for the encoder; None if it needs no conversion.
+      from_wire: makes the tuple from an instance of ``target``.
+    """
 
-class InvalidField(ValueError):
-    """A field is absent or its value is not valid for its type."""
-
-
-class _Converter(NamedTuple):
-    """Converts values of one annotation; None means no conversion."""
-
+    target: type
+    fields: tuple
     to_wire: _Convert | None
-    from_wire: _Convert | None
+    from_wire: _Convert
 
+    @property
+    def arguments(self) -> list:
+        """The specification as the extension expects it."""
+        return [self.target, self.fields]
 
-class _Field(NamedTuple):
-    """One field of a message tuple and the matching struct attribute."""
 
-    wire_name: str
-    optional: bool
-    converter: _Converter
-    default: Any = _REQUIRED
+# ---------------------------------------------------------------------------
+# Values
 
 
 def _time_to_wire(time: datetime) -> int:
@@ -80,130 +84,181 @@
     return timedelta(microseconds=micros)
 
 
-def _team_rates_to_wire(rates: tuple[str, float, float]) -> ttypes.TeamRates:
-    return ttypes.TeamRates(*rates)
+def _enum_value(member: Enum) -> str:
+    return member.value
 
 
-def _team_rates_from_wire(rates: ttypes.TeamRates) -> tuple[str, float, float]:
-    values = (rates.team, rates.offered, rates.admitted)
-    if None in values:
-        raise InvalidField("TeamRates is incomplete")
-    return values
+def _writer(annotation: Any) -> _Convert | None:
+    """Return what converts values of an annotation for the encoder, if needed."""
+    if annotation is datetime:
+        return _time_to_wire
+    if annotation is timedelta:
+        return _duration_to_wire
+    if _is_list(annotation):
+        write = _writer(_item_of(annotation))
+        return None if write is None else lambda items: [write(item) for item in items]
+    if issubclass(annotation, Enum):
+        return _enum_value
+    return _spec(annotation).to_wire if _is_struct(annotation) else None
+
+
+def _reader(annotation: Any) -> _Convert | None:
+    """Return what converts decoded values of an annotation, if needed."""
+    if annotation is datetime:
+        return _time_from_wire
+    if annotation is timedelta:
+        return _duration_from_wire
+    if _is_list(annotation):
+        read = _reader(_item_of(annotation))
+        return None if read is None else lambda items: tuple(map(read, items))
+    if issubclass(annotation, Enum):
+        # An unknown value raises a ValueError.
+        return annotation
+    return _spec(annotation).from_wire if _is_struct(annotation) else None
 
 
-_CONVERTERS: dict[Any, _Converter] = {
-    str: _Converter(None, None),
-    bytes: _Converter(None, None),
-    int: _Converter(None, None),
-    float: _Converter(None, None),
-    bool: _Converter(None, None),
-    datetime: _Converter(_time_to_wire, _time_from_wire),
-    timedelta: _Converter(_duration_to_wire, _duration_from_wire),
-    _TEAM_RATES: _Converter(_team_rates_to_wire, _team_rates_from_wire),
-}
+def _is_list(annotation: Any) -> bool:
+    return typing.get_origin(annotation) is tuple
 
 
-def _enum_converter(enum: type[Enum]) -> _Converter:
-    by_value = {member.value: member for member in enum}
+def _item_of(annotation: Any) -> Any:
+    return typing.get_args(annotation)[0]
 
-    def from_wire(value: str) -> Enum:
-        if value not in by_value:
-            raise InvalidField(f"{value!r} is not a valid {enum.__name__}")
-        return by_value[value]
 
-    return _Converter(lambda member: member.value, from_wire)
+def _is_struct(annotation: Any) -> bool:
+    return issubclass(annotation, tuple)
 
 
-def _list_converter(item: _Converter) -> _Converter:
-    to_wire, from_wire = item
-    return _Converter(
-        (
-            list
-            if to_wire is None
-            else lambda items: [to_wire(element) for element in items]
-        ),
-        (
-            tuple
-            if from_wire is None
-            else lambda items: tuple([from_wire(element) for element in items])
-        ),
-    )
+def _is_optional(annotation: Any) -> bool:
+    return typing.get_origin(annotation) in (types.UnionType, typing.Union)
 
 
-def _field(name: str, annotation: Any, default: Any) -> _Field:
-    optional = typing.get_origin(annotation) in (types.UnionType, typing.Union)
-    if optional:
-        kinds = typing.get_args(annotation)
-        annotation = next(kind for kind in kinds if kind is not types.NoneType)
-    wire_name = _RESERVED_WORDS.get(name, name)
-    return _Field(
-        wire_name, optional, _converter(annotation), None if optional else default
-    )
+def _present_type(annotation: Any) -> Any:
+    """Return the type of a field that is present."""
+    if not _is_optional(annotation):
+        return annotation
+    kinds = typing.get_args(annotation)
+    return next(kind for kind in kinds if kind is not types.NoneType)
+
+
+# ---------------------------------------------------------------------------
+# Tuples
+
+_SPECS: dict[type, _Spec] = {}
 
 
-def _struct_converter(kind: type) -> _Converter:
-    """Return the converter of a NamedTuple.
+def _spec(kind: type) -> _Spec:
+    """Return the specification of a NamedTuple, cached after the first call.
 
     Raises:
       TypeError: the fields of the IDL's struct differ in name or order.
     """
-    struct = getattr(ttypes, kind.__name__)
+    if kind not in _SPECS:
+        _SPECS[kind] = _make_spec(kind)
+    return _SPECS[kind]
+
+
+def _make_spec(kind: type) -> _Spec:
     hints = typing.get_type_hints(kind)
-    fields = [
-        _field(name, hints[name], kind._field_defaults.get(name, _REQUIRED))
-        for name in kind._fields
-    ]
-    wire_names = [entry[2] for entry in struct.thrift_spec if entry]
-    if wire_names != [field.wire_name for field in fields]:
-        raise TypeError(f"the IDL's {kind.__name__} has fields {wire_names}")
-    writers = [field.converter.to_wire for field in fields]
-    readers = [
-        (field.wire_name, field.default, field.converter.from_wire) for field in fields
+    entries = getattr(ttypes, kind.__name__).thrift_spec
+    names = [entry[2] for entry in entries if entry]
+    if names != [_RESERVED_WORDS.get(name, name) for name in kind._fields]:
+        raise TypeError(f"the IDL's {kind.__name__} has fields {names}")
+    present = {name: _present_type(hints[name]) for name in kind._fields}
+    unnamed = iter(kind._fields)
+    fields = tuple(
+        entry and _field_spec(entry, name := next(unnamed), present[name])
+        for entry in entries
+    )
+    writers = [_writer(annotation) for annotation in present.values()]
+    readers = [_reader(annotation) for annotation in present.values()]
+    return _Spec(
+        _target(kind, hints),
+        fields,
+        _tuple_writer(kind, writers) if any(writers) else None,
+        _tuple_reader(kind, readers),
+    )
+
+
+def _field_spec(entry: tuple, name: str, annotation: Any) -> tuple:
+    number, wire_type, _, arguments, _ = entry
+    return (number, wire_type, name, _arguments(wire_type, arguments, annotation), None)
+
+
+def _arguments(wire_type: int, arguments: Any, annotation: Any) -> Any:
+    """Return the type arguments of a field, with tuples in place of the structs."""
+    if wire_type == TType.STRUCT:
+        return _spec(annotation).arguments
+    if wire_type == TType.LIST:
+        item_type, item_arguments, _ = arguments
+        item = _arguments(item_type, item_arguments, _item_of(annotation))
+        is_tuple = True
+        return (item_type, item, is_tuple)
+    return arguments
+
+
+def _target(kind: type, hints: dict[str, Any]) -> type:
+    """Return the class whose instances receive the decoded fields of a tuple.
+
+    A field that is absent has its default. One without a default must be present, but
+    one with a default may be absent, as in messages of processes of an earlier version.
+    """
+    optional = {name: None for name in kind._fields if _is_optional(hints[name])}
+    return type(kind.__name__, (), {**optional, **kind._field_defaults})
+
+
+def _tuple_reader(kind: type, readers: list[_Convert | None]) -> _Convert:
+    """Return what makes a tuple from decoded fields; raises if one is missing."""
+    get = _attributes_getter(kind._fields)
+    converted = [
+        (index, read) for index, read in enumerate(readers) if read is not None
     ]
 
+    def from_wire(target: Any) -> Any:
+        values = list(get(target))
+        for index, read in converted:
+            if values[index] is not None:
+                values[index] = read(values[index])
+        return kind._make(values)
+
+    return from_wire
+
+
+def _attributes_getter(names: tuple[str, ...]) -> Callable[[Any], Iterable[Any]]:
+    """Return what reads these attributes of an object."""
+    if len(names) > 1:
+        return attrgetter(*names)
+    return lambda target: [getattr(target, name) for name in names]
+
+
+def _tuple_writer(kind: type, writers: list[_Convert | None]) -> _Convert:
     def to_wire(value: Any) -> Any:
-        return struct(
-            *[
+        return kind._make(
+            [
                 item if write is None or item is None else write(item)
                 for write, item in zip(writers, value)
             ]
         )
 
-    def from_wire(value: Any) -> Any:
-        items = []
-        for name, default, read in readers:
-            item = getattr(value, name)
-            if item is None:
-                item = default
-                if item is _REQUIRED:
-                    raise InvalidField(f"{kind.__name__}.{name} is absent")
-            elif read is not None:
-                item = read(item)
-            items.append(item)
-        return kind(*items)
-
-    return _Converter(to_wire, from_wire)
-
-
-def _converter(annotation: Any) -> _Converter:
-    """Return the converter of a message annotation, cached after the first call."""
-    if annotation in _CONVERTERS:
-        return _CONVERTERS[annotation]
-    if typing.get_origin(annotation) is tuple:
-        return _list_converter(_converter(typing.get_args(annotation)[0]))
-    if issubclass(annotation, Enum):
-        converter = _enum_converter(annotation)
-    else:
-        converter = _struct_converter(annotation)
-    _CONVERTERS[annotation] = converter
-    return converter
+    return to_wire
+
+
+# ---------------------------------------------------------------------------
+# Messages
 
 
 class _Kind(NamedTuple):
-    """One member of the IDL's message union."""
+    """One member of the IDL's message union.
 
-    union_field: str
-    converter: _Converter
+    Attributes:
+      prefix: its header in an encoded union.
+      arguments, to_wire, from_wire: as in _Spec.
+    """
+
+    prefix: bytes
+    arguments: list
+    to_wire: _Convert | None
+    from_wire: _Convert
 
 
 def _kinds() -> dict[type, _Kind]:
@@ -217,15 +272,27 @@
     for entry in ttypes.Message.thrift_spec:
         if entry:
             kind = wanted.pop(entry[3][0].__name__)
-            kinds[kind] = _Kind(entry[2], _converter(kind))
+            spec = _spec(kind)
+            kinds[kind] = _Kind(
+                _prefix(entry[0]), spec.arguments, spec.to_wire, spec.from_wire
+            )
     if wanted:
         raise TypeError(f"the IDL's union lacks {sorted(wanted)}")
     return kinds
 
 
+def _prefix(number: int) -> bytes:
+    """Return the header of a union's member: its number and that it is a struct."""
+    if number <= _MAX_SHORT_NUMBER:
+        return bytes([number << 4 | _STRUCT_FIELD])
+    return bytes([_STRUCT_FIELD, number << 1])
+
+
 _KINDS = _kinds()
-_UNION = [ttypes.Message, ttypes.Message.thrift_spec]
-_BY_UNION_FIELD = [(kind.union_field, kind.converter) for kind in _KINDS.values()]
+_BY_PREFIX = {kind.prefix: kind for kind in _KINDS.values()}
+_SHORT_PREFIX_BYTES, _LONG_PREFIX_BYTES = 1, 2
+# Reads one message at a time.
+_PROTOCOL = TCompactProtocolAccelerated(TMemoryBuffer(b""), fallback=False)
 
 
 def encode(message: WireMessage) -> bytes:
@@ -240,11 +307,9 @@
     Raises:
       KeyError: the type is not a message.
     """
-    kind = _KINDS[type(message)]
-    union = ttypes.Message()
-    setattr(union, kind.union_field, kind.converter.to_wire(message))
-    # Same as union.write(), without creating a protocol object for each message.
-    return fastbinary.encode_compact(union, _UNION)
+    prefix, arguments, to_wire, _ = _KINDS[type(message)]
+    fields = message if to_wire is None else to_wire(message)
+    return prefix + fastbinary.encode_compact(fields, arguments) + _STOP
 
 
 def decode(payload: bytes) -> Result[WireMessage, str]:
@@ -256,35 +321,24 @@
     Returns:
       The message, or why the payload is invalid. Never raises, for any input.
     """
-    union = ttypes.Message()
-    size = len(payload)
+    is_long = payload[:_SHORT_PREFIX_BYTES] == bytes([_STRUCT_FIELD])
+    start = _LONG_PREFIX_BYTES if is_long else _SHORT_PREFIX_BYTES
+    kind = _BY_PREFIX.get(payload[:start])
+    if kind is None:
+        return Failure("invalid message: no known message in the frame")
+    source = TMemoryBuffer(payload, start)
+    _PROTOCOL.trans = source
     # Without these limits a corrupt length would make the decoder allocate gigabytes.
     # No string or list can have more bytes or items than the payload.
-    protocol = TCompactProtocolAccelerated(
-        TMemoryBuffer(payload),
-        string_length_limit=size,
-        container_length_limit=size,
-        fallback=False,
-    )
+    _PROTOCOL.string_length_limit = len(payload)
+    _PROTOCOL.container_length_limit = len(payload)
     try:
-        union.read(protocol)
-        return Success(_union_member(union))
-    except (InvalidField, TProtocolException, UnicodeDecodeError) as error:
-        return Failure(f"invalid message: {error}")
+        target = fastbinary.decode_compact(None, _PROTOCOL, kind.arguments)
+        message = kind.from_wire(target)
     except (EOFError, TException, OverflowError, ValueError, TypeError) as error:
         return Failure(f"truncated or malformed message: {error!r}")
-
-
-def _union_member(union: ttypes.Message) -> WireMessage:
-    """Return the message held by the union, which must be exactly one."""
-    found = None
-    for name, converter in _BY_UNION_FIELD:
-        value = getattr(union, name)
-        if value is None:
-            continue
-        if found is not None:
-            raise InvalidField("more than one message in a frame")
-        found = converter.from_wire(value)
-    if found is None:
-        raise InvalidField("no known message in the frame")
-    return found
+    except AttributeError as error:
+        return Failure(f"invalid message: a field is absent: {error}")
+    if payload[source.cstringio_buf.tell() :] != _STOP:
+        return Failure("invalid message: more than one message in a frame")
+    return Success(message)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,6 +1,8 @@
 """Tests of message encoding and decoding."""
 
 import typing
+from datetime import datetime, timedelta, timezone
+from enum import Enum
 
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
@@ -11,12 +13,13 @@
 
 from gypsumspoke.core.messages import Message, QueryJob
 from gypsumspoke.core.values import JobKey
-from gypsumspoke.runs.messages import RunMessage
+from gypsumspoke.runs.messages import ReportAck, RunMessage
 from gypsumspoke.wire.codec import WireMessage, decode, encode
 from gypsumspoke.wire.generated import ttypes
 from gypsumspoke.wire.hello import Hello
 from tests.wire.strategies import values_of
 
+EPOCH = datetime(1970, 1, 1, tzinfo=timezone.utc)
 KINDS = typing.get_args(WireMessage)
 FEW_EXAMPLES = settings(
     derandomize=True,
@@ -54,6 +57,50 @@
     assert encode(QUERY) == buffer.getvalue()
 
 
+def struct_of(value):
+    """Return the generated struct, or the plain value, of a part of a message."""
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, datetime):
+        return (value - EPOCH) // timedelta(microseconds=1)
+    if isinstance(value, timedelta):
+        return value // timedelta(microseconds=1)
+    if not isinstance(value, tuple):
+        return value
+    if not hasattr(value, "_fields"):
+        return [struct_of(item) for item in value]
+    return getattr(ttypes, type(value).__name__)(*map(struct_of, value))
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
+def test_the_bytes_are_those_of_the_generated_structs(kind):
+    """Processes of earlier versions read and write the generated structs."""
+    (member,) = (
+        entry[2]
+        for entry in ttypes.Message.thrift_spec
+        if entry and entry[3][0].__name__ == kind.__name__
+    )
+
+    @FEW_EXAMPLES
+    @given(values_of(kind))
+    def compare(message):
+        union = ttypes.Message(**{member: struct_of(message)})
+        buffer = TMemoryBuffer()
+        union.write(TCompactProtocolAccelerated(buffer, fallback=False))
+        assert encode(message) == buffer.getvalue()
+
+    compare()
+
+
+def test_a_field_with_a_default_may_be_absent():
+    """A process of an earlier version doesn't send it."""
+    union = ttypes.Message(report_ack=ttypes.ReportAck(heard=5))
+    buffer = TMemoryBuffer()
+    union.write(TCompactProtocolAccelerated(buffer, fallback=False))
+    ack = decode(buffer.getvalue()).unwrap()
+    assert ack == ReportAck(timedelta(microseconds=5), sidecars=0)
+
+
 @FEW_EXAMPLES
 @given(st.integers(min_value=0))
 def test_a_truncated_message_is_an_error_value(cut):
