Look at all workers once for each step of a job, not for each task

A job looked at all workers for each of its tasks, and sorted a queue of one. The choice is the same.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -78,6 +78,9 @@
     state: CoordinatorState, service: str, steps: Iterable[Step]
 ) -> Refusal | None:
     """Return a refusal if a step fits on no worker that may take work, or None."""
+    unfit = [step for step in steps if not _has_open_worker(state, service, step)]
+    if not unfit:
+        return None
     views = [
         view
         for view in state.views.values()
@@ -85,14 +88,17 @@
     ]
     if not views:
         return Refusal(RefusalReason.NO_WORKER, DEFAULT_RETRY_AFTER)
-    open_views = [view for view in views if not view.report.cordoned]
-    for step in steps:
-        if any(serves(view, service, step) for view in open_views):
-            continue
-        if any(serves(view, service, step) for view in views):
-            return _refuse_cordoned(views)
-        return _refuse_unknown_fit(views, service, step)
-    return None
+    if any(serves(view, service, unfit[0]) for view in views):
+        return _refuse_cordoned(views)
+    return _refuse_unknown_fit(views, service, unfit[0])
+
+
+def _has_open_worker(state: CoordinatorState, service: str, step: Step) -> bool:
+    """Return whether a worker that is not cordoned could run tasks of a step."""
+    return any(
+        serves(view, service, step) and not view.report.cordoned
+        for view in state.views.values()
+    )
 
 
 def _refuse_cordoned(views: list[SidecarView]) -> Refusal:
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -17,7 +17,13 @@
     TaskProgress,
 )
 from gypsumspoke.runs.messages import PlaceRun
-from gypsumspoke.runs.placement import Choice, PlacementRequest, choose, is_open_to
+from gypsumspoke.runs.placement import (
+    Candidate,
+    Choice,
+    PlacementRequest,
+    choose,
+    find_candidates,
+)
 from gypsumspoke.runs.sidecar_views import (
     SidecarView,
     fastest_pace,
@@ -65,6 +71,8 @@
 
 
 def _sorted_jobs(state: CoordinatorState, now: datetime) -> list[JobProgress]:
+    if len(state.waiting) == 1:
+        return [state.jobs[job_id] for job_id in state.waiting]
     paces = {
         service: fastest_pace(state.views.values(), service)
         for service in {state.jobs[job_id].route.service for job_id in state.waiting}
@@ -85,59 +93,99 @@
     return max(progress.job.steps[number].estimate for number in steps)
 
 
+class _Search:
+    """The search for workers for the queued tasks of one job.
+
+    The workers that accept a task are the same for all tasks of a step, so each step
+    looks at all workers once.
+    """
+
+    def __init__(
+        self, state: CoordinatorState, progress: JobProgress, now: datetime
+    ) -> None:
+        self._state = state
+        self._progress = progress
+        self._now = now
+        self._seconds_left = (progress.due - now).total_seconds()
+        self._candidates: dict[int, list[Candidate]] = {}
+
+    def request(self, task: TaskProgress) -> PlacementRequest:
+        """Return the request for the next run of a task."""
+        return PlacementRequest(
+            self._progress.route.service,
+            self._progress.job.steps[task.id.step],
+            RunId(task.id, task.number + 1),
+            self._seconds_left,
+            self._state.remote_slowdown,
+        )
+
+    def candidates(self, request: PlacementRequest) -> list[Candidate]:
+        """Return the workers that accept a task."""
+        number = request.run.task.step
+        if number not in self._candidates:
+            views = self._state.views.values()
+            self._candidates[number] = find_candidates(views, request, self._now)
+        return self._candidates[number]
+
+    def record_placement(self, view: SidecarView) -> None:
+        """Look at all workers again if this one accepts no second task."""
+        if view.report.failing:
+            self._candidates.clear()
+
+
 def _place_job(
     state: CoordinatorState, progress: JobProgress, now: datetime
 ) -> list[Effect]:
     """Place the queued tasks of one job until one finds no room."""
     tasks = state.waiting.pop(progress.id)
+    search = _Search(state, progress, now)
     effects: list[Effect] = []
     for position, task in enumerate(tasks):
-        choice = _choose(state, progress, task, now)
+        choice = _choose(state, progress, task, search)
         if choice is None:
             state.waiting[progress.id] = tasks[position:]
             break
         effects += _place(state, progress, task, choice, now)
+        search.record_placement(choice.view)
     return effects
 
 
 def _choose(
-    state: CoordinatorState, progress: JobProgress, task: TaskProgress, now: datetime
+    state: CoordinatorState, progress: JobProgress, task: TaskProgress, search: _Search
 ) -> Choice | None:
     # A withdrawn run of an earlier request for the same job may still be running.
     if state.withdrawn.get(task.id):
         return None
-    step = progress.job.steps[task.id.step]
-    request = PlacementRequest(
-        progress.route.service,
-        step,
-        RunId(task.id, task.number + 1),
-        (progress.due - now).total_seconds(),
-        state.remote_slowdown,
-    )
-    views = _allowed_views(state, progress, task)
-    if not task.avoided_hosts:
-        return choose(views, request, now)
-    preferred = [view for view in views if view.host not in task.avoided_hosts]
+    request = search.request(task)
+    candidates = _allowed(progress, task, search.candidates(request))
     # A worker where the task failed or was refused is tried again only if no other one
     # is open, not even a full one. Otherwise it might refuse the same task endlessly.
-    if any(is_open_to(view, request, now) for view in preferred):
-        return choose(preferred, request, now)
-    return choose(views, request, now)
-
-
-def _allowed_views(
-    state: CoordinatorState, progress: JobProgress, task: TaskProgress
-) -> list[SidecarView]:
-    """Return the sidecars that are below the step's bound on tasks per worker."""
+    preferred = candidates
+    if task.avoided_hosts:
+        preferred = [
+            candidate
+            for candidate in candidates
+            if candidate.view.host not in task.avoided_hosts
+        ]
+    return choose(preferred or candidates, request)
+
+
+def _allowed(
+    progress: JobProgress, task: TaskProgress, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Return the candidates that are below the step's bound on tasks per worker."""
     step = progress.job.steps[task.id.step]
-    views = list(state.views.values())
     if not step.per_worker:
-        return views
+        return candidates
     placed: dict[str, int] = {}
     for other in progress.tasks[task.id.step]:
         if other.view is not None and other is not task:
             placed[other.view.host] = placed.get(other.view.host, 0) + 1
-    return [view for view in views if placed.get(view.host, 0) < step.per_worker]
+    return [
+        candidate
+        for candidate in candidates
+        if placed.get(candidate.view.host, 0) < step.per_worker
+    ]
 
 
 def _place(
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -63,65 +63,69 @@
     )
 
 
-def is_open_to(view: SidecarView, request: PlacementRequest, now: datetime) -> bool:
-    """Return whether a sidecar accepts such a task, now or when it has room."""
-    return serves(view, request.service, request.step) and is_open(view, now)
+class Candidate(NamedTuple):
+    """A worker that accepts a task, now or when it has room.
+
+    Attributes:
+      view: its sidecar.
+      seconds: expected run time there.
+      is_late: whether the task's job would be late if it started there now.
+      capacity: processors of the worker, in thousandths of a core.
+    """
+
+    view: SidecarView
+    seconds: float
+    is_late: bool
+    capacity: int
 
 
-def choose(
+def find_candidates(
     views: Iterable[SidecarView], request: PlacementRequest, now: datetime
-) -> Choice | None:
+) -> list[Candidate]:
+    """Return the workers that accept such a task, whatever room they have now."""
+    found = []
+    for view in views:
+        # Cheap checks come first: each job looks at all workers.
+        if view.report is None or view.report.service != request.service:
+            continue
+        if not is_open(view, now) or not serves(view, request.service, request.step):
+            continue
+        seconds = run_seconds(view, request)
+        is_late = seconds + OVERHEAD_SECONDS > request.seconds_left
+        capacity = max(view.report.capacity.cpu, 1)
+        found.append(Candidate(view, seconds, is_late, capacity))
+    return found
+
+
+def choose(candidates: Iterable[Candidate], request: PlacementRequest) -> Choice | None:
     """Return the sidecar for a task, or None to keep it queued.
 
     A task that would be late on every worker with room, but in time on a full one,
     waits for the full one.
 
     Args:
-      views: sidecars that may be chosen.
+      candidates: workers that accept the task.
       request: the task.
-      now: the current time.
     """
-    step = request.step
-    best: SidecarView | None = None
-    best_rank: tuple[bool, float] | None = None
-    best_seconds = 0.0
-    full: list[SidecarView] = []
-    for view in views:
-        # Cheap checks come first: every task scans all workers.
-        if view.report is None or view.report.service != request.service:
+    cpu, memory, gpu = request.step.room
+    best: Candidate | None = None
+    best_cost = 0.0
+    may_wait = False
+    for candidate in candidates:
+        view, seconds, is_late, capacity = candidate
+        free = view.free
+        if cpu > free.cpu or memory > free.memory or gpu > free.gpu:
+            may_wait = may_wait or not is_late
             continue
-        if not fits(step.room, view.free):
-            full.append(view)
+        if best is not None and is_late > best.is_late:
             continue
-        if not is_open_to(view, request, now):
-            continue
-        seconds = run_seconds(view, request)
-        rank = (not _is_in_time(seconds, request), seconds / _free_share(view))
-        if best_rank is None or rank < best_rank:
-            best, best_rank, best_seconds = view, rank, seconds
-    if best is None:
-        return None
-    if best_rank[0] and any(_is_worth_waiting(view, request, now) for view in full):
+        cost = seconds / max(free.cpu / capacity, MIN_FREE_SHARE)
+        if best is None or is_late < best.is_late or cost < best_cost:
+            best, best_cost = candidate, cost
+    if best is None or best.is_late and may_wait:
         return None
-    return Choice(best, best_seconds, Placement(request.run, step.room))
-
-
-def _is_worth_waiting(
-    view: SidecarView, request: PlacementRequest, now: datetime
-) -> bool:
-    """Return whether a task would be in time on a worker without room for it now."""
-    if not is_open_to(view, request, now):
-        return False
-    return _is_in_time(run_seconds(view, request), request)
-
-
-def _is_in_time(seconds: float, request: PlacementRequest) -> bool:
-    return seconds + OVERHEAD_SECONDS <= request.seconds_left
-
-
-def _free_share(view: SidecarView) -> float:
-    """Return the free share of the worker's processors before the placement."""
-    return max(view.free.cpu / max(view.report.capacity.cpu, 1), MIN_FREE_SHARE)
+    placement = Placement(request.run, request.step.room)
+    return Choice(best.view, best.seconds, placement)
 
 
 def run_seconds(view: SidecarView, request: PlacementRequest) -> float:
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -47,6 +47,7 @@
       freed: room of runs that ended since the latest report.
       open_runs: room of the runs placed there that have not ended.
       pace: ratio of run time to estimate on this worker.
+      report: its latest report; None before the first.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         self.incarnation = incarnation
         self.host = host
         self.pace = DEFAULT_PACE
-        self._report: WorkerReport | None = None
+        self.report: WorkerReport | None = None
         self._free: Room | None = None
         self.first_seen = now
         self.reported_at = now
@@ -74,23 +75,12 @@
         self.freed = NO_ROOM
         self.open_runs: dict[RunId, Room] = {}
 
-    @property
-    def report(self) -> WorkerReport | None:
-        """The latest report; None before the first."""
-        return self._report
-
-    @report.setter
-    def report(self, report: WorkerReport) -> None:
-        self._report = report
-        self.pace = min(max(report.pace or DEFAULT_PACE, LOWEST_PACE), HIGHEST_PACE)
-        self.invalidate_free()
-
     @property
     def free(self) -> Room:
         """The free room on the worker, as far as this entry knows."""
         # Cached, since the placement of each task reads it for every worker.
         if self._free is None:
-            free = add(self._report.free, self.freed)
+            free = add(self.report.free, self.freed)
             for _, placement in self.unreported:
                 free = subtract(free, placement.room)
             self._free = free
@@ -115,6 +105,7 @@
       read: when the report was read, which may be well before it is handled.
     """
     view.report = report
+    view.pace = min(max(report.pace or DEFAULT_PACE, LOWEST_PACE), HIGHEST_PACE)
     view.has_reported = True
     view.reported_at = read
     view.freed = NO_ROOM
--- a/tests/runs/test_placement.py
+++ b/tests/runs/test_placement.py
@@ -3,7 +3,12 @@
 import pytest
 
 from gypsumspoke.runs.messages import WorkerReport
-from gypsumspoke.runs.placement import PlacementRequest, choose, serves
+from gypsumspoke.runs.placement import (
+    PlacementRequest,
+    choose,
+    find_candidates,
+    serves,
+)
 from gypsumspoke.runs.sidecar_views import (
     Placement,
     SidecarView,
@@ -37,14 +42,17 @@
     return made
 
 
-def place(views, step=STEP, left=1.0):
+def search(views, request, now=START + ms(50)):
     """Return the name of the chosen worker, or None."""
-    choice = choose(
-        views, PlacementRequest("estimate", step, RUN, left), START + ms(50)
-    )
+    choice = choose(find_candidates(views, request, now), request)
     return choice.view.host if choice else None
 
 
+def place(views, step=STEP, left=1.0):
+    """Return the name of the worker chosen for a task, or None."""
+    return search(views, PlacementRequest("estimate", step, RUN, left))
+
+
 def test_an_idle_fast_worker_goes_before_an_idle_slow_one():
     assert place([view("slow", pace=1.6), view("fast", pace=0.6)]) == "fast"
 
@@ -87,10 +95,8 @@
 
 
 def test_a_silent_sidecar_gets_nothing():
-    choice = choose(
-        [view("one")], PlacementRequest("estimate", STEP, RUN, 1.0), START + ms(500)
-    )
-    assert choice is None
+    request = PlacementRequest("estimate", STEP, RUN, 1.0)
+    assert search([view("one")], request, START + ms(500)) is None
 
 
 def test_a_label_must_be_there_and_a_rack_is_preferred():
@@ -115,5 +121,6 @@
     far = view("far", labels=("r2",))
     seconds = step.estimate.total_seconds()
     request = PlacementRequest("estimate", step, RUN, 2 * seconds, remote_slowdown=1.2)
-    assert choose([near, far], request, START).view is far
-    assert choose([near, far], request._replace(remote_slowdown=3.0), START) is None
+    assert search([near, far], request, START) == "far"
+    slower = request._replace(remote_slowdown=3.0)
+    assert search([near, far], slower, START) is None
--- a/tests/runs/test_placing_rounds.py
+++ b/tests/runs/test_placing_rounds.py
@@ -16,9 +16,9 @@
     found = []
     choose = assignment.choose
 
-    def count(views, request, now):
+    def count(candidates, request):
         found.append(request.run)
-        return choose(views, request, now)
+        return choose(candidates, request)
 
     monkeypatch.setattr(assignment, "choose", count)
     return found
--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -230,9 +230,9 @@
     assert not scenario().violations
     choose = assignment._choose
 
-    def careless(state, progress, task, now):
+    def careless(state, progress, task, search):
         state.withdrawn.pop(task.id, None)
-        return choose(state, progress, task, now)
+        return choose(state, progress, task, search)
 
     monkeypatch.setattr(assignment, "_choose", careless)
     assert scenario().violations
