--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -78,29 +78,50 @@
 
 def report_to(state: SupervisorState, peer: str, now: datetime) -> list[Effect]:
     """Send a report to one entry."""
+    return _send_reports(state, [peer], now)
+
+
+def _send_reports(
+    state: SupervisorState, peers: list[str], now: datetime
+) -> list[Effect]:
+    """Send reports to some entries; they differ in what concerns one entry only."""
+    if not peers:
+        return []
+    common = _report(state, now)
+    promised = subtract(common.capacity, common.free)
+    effects: list[Effect] = []
+    for peer in peers:
+        message = common._replace(
+            takes_work=_takes_work_of(state, peer, common.takes_work),
+            taken=state.taken.get(peer, 0),
+        )
+        if state.leaving.get(peer, now) is None and not has_runs_of(state, peer):
+            state.leaving[peer] = now
+        state.last_reports[peer] = LastReport(now, promised, message.takes_work)
+        effects.append(Send(peer, message))
+    return effects
+
+
+def _report(state: SupervisorState, now: datetime) -> WorkerReport:
+    """Return the report to an entry that this sidecar doesn't leave."""
     worker = state.worker
     capacity = worker.capacity if worker else NO_ROOM
-    message = WorkerReport(
+    return WorkerReport(
         stamp=now - state.origin,
         worker=state.worker_id,
         service=worker.service if worker else "",
         labels=worker.labels if worker else (),
-        takes_work=_takes_work_of(state, peer, takes_work(state, now)),
+        takes_work=takes_work(state, now),
         clean=state.is_fenced and state.knows_all_runs,
         capacity=capacity,
         free=subtract(capacity, promised_room(state)),
         pace=current_pace(state),
         failing=is_failing(state),
-        taken=state.taken.get(peer, 0),
+        taken=0,
         entries=max(len(state.peers) - len(state.leaving), 1),
         partial=state.group.is_partial(state.directory.known),
         cordoned=state.is_cordoned,
     )
-    if state.leaving.get(peer, now) is None and not has_runs_of(state, peer):
-        state.leaving[peer] = now
-    promised = subtract(capacity, message.free)
-    state.last_reports[peer] = LastReport(now, promised, message.takes_work)
-    return [Send(peer, message)]
 
 
 def current_pace(state: SupervisorState) -> float:
@@ -128,13 +149,13 @@
     At most every second tick is left out for an entry, so its latest report is never
     older than a tick and a half.
     """
-    effects: list[Effect] = []
     recently = state.budget.tick * RECENT_REPORT_TICKS
+    due = []
     for peer in sorted(state.peers):
         last = state.last_reports.get(peer)
         if last is None or now - last.at >= recently:
-            effects += report_to(state, peer, now)
-    return effects
+            due.append(peer)
+    return _send_reports(state, due, now)
 
 
 def send_change_reports(state: SupervisorState, now: datetime) -> list[Effect]:
@@ -145,17 +166,17 @@
     are reported between ticks, or entries would place runs on full workers while others
     have room.
     """
-    effects: list[Effect] = []
     interval = CHANGE_REPORT_INTERVAL * max(
         1.0, len(state.peers) / ENTRIES_AT_FULL_RATE
     )
     takes_work_now = takes_work(state, now)
     promised = promised_room(state)
+    due = []
     for peer in sorted(state.peers):
         last = state.last_reports.get(peer)
         takes_work_of_peer = _takes_work_of(state, peer, takes_work_now)
         if last is None or last.takes_work is not takes_work_of_peer:
-            effects += report_to(state, peer, now)
+            due.append(peer)
         elif last.promised != promised and now - last.at >= interval:
-            effects += report_to(state, peer, now)
-    return effects
+            due.append(peer)
+    return _send_reports(state, due, now)
--- a/gypsumspoke/shell/logs.py
+++ b/gypsumspoke/shell/logs.py
@@ -5,18 +5,62 @@
 are nested under ``details``, so that they can't overwrite the fields of the process.
 """
 
+import json
 import logging
 import sys
+from datetime import datetime, timezone
 from types import TracebackType
-from typing import TextIO
-
-from pythonjsonlogger.json import JsonFormatter
+from typing import Any, TextIO
 
 from gypsumspoke.core.effects import Log
 
 LOGGER_NAME = "gypsumspoke"
 
 _logger = logging.getLogger(LOGGER_NAME)
+_PLAIN_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({})))
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as a JSON object on one line.
+
+    A message that is a dictionary adds its fields to the object. A general formatter
+    takes several times as long, and there are lines for each job and run.
+
+    Args:
+      process_fields: fields of every line.
+    """
+
+    def __init__(self, process_fields: dict[str, str]) -> None:
+        super().__init__()
+        self._process_fields = process_fields
+        self._encode = json.JSONEncoder(default=str).encode
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        fields: dict[str, Any] = {
+            "level": record.levelname,
+            "logger": record.name,
+            **self._process_fields,
+        }
+        if isinstance(record.msg, dict):
+            fields.update(record.msg)
+        else:
+            fields["message"] = record.getMessage()
+        if len(vars(record)) != len(_PLAIN_ATTRIBUTES):
+            fields.update(_extra_fields(record))
+        if record.exc_info:
+            fields["exc_info"] = self.formatException(record.exc_info)
+        time = datetime.fromtimestamp(record.created, timezone.utc)
+        fields["time"] = time.isoformat()
+        return self._encode(fields)
+
+
+def _extra_fields(record: logging.LogRecord) -> dict[str, Any]:
+    return {
+        name: value
+        for name, value in vars(record).items()
+        if name not in _PLAIN_ATTRIBUTES
+    }
 
 
 def configure_logs(
@@ -34,8 +78,9 @@
     """
     # Prints no traceback for each line when the stream is closed.
     logging.raiseExceptions = False
+    _skip_unused_fields()
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(_formatter(role, worker))
+    handler.setFormatter(JsonFormatter({"role": role, "worker": worker}))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
@@ -43,13 +88,12 @@
     return handler
 
 
-def _formatter(role: str, worker: str) -> JsonFormatter:
-    return JsonFormatter(
-        ["levelname", "name", "message"],
-        rename_fields={"levelname": "level", "name": "logger"},
-        static_fields={"role": role, "worker": worker},
-        timestamp="time",
-    )
+def _skip_unused_fields() -> None:
+    """Let records lack what no line contains, such as the place of the call."""
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
 
 
 def log(entry: Log) -> None:
--- a/gypsumspoke/shell/runtime.py
+++ b/gypsumspoke/shell/runtime.py
@@ -179,23 +179,24 @@
 
     def _run_turn(self) -> None:
         """Reduce a bounded number of the queued events, for a bounded time."""
-        end = self._clock.now() + _MAX_TURN_TIME
+        now = self._clock.now()
+        end = now + _MAX_TURN_TIME
         arrival = None
         for _ in range(_MAX_EVENTS_PER_TURN):
             if not self._events:
                 self._pending.clear()
                 break
             arrival, event = self._events.popleft()
-            self._reduce_one(arrival, event)
+            self._reduce_one(arrival, event, now)
             if self._status is not None:
                 return
-            if self._clock.now() >= end:
+            now = self._clock.now()
+            if now >= end:
                 break
         if self._in_turns and arrival is not None:
-            self._reduce_one(arrival, TURN_ENDED)
+            self._reduce_one(arrival, TURN_ENDED, now)
 
-    def _reduce_one(self, arrival: Arrival, event: Any) -> None:
-        now = self._clock.now()
+    def _reduce_one(self, arrival: Arrival, event: Any, now: datetime) -> None:
         self._lag.record(arrival, now)
         if isinstance(event, Tick):
             self._tick_queued = False
--- a/gypsumspoke/wire/frames.py
+++ b/gypsumspoke/wire/frames.py
@@ -43,20 +43,28 @@
           The payloads that are complete now, without heartbeats. After a failure the
           frame boundaries are lost and the stream must be closed.
         """
-        self._buffer += chunk
+        stream: bytes | bytearray = chunk
+        if self._buffer:
+            self._buffer += chunk
+            stream = self._buffer
+        size = len(stream)
         payloads = []
         start = 0
-        while len(self._buffer) - start >= _LENGTH_BYTES:
+        while size - start >= _LENGTH_BYTES:
             body_start = start + _LENGTH_BYTES
-            length = int.from_bytes(self._buffer[start:body_start], "big")
+            length = int.from_bytes(stream[start:body_start], "big")
             # Checked before the body arrives: a corrupt length would otherwise make the
             # process buffer up to 4 GiB.
             if length > MAX_FRAME_BYTES:
                 return Failure(f"frame of {length} bytes, over {MAX_FRAME_BYTES}")
-            if len(self._buffer) - body_start < length:
+            if size - body_start < length:
                 break
             if length:
-                payloads.append(bytes(self._buffer[body_start : body_start + length]))
+                payloads.append(bytes(stream[body_start : body_start + length]))
             start = body_start + length
-        del self._buffer[:start]
+        # Most chunks hold whole frames only, which are not copied into the buffer.
+        if stream is self._buffer:
+            del self._buffer[:start]
+        else:
+            self._buffer += stream[start:]
         return Success(payloads)
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -213,15 +213,18 @@
           failed recently, or a message over ``MAX_FRAME_BYTES``. True doesn't guarantee
           delivery.
         """
-        framed = frame(encode(message))
-        if not is_successful(framed):
+        result = frame(encode(message))
+        if not is_successful(result):
             self._counts["dropped_too_large"] += 1
-            _log_event(logging.ERROR, "message too large", to, framed.failure())
+            _log_event(logging.ERROR, "message too large", to, result.failure())
             return False
-        sent = self._send_frame(to, framed.unwrap())
-        self._counts["messages_sent" if sent else "messages_dropped"] += 1
-        self._counts["bytes_sent"] += len(framed.unwrap()) if sent else 0
-        return sent
+        framed = result.unwrap()
+        if not self._send_frame(to, framed):
+            self._counts["messages_dropped"] += 1
+            return False
+        self._counts["messages_sent"] += 1
+        self._counts["bytes_sent"] += len(framed)
+        return True
 
     def _send_frame(self, to: str, framed: bytes) -> bool:
         peer = self._peers.get(to)
