A sidecar's commands need no greenlets

Each command to the worker ran in a greenlet of its own, with a timeout object, a wait for the socket and a table of headers. The connections are now driven by callbacks, as those between processes are; what is sent once, reused or given up is as before.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -4,9 +4,9 @@
 import logging
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from functools import partial
 from typing import Any
 
-import gevent
 from returns.pipeline import is_successful
 from returns.result import Result
 
@@ -14,7 +14,7 @@
 from gypsumspoke.platform.names import parse_run_id, task_name
 from gypsumspoke.runs.settings import Address
 from gypsumspoke.runs.supervisor_renewals import COMMAND_TIMEOUT
-from gypsumspoke.runs.values import RunEnd
+from gypsumspoke.runs.values import RunEnd, RunId
 from gypsumspoke.runs.worker_commands import (
     CommandAnswered,
     CommandKind,
@@ -29,7 +29,7 @@
 )
 from gypsumspoke.shell.adaptive_timeout import AdaptiveTimeout
 from gypsumspoke.shell.http_exchange import ExchangeError, HttpAnswer
-from gypsumspoke.shell.keep_alive import KeepAliveClient, Request
+from gypsumspoke.shell.keep_alive import KeepAliveClient, OnAnswer, Request
 
 _MILLISECOND = timedelta(milliseconds=1)
 _CONNECT_TIMEOUT = timedelta(milliseconds=200)
@@ -61,7 +61,7 @@
 
 
 class WorkerClient:
-    """Sends commands to the worker, each in a greenlet of its own.
+    """Sends commands to the worker and posts its answers, without blocking.
 
     Args:
       address: address of the worker.
@@ -91,14 +91,7 @@
             "deadline_ms": command.lease_end // _MILLISECOND,
             "fencing_token": command.token,
         }
-        gevent.spawn(
-            self._send_command,
-            CommandKind.START,
-            "/v1/run-start",
-            command.run,
-            command.worker,
-            body,
-        )
+        self._send_command(CommandKind.START, "/v1/run-start", command, body)
 
     def stop(self, command: StopCommand) -> None:
         """Send a stop command in the background."""
@@ -107,45 +100,72 @@
             "run": command.run.number,
             "fencing_token": command.token,
         }
-        gevent.spawn(
-            self._send_command,
-            CommandKind.STOP,
-            "/v1/run-stop",
-            command.run,
-            command.worker,
-            body,
-        )
+        self._send_command(CommandKind.STOP, "/v1/run-stop", command, body)
 
     def renew(self, command: RenewCommand) -> None:
         """Renew the lease and get the worker's lists of runs, in the background."""
-        gevent.spawn(self._renew, command)
+        body: dict[str, Any] = {
+            "fencing_token": command.token,
+            "last_seen": command.last_seen,
+            "wait_ms": command.wait // _MILLISECOND,
+        }
+        if command.lease_end is not None:
+            body["deadline_ms"] = command.lease_end // _MILLISECOND
+        timeout = command.wait + self._answer_timeout.timeout
+        on_answer = partial(self._handle_renewal_answer, command, self._clock.now())
+        self._send("/v1/hold", command.worker, body, timeout, on_answer)
 
     def _send_command(
-        self, kind: CommandKind, path: str, run, worker: str, body: dict
+        self,
+        kind: CommandKind,
+        path: str,
+        command: StartCommand | StopCommand,
+        body: dict[str, Any],
+    ) -> None:
+        on_answer = partial(
+            self._handle_command_answer, kind, command.run, self._clock.now()
+        )
+        timeout = self._answer_timeout.timeout
+        self._send(path, command.worker, body, timeout, on_answer)
+
+    def _send(
+        self,
+        path: str,
+        worker: str,
+        body: dict[str, Any],
+        timeout: timedelta,
+        on_answer: OnAnswer,
+    ) -> None:
+        headers = {"Content-Type": "application/json"}
+        if worker:
+            # Another worker that listens at this address now refuses the request.
+            headers["Gypsumspoke-Expect-Instance"] = worker
+        request = Request("POST", path, headers, json.dumps(body).encode())
+        self._client.submit(request, timeout, on_answer)
+
+    def _handle_command_answer(
+        self,
+        kind: CommandKind,
+        run: RunId,
+        sent: datetime,
+        answer: Result[HttpAnswer, ExchangeError],
     ) -> None:
-        sent = self._clock.now()
-        answer = self._send(path, worker, body, self._answer_timeout.timeout)
-        result = _result(answer)
+        fields = _fields(answer)
+        result = _result(answer, fields)
         if result is CommandResult.UNANSWERED:
             self._answer_timeout.record_missing()
         elif result is not CommandResult.NOT_SENT:
             self._answer_timeout.record(self._clock.now() - sent)
-        fields = _fields(answer)
         self._post(CommandAnswered(kind, run, result, _clock_of(fields), sent))
 
-    def _renew(self, command: RenewCommand) -> None:
-        body: dict[str, Any] = {
-            "fencing_token": command.token,
-            "last_seen": command.last_seen,
-            "wait_ms": command.wait // _MILLISECOND,
-        }
-        if command.lease_end is not None:
-            body["deadline_ms"] = command.lease_end // _MILLISECOND
-        sent = self._clock.now()
-        timeout = command.wait + self._answer_timeout.timeout
-        answer = self._send("/v1/hold", command.worker, body, timeout)
-        result = _result(answer)
+    def _handle_renewal_answer(
+        self,
+        command: RenewCommand,
+        sent: datetime,
+        answer: Result[HttpAnswer, ExchangeError],
+    ) -> None:
         fields = _fields(answer)
+        result = _result(answer, fields)
         event = None
         if result is CommandResult.ACCEPTED:
             event = _renewal_answered(sent, command, fields)
@@ -155,18 +175,10 @@
         )
         self._post(event or failed)
 
-    def _send(
-        self, path: str, worker: str, body: dict, timeout: timedelta
-    ) -> Result[HttpAnswer, ExchangeError]:
-        headers = {"Content-Type": "application/json"}
-        if worker:
-            # Another worker that listens at this address now refuses the request.
-            headers["Gypsumspoke-Expect-Instance"] = worker
-        request = Request("POST", path, headers, json.dumps(body).encode())
-        return self._client.send(request, timeout)
-
 
-def _result(answer: Result[HttpAnswer, ExchangeError]) -> CommandResult:
+def _result(
+    answer: Result[HttpAnswer, ExchangeError], fields: dict[str, Any] | None
+) -> CommandResult:
     if not is_successful(answer):
         unsent = answer.failure() is ExchangeError.NOT_SENT
         return CommandResult.NOT_SENT if unsent else CommandResult.UNANSWERED
@@ -174,7 +186,7 @@
     if 200 <= status < 300:
         return CommandResult.ACCEPTED
     if status == _CONFLICT:
-        reason = (_fields(answer) or {}).get("reason")
+        reason = (fields or {}).get("reason")
         return _CONFLICT_REASONS.get(reason, CommandResult.INVALID)
     if status == _MISDIRECTED_REQUEST:
         return CommandResult.OTHER_WORKER
--- a/gypsumspoke/shell/http_parser.py
+++ b/gypsumspoke/shell/http_parser.py
@@ -35,4 +35,5 @@
 
 _response = _import_parser()
 HTTPParseError = _response.HTTPParseError
+HTTPResponse = _response.HTTPResponse
 HTTPSocketResponse = _response.HTTPSocketResponse
--- a/tests/shell/test_keep_alive.py
+++ b/tests/shell/test_keep_alive.py
@@ -1,10 +1,12 @@
 """Persistent connections are reused safely, and requests are never sent twice."""
 
+from contextlib import closing
 from datetime import timedelta
 
 import gevent
 import pytest
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 from returns.pipeline import is_successful
 
 from gypsumspoke.shell.http_exchange import ExchangeError
@@ -123,3 +125,53 @@
     assert "503" in answer.failure()
     assert "busy" in answer.failure()
     server.close()
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\ntruncated",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
+        b"no HTTP at all\r\n\r\n",
+    ],
+    ids=["no declared end", "short", "short chunk", "other protocol"],
+)
+def test_an_incomplete_or_malformed_response_is_no_answer(response):
+    server = Server(response)
+    answer = client_of(server.address).send(REQUEST, SECOND)
+    assert answer.failure() is ExchangeError.BROKEN
+    server.close()
+
+
+def test_an_interim_response_is_followed_by_the_answer():
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    server = Server(interim + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    assert client_of(server.address).send(REQUEST, SECOND).unwrap().body == b"ok"
+    server.close()
+
+
+def test_a_connection_that_sends_a_second_response_is_not_reused():
+    """The second one would be taken for the answer to the next request."""
+    once = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    server = Server(once + once)
+    client = client_of(server.address)
+    assert client.send(REQUEST, SECOND).unwrap().body == b"ok"
+    assert client.send(REQUEST, SECOND).unwrap().body == b"ok"
+    assert server.accepted == 2
+    server.close()
+
+
+def test_a_response_in_many_pieces_is_put_together():
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789"
+
+    def serve(sock, _):
+        sock.recv(1000)
+        for byte in response:
+            sock.sendall(bytes([byte]))
+            gevent.sleep(0.001)
+
+    with closing(StreamServer(("127.0.0.1", 0), serve)) as server:
+        server.start()
+        client = client_of(server.address)
+        assert client.send(REQUEST, SECOND).unwrap().body == b"0123456789"
