--- a/gypsumspoke/platform/__main__.py
+++ b/gypsumspoke/platform/__main__.py
@@ -2,9 +2,11 @@
 
 Starts the same roles as ``gypsumspoke platform``, but without importing the command
 line library and with the ports opened first: after a loss of all processes every
-caller waits until the roles are loaded.
+caller waits until the roles are loaded. Nothing that is loaded becomes garbage, so the
+collector is off until then.
 """
 
+import gc
 import json
 import os
 import sys
@@ -21,6 +23,7 @@
         sys.stderr.write("usage: python -m gypsumspoke.platform entry|sidecar\n")
         sys.exit(_USAGE_ERROR)
     listeners = EarlyListeners(_addresses())
+    gc.disable()
     from gypsumspoke.platform import roles
 
     run = {"entry": roles.run_entry, "sidecar": roles.run_sidecar}
--- a/gypsumspoke/shell/deferred_metrics.py
+++ b/gypsumspoke/shell/deferred_metrics.py
@@ -1,24 +1,24 @@
-"""Metrics whose library is imported some time after the process has started.
+"""Metrics whose library is imported when they are first read.
 
 The import takes a large part of the start time, for which callers wait after all
-processes were lost. Updates made before the import are queued and applied after it.
+processes were lost. Updates made before the import are queued and applied after it; a
+process whose metrics nobody reads imports the library when there are too many.
 """
 
+from collections import Counter
 from collections.abc import Callable
-from datetime import timedelta
-from typing import TYPE_CHECKING
-
-import gevent
+from typing import TYPE_CHECKING, Any
 
 from gypsumspoke.core.effects import Count, Observe
 
 if TYPE_CHECKING:
     from gypsumspoke.shell.metrics import Metrics
 
-# Skips the peak load in the first seconds after all processes were lost.
-LOAD_DELAY = timedelta(seconds=6)
-# With more queued updates the library is imported at once.
-MAX_PENDING = 20_000
+# With more queued observations the library is imported. Applying them must not delay
+# the event loop for long.
+MAX_PENDING = 4_000
+
+Gauge = tuple[str, str, Callable[[], float]]
 
 
 class DeferredMetrics:
@@ -30,21 +30,33 @@
 
     def __init__(self, role: str, worker: str) -> None:
         self._identity = (role, worker)
-        self._pending: list[Callable[[Metrics], None]] = []
+        self._counts: Counter[Any] = Counter()
+        self._observed: list[Observe] = []
+        self._gauges: list[Gauge] = []
         self._metrics: Metrics | None = None
-        self._greenlet = gevent.spawn_later(LOAD_DELAY.total_seconds(), self.load)
 
     def count(self, effect: Count) -> None:
         """Count one event, refusal or retry."""
-        self._apply(lambda metrics: metrics.count(effect))
+        if self._metrics is None:
+            self._counts[effect.what] += effect.amount
+        else:
+            self._metrics.count(effect)
 
     def observe(self, effect: Observe) -> None:
         """Record one measured value."""
-        self._apply(lambda metrics: metrics.observe(effect))
+        if self._metrics is not None:
+            self._metrics.observe(effect)
+            return
+        self._observed.append(effect)
+        if len(self._observed) >= MAX_PENDING:
+            self.load()
 
     def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Add a gauge; see ``Metrics.gauge``."""
-        self._apply(lambda metrics: metrics.gauge(name, description, read))
+        if self._metrics is None:
+            self._gauges.append((name, description, read))
+        else:
+            self._metrics.gauge(name, description, read)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -56,19 +68,13 @@
             from gypsumspoke.shell.metrics import Metrics
 
             self._metrics = Metrics(*self._identity)
-            for update in self._pending:
-                update(self._metrics)
-            self._pending.clear()
+            for what, amount in self._counts.items():
+                self._metrics.count(Count(what, amount))
+            for effect in self._observed:
+                self._metrics.observe(effect)
+            for gauge in self._gauges:
+                self._metrics.gauge(*gauge)
+            self._counts.clear()
+            self._observed.clear()
+            self._gauges.clear()
         return self._metrics
-
-    def close(self) -> None:
-        """Cancel the deferred import."""
-        self._greenlet.kill()
-
-    def _apply(self, update: Callable[["Metrics"], None]) -> None:
-        if self._metrics is not None:
-            update(self._metrics)
-            return
-        self._pending.append(update)
-        if len(self._pending) >= MAX_PENDING:
-            self.load()
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -1,5 +1,6 @@
 """Start-up shared by both roles of best-effort jobs: peers, metrics, event loop."""
 
+import gc
 import logging
 import os
 import signal
@@ -93,7 +94,7 @@
     if settings.peers is not None:
         links.listen(*settings.peers, listeners.take(settings.peers))
     dialler = stack.enter_context(closing(Dialler(links, clock, seed)))
-    metrics = stack.enter_context(closing(DeferredMetrics(role, settings.instance)))
+    metrics = DeferredMetrics(role, settings.instance)
     add_link_gauges(metrics, links)
     return RunContext(incarnation, links, dialler, metrics)
 
@@ -177,4 +178,7 @@
     store.start()
     details = {"incarnation": context.incarnation}
     _log.info({"message": "started", "details": details})
+    # What is loaded by now stays; collections needn't look at it again.
+    gc.freeze()
+    gc.enable()
     return runtime.run()
