--- a/tests/runs/test_entry_group.py
+++ b/tests/runs/test_entry_group.py
@@ -202,7 +202,7 @@
 
 
 def drawn_groups(entries, sidecars, knows_domains=True):
-    """Return the failure domains of the entries, and each sidecar's domain and group."""
+    """Return the failure domains of the entries; each sidecar's domain and group."""
     counted = enumerate(entries)
     domains = {
         f"10.{number}.0.{place}:8166": f"d{number}"
