--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -178,6 +178,8 @@
       capacity: its total room.
       labels: its kind and its rack.
       clock: its steady clock when it wrote the heartbeat.
+      remaining: minimum time that a draining worker has left; None if unknown.
+      cold: how much longer it is slow after its start.
     """
 
     id: str
@@ -188,6 +190,8 @@
     capacity: Room
     labels: tuple[str, ...]
     clock: timedelta
+    remaining: timedelta | None = None
+    cold: timedelta = timedelta()
 
 
 class RunEnd(Enum):
