Pace retries to a worker whose connections are refused or closed

Cause: a renewal or a stop without an answer is repeated at once, and a connection that the worker closes at once counts as no answer. Each start that was closed also asked for a list of its own, and when that was closed too, each run was stopped, again without a pause.

Closed connections are a result of their own now. One is retried at once; after that renewals and stops wait for ticks, and nothing is started on the worker. One extra list is asked for at a time. While the worker is down renewals don't wait for an end.

--- a/gypsumspoke/platform/worker.py
+++ b/gypsumspoke/platform/worker.py
@@ -57,6 +57,14 @@
     "alone": RunEnd.LOST,
 }
 
+_EXCHANGE_RESULTS = {
+    ExchangeError.NOT_SENT: CommandResult.NOT_SENT,
+    ExchangeError.TIMEOUT: CommandResult.UNANSWERED,
+    ExchangeError.BROKEN: CommandResult.CLOSED,
+    ExchangeError.TOO_LARGE: CommandResult.UNANSWERED,
+}
+_UNCERTAIN_RESULTS = (CommandResult.UNANSWERED, CommandResult.CLOSED)
+
 _log = logging.getLogger(__name__)
 
 
@@ -152,7 +160,7 @@
     ) -> None:
         fields = _fields(answer)
         result = _result(answer, fields)
-        if result is CommandResult.UNANSWERED:
+        if result in _UNCERTAIN_RESULTS:
             self._answer_timeout.record_missing()
         elif result is not CommandResult.NOT_SENT:
             self._answer_timeout.record(self._clock.now() - sent)
@@ -180,8 +188,7 @@
     answer: Result[HttpAnswer, ExchangeError], fields: dict[str, Any] | None
 ) -> CommandResult:
     if not is_successful(answer):
-        unsent = answer.failure() is ExchangeError.NOT_SENT
-        return CommandResult.NOT_SENT if unsent else CommandResult.UNANSWERED
+        return _EXCHANGE_RESULTS[answer.failure()]
     status = answer.unwrap().status
     if 200 <= status < 300:
         return CommandResult.ACCEPTED
--- a/gypsumspoke/runs/supervisor_commands.py
+++ b/gypsumspoke/runs/supervisor_commands.py
@@ -31,6 +31,8 @@
 
 # Interval at which an unanswered stop is sent again.
 STOP_RETRY_INTERVAL = timedelta(milliseconds=100)
+# An extra renewal that has brought no event for so long was lost in a pause.
+EXTRA_RENEWAL_TIMEOUT = timedelta(milliseconds=500)
 # Interval at which a failing worker is tried with one run.
 PROBE_INTERVAL = timedelta(milliseconds=700)
 
@@ -100,6 +102,8 @@
 
 def retry_stops(state: SupervisorState, now: datetime) -> list[Effect]:
     """Send stops again that got no answer."""
+    if not state.retries.may_send(now):
+        return []
     effects: list[Effect] = []
     for local in state.runs.values():
         if local.phase is not Phase.STOPPING or local.stop_clock is not None:
@@ -151,17 +155,34 @@
 def _handle_stop_answer(
     state: SupervisorState, local: LocalRun, event: CommandAnswered, now: datetime
 ) -> list[Effect]:
-    """Record when a stop was accepted; repeat an unanswered one."""
+    """Record when a stop was accepted; repeat an unanswered one.
+
+    After a second closed connection the next tick repeats it, since the worker may
+    close each connection at once.
+    """
     if event.result is CommandResult.ACCEPTED:
         local.stop_clock = event.clock
         return []
-    if event.result is CommandResult.UNANSWERED and local.stop_clock is None:
+    if local.stop_clock is not None:
+        return []
+    if event.result is CommandResult.UNANSWERED:
+        return _send_stop(state, local, now)
+    if event.result is CommandResult.CLOSED and not local.stop_closed:
+        local.stop_closed = True
         return _send_stop(state, local, now)
     return []
 
 
-def extra_renewal(state: SupervisorState) -> list[Effect]:
-    """Request the lists at once, beside the pending renewal."""
+def _extra_renewal(state: SupervisorState, now: datetime) -> list[Effect]:
+    """Request the lists at once, beside the pending renewal.
+
+    One at a time: a worker that closes all connections leaves many starts unanswered.
+    The next regular list settles those that came later.
+    """
+    sent_at = state.extra_renewal_at
+    if sent_at is not None and now - sent_at < EXTRA_RENEWAL_TIMEOUT:
+        return []
+    state.extra_renewal_at = now
     return [
         RenewCommand(
             state.worker_id, None, state.last_seen, timedelta(), state.token, True
@@ -197,7 +218,7 @@
         return []
     local.is_uncertain = True
     local.uncertain_since = now
-    return extra_renewal(state)
+    return _extra_renewal(state, now)
 
 
 def stop_uncertain_run(
@@ -220,6 +241,7 @@
 _START_ANSWERS = {
     CommandResult.ACCEPTED: _started,
     CommandResult.UNANSWERED: _unanswered,
+    CommandResult.CLOSED: _unanswered,
     CommandResult.FENCED: _fenced,
     CommandResult.NUMBER_TOO_LOW: partial(_rejected, EndReason.NUMBER_TOO_LOW),
     CommandResult.LATE: partial(_rejected, EndReason.START_LATE),
--- a/gypsumspoke/runs/supervisor_incarnation.py
+++ b/gypsumspoke/runs/supervisor_incarnation.py
@@ -70,6 +70,7 @@
     is_first = state.worker_incarnation is None
     state.worker_incarnation = incarnation
     state.incarnation_seen_at = now
+    state.retries.end_pause()
     if is_first:
         return
     if state.token > 0:
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -56,6 +56,8 @@
         overdue = state.renewal_sent_at + state.renewal_wait + 2 * COMMAND_TIMEOUT
         if now < overdue:
             return []
+    if not state.retries.may_send(now):
+        return []
     state.renewal_sent_at = now
     state.renewal_wait = _renewal_wait(state)
     state.renewal_number += 1
@@ -73,7 +75,7 @@
 
 def _renewal_wait(state: SupervisorState) -> timedelta:
     """Return how long the worker may wait for an end before it answers."""
-    if not state.is_fenced:
+    if not state.is_fenced or state.retries.is_down:
         return timedelta()
     if state.runs or not state.knows_all_runs:
         return state.budget.renewal_interval
@@ -96,24 +98,27 @@
 ) -> list[Effect]:
     """Handle a renewal that failed.
 
-    An unanswered renewal is repeated at once, since ends may be waiting. So is a fenced
-    one once the token is higher: the worker knows a token of an earlier process of this
-    sidecar, and its refusal carries the clock that tokens are derived from. Other
-    failures are immediate, so the next tick retries them.
+    An unanswered renewal is repeated at once, since ends may be waiting, unless the
+    worker closes each connection (``worker_retries.py``). So is a fenced one once the
+    token is higher: the worker knows a token of an earlier process of this sidecar, and
+    its refusal carries the clock that tokens are derived from. Other failures are
+    immediate, so the next tick retries them.
     """
     record_worker_clock(state, event.clock, now)
     token = state.token
     if event.result is CommandResult.FENCED:
         raise_refused_token(state, event.token, now)
     if event.is_extra:
+        state.extra_renewal_at = None
         effects: list[Effect] = []
         for local in _uncertain_runs(state):
             effects += stop_uncertain_run(state, local, now)
         return effects
     _clear_pending_renewal(state, event.number)
-    if event.result is CommandResult.UNANSWERED or state.token > token:
-        return next_renewal(state, now)
-    return []
+    effects = state.retries.record_failure(event.result, now)
+    if state.retries.may_repeat_at_once(event.result) or state.token > token:
+        effects += next_renewal(state, now)
+    return effects
 
 
 def _clear_pending_renewal(state: SupervisorState, number: int) -> None:
@@ -130,14 +135,17 @@
     state: SupervisorState, event: RenewalAnswered, now: datetime
 ) -> list[Effect]:
     """Handle the worker's lists of running and ended runs."""
-    if not event.is_extra:
+    if event.is_extra:
+        state.extra_renewal_at = None
+    else:
         _clear_pending_renewal(state, event.number)
+    reached = state.retries.record_answer(now)
     if event.incarnation is not None and event.incarnation != state.worker_incarnation:
         if not is_from_current_incarnation(state, event.sent):
             # An answer of the previous incarnation that arrived late.
-            return []
+            return reached
         handle_new_incarnation(state, event.incarnation, now)
-    effects: list[Effect] = []
+    effects = reached
     is_first = state.worker_answered_at is None
     state.worker_answered_at = now
     record_worker_clock(state, event.clock, now)
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -40,6 +40,7 @@
         and state.token > 0
         and state.lease.clock is not None
         and is_answering(state, now)
+        and not state.retries.is_down
         and may_probe(state, now)
         and not state.is_lease_short
         and not state.is_cordoned
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -19,6 +19,7 @@
     TaskId,
     add,
 )
+from gypsumspoke.runs.worker_retries import WorkerRetries
 
 # Ends kept so that they can be reported again after a lost connection.
 MAX_KEPT_ENDS = 4000
@@ -77,6 +78,7 @@
       stop_requested_at: when the first stop was sent.
       heard_before_stop: when its coordinator was last heard before that.
       stop_sent_at: when the latest stop was sent.
+      stop_closed: whether a stop's connection was closed without an answer.
       is_uncertain: the start was not answered, so it may or may not have run.
       was_resent: the start was sent a second time.
       worker_restarted: the worker has restarted since the start was sent.
@@ -115,6 +117,7 @@
         self.stop_requested_at: datetime | None = None
         self.heard_before_stop: datetime | None = None
         self.stop_sent_at: datetime | None = None
+        self.stop_closed = False
         self.is_uncertain = False
         self.was_resent = False
         self.worker_restarted = False
@@ -139,6 +142,8 @@
       renewal_sent_at: when the pending renewal was sent; None if none is pending.
       renewal_wait: how long the worker may wait before it answers that renewal.
       renewal_number: number of the latest renewal.
+      retries: when commands are sent again while connections to the worker fail.
+      extra_renewal_at: when the extra renewal that is under way was sent; None if none.
       is_fenced: whether the worker has seen this sidecar's token, and so refuses
         commands of earlier processes of this sidecar.
       worker_answered_at: when a renewal was last answered.
@@ -198,6 +203,8 @@
         self.renewal_sent_at: datetime | None = None
         self.renewal_wait = timedelta()
         self.renewal_number = 0
+        self.retries = WorkerRetries(budget.tick)
+        self.extra_renewal_at: datetime | None = None
         self.is_fenced = False
         self.worker_answered_at: datetime | None = None
         self.orphans: dict[RunId, timedelta | None] = {}
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -258,6 +258,19 @@
     START_UNANSWERED = "start_unanswered"
 
 
+class WorkerFailure(Enum):
+    """How a command to the worker failed without an answer; each has a counter.
+
+    REFUSED: no connection was made. CLOSED: the connection ended without an answer.
+    TIMED_OUT: there was no answer in time. After the last two the command may have been
+    carried out, or may be carried out later.
+    """
+
+    REFUSED = "refused"
+    CLOSED = "closed"
+    TIMED_OUT = "timed_out"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/runs/worker_commands.py
+++ b/gypsumspoke/runs/worker_commands.py
@@ -68,7 +68,11 @@
 
 
 class CommandResult(Enum):
-    """Outcome of a command; it had no effect unless ACCEPTED or UNANSWERED."""
+    """Outcome of a command.
+
+    It had no effect unless ACCEPTED, UNANSWERED or CLOSED. The last two are equally
+    uncertain: there was no answer in time, or the connection ended without one.
+    """
 
     ACCEPTED = "accepted"
     FENCED = "fenced"
@@ -80,6 +84,7 @@
     OTHER_WORKER = "other_worker"
     NOT_SENT = "not_sent"
     UNANSWERED = "unanswered"
+    CLOSED = "closed"
 
 
 class CommandAnswered(NamedTuple):
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -22,7 +22,13 @@
 from gypsumspoke.core.counters import Counter, RetryReason
 from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
-from gypsumspoke.runs.values import EndReason, LeaseEvent, RefusalReason, SidecarRetry
+from gypsumspoke.runs.values import (
+    EndReason,
+    LeaseEvent,
+    RefusalReason,
+    SidecarRetry,
+    WorkerFailure,
+)
 from gypsumspoke.shell.logs import log
 
 NAMESPACE = "gypsumspoke"
@@ -101,6 +107,9 @@
         self._sidecar_retries = self._counter(
             "sidecar_retries", "Starts and connections repeated.", "reason"
         )
+        self._worker_failures = self._counter(
+            "worker_failures", "Lease renewals that the worker left open.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -165,6 +174,7 @@
             (self._job_refusals, RefusalReason),
             (self._lease_events, LeaseEvent),
             (self._sidecar_retries, SidecarRetry),
+            (self._worker_failures, WorkerFailure),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -230,6 +240,11 @@
     return metrics._sidecar_retries
 
 
+@_family.register
+def _(what: WorkerFailure, metrics: Metrics) -> CounterMetric:
+    return metrics._worker_failures
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -196,6 +196,7 @@
         self.clock_rate: dict[str, float] = {}
         self.pace: dict[str, float] = {}
         self.silent_workers: set[str] = set()
+        self.closing_workers: set[str] = set()
         self.hosts_ignoring_stops: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.lost_share = 0.0
@@ -605,6 +606,10 @@
         if is_deaf or host in self.silent_workers or chance < self.lost_share:
             self._unanswered(process, command)
             return
+        if host in self.closing_workers:
+            event = _failed_event(command, CommandResult.CLOSED)
+            self.at(ONE_WAY, lambda: self.post(process, event))
+            return
         if chance < self.lost_share + self.late_share:
             delay = ms(self.random.uniform(2000, 12000))
             worker = self.workers[host]
@@ -645,7 +650,7 @@
             self._carry_out(host, worker, command)
 
     def _unanswered(self, process: Process, command: Any) -> None:
-        event = _unanswered_event(command)
+        event = _failed_event(command, CommandResult.UNANSWERED)
         delay = _wait_of(command) + COMMAND_TIMEOUT
         self.at(delay, lambda: self.post(process, event))
 
@@ -654,7 +659,8 @@
         exchange = Exchange(process, command, self.now)
         worker = self.workers[process.host]
         timeout = _wait_of(command) + delivery.timeout
-        self.at(timeout, lambda: self._close(exchange, _unanswered_event(command)))
+        unanswered = _failed_event(command, CommandResult.UNANSWERED)
+        self.at(timeout, lambda: self._close(exchange, unanswered))
         if delivery.arrival_delay is not None:
             self.at(
                 delivery.arrival_delay, lambda: self._arrive(exchange, worker, delivery)
@@ -811,14 +817,16 @@
     return command.wait if isinstance(command, RenewCommand) else ZERO
 
 
-def _unanswered_event(command: Any) -> RenewalFailed | CommandAnswered:
+def _failed_event(
+    command: Any, result: CommandResult
+) -> RenewalFailed | CommandAnswered:
     if isinstance(command, RenewCommand):
         return RenewalFailed(
-            CommandResult.UNANSWERED,
+            result,
             None,
             command.is_extra,
             command.token,
             command.number,
         )
     kind = CommandKind.START if isinstance(command, StartCommand) else CommandKind.STOP
-    return CommandAnswered(kind, command.run, CommandResult.UNANSWERED)
+    return CommandAnswered(kind, command.run, result)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -11,6 +11,7 @@
     LeaseEvent,
     RefusalReason,
     SidecarRetry,
+    WorkerFailure,
 )
 from gypsumspoke.shell.metrics import HISTOGRAMS
 from gypsumspoke.shell.runtime import (
@@ -34,6 +35,7 @@
         LeaseEvent,
         RefusalReason,
         SidecarRetry,
+        WorkerFailure,
     ],
 )
 def test_every_word_has_its_line(words):
