--- a/gypsumspoke/runs/messages.py
+++ b/gypsumspoke/runs/messages.py
@@ -93,6 +93,8 @@
       estimate: estimated run time on a worker of pace 1.
       within: latest start, counted from the arrival of the message.
       spec: text for the worker.
+      due: time until its job is late, counted in the same way; negative once it is
+        late, None if the entry doesn't say.
     """
 
     heard: timedelta
@@ -102,6 +104,7 @@
     estimate: timedelta
     within: timedelta
     spec: str
+    due: timedelta | None = None
 
 
 class WithdrawRun(NamedTuple):
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -378,6 +378,7 @@
   5: DurationMicros estimate
   6: DurationMicros within
   7: string spec
+  8: optional DurationMicros due
 }
 
 /** Entry to sidecar: don't start this run, or stop it. */
