Search for workers only when a queued task may find room

Profile of the reducers in virtual time, 8 entries and 51 sidecars at 105 % of the room: placing rounds take nearly all of it; each report and each end starts one.

A round starts now when a worker's room grows to what the smallest queued task needs, when its pace changes by a tenth (each end changes it a little), or when a task is queued or its withdrawn run has ended; ticks try all tasks as before. The search over workers computes nothing twice.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -30,7 +30,7 @@
     record_placement,
     record_proof,
 )
-from gypsumspoke.runs.values import RunId
+from gypsumspoke.runs.values import Room, RunId
 
 # Jobs without a placement after which a round ends; each costs a scan of all workers.
 MAX_MISSES = 6
@@ -50,7 +50,12 @@
     state: CoordinatorState, progress: JobProgress, task: TaskProgress
 ) -> None:
     """Queue a task for placement."""
+    room = progress.job.steps[task.id.step].room
+    if not state.waiting:
+        state.least_queued = room
+    state.least_queued = Room(*map(min, state.least_queued, room))
     state.waiting.setdefault(progress.id, []).append(task)
+    state.needs_placing_round = True
 
 
 def place_waiting(state: CoordinatorState, now: datetime) -> list[Effect]:
@@ -58,6 +63,7 @@
     state.needs_placing_round = False
     if not state.waiting:
         return []
+    state.least_queued = _least_queued(state)
     effects: list[Effect] = []
     misses = 0
     for progress in _sorted_jobs(state, now):
@@ -70,6 +76,16 @@
     return effects
 
 
+def _least_queued(state: CoordinatorState) -> Room:
+    """Return the least that a queued task needs, in each dimension."""
+    rooms = {
+        state.jobs[job_id].job.steps[task.id.step].room
+        for job_id, tasks in state.waiting.items()
+        for task in tasks
+    }
+    return Room(*map(min, zip(*rooms)))
+
+
 def _sorted_jobs(state: CoordinatorState, now: datetime) -> list[JobProgress]:
     if len(state.waiting) == 1:
         return [state.jobs[job_id] for job_id in state.waiting]
@@ -89,6 +105,8 @@
 
 def _longest_estimate(state: CoordinatorState, progress: JobProgress) -> timedelta:
     """Return the longest estimate of a job's queued tasks."""
+    if len(progress.job.steps) == 1:
+        return progress.job.steps[0].estimate
     steps = {task.id.step for task in state.waiting[progress.id]}
     return max(progress.job.steps[number].estimate for number in steps)
 
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -27,7 +27,7 @@
     restart_connection,
     update_report,
 )
-from gypsumspoke.runs.values import EndReason, RunEnd
+from gypsumspoke.runs.values import EndReason, RunEnd, fits
 
 # Time after which a disconnected sidecar is dropped from the state. Its runs have ended
 # long before.
@@ -87,7 +87,9 @@
     took_work = view.report is not None and view.report.takes_work
     previous = make_offer(view, now) if state.waiting else None
     update_report(view, message, state.arrival.read)
-    if state.waiting and may_allow_placement(make_offer(view, now), previous):
+    if state.waiting and may_allow_placement(
+        make_offer(view, now), previous, state.least_queued
+    ):
         state.needs_placing_round = True
     if _is_ack_due(state, view):
         record_proof(view, now)
@@ -128,9 +130,10 @@
 ) -> list[Effect]:
     """Free the room of an ended run and continue its task."""
     view = state.views.get(sender)
-    if view is not None:
+    if view is not None and view.report is not None:
         record_run_end(view, message.run, ran=message.took is not None)
-    state.needs_placing_round = True
+        if fits(state.least_queued, view.free):
+            state.needs_placing_round = True
     return handle_run_end(state, message, sender, now)
 
 
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -16,6 +16,7 @@
 from gypsumspoke.runs.sidecar_views import SidecarView
 from gypsumspoke.runs.values import (
     DEFAULT_REMOTE_SLOWDOWN,
+    NO_ROOM,
     Configuration,
     Job,
     JobEnd,
@@ -186,6 +187,7 @@
       by_run: the job id of each open run that was not withdrawn.
       withdrawn: withdrawn runs that may still be running, by task.
       waiting: queued tasks by job id.
+      least_queued: no queued task needs less room, in each dimension.
       needs_placing_round: whether a queued task may fit on a worker since the last
         placing round.
       table: the configuration in force; None before the first.
@@ -233,6 +235,7 @@
         self.by_run: dict[PlacedRun, str] = {}
         self.withdrawn: dict[TaskId, set[PlacedRun]] = {}
         self.waiting: dict[str, list[TaskProgress]] = {}
+        self.least_queued = NO_ROOM
         self.needs_placing_round = False
         self.table: RoutingTable | None = None
         self.configuration_text = ""
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -83,17 +83,29 @@
     views: Iterable[SidecarView], request: PlacementRequest, now: datetime
 ) -> list[Candidate]:
     """Return the workers that accept such a task, whatever room they have now."""
+    # Each queued job looks at all workers, so nothing is computed here twice and cheap
+    # checks come first.
+    step = request.step
+    cpu, memory, gpu = step.room
+    estimate = step.estimate.total_seconds()
+    max_seconds = request.seconds_left - OVERHEAD_SECONDS
     found = []
     for view in views:
-        # Cheap checks come first: each job looks at all workers.
-        if view.report is None or view.report.service != request.service:
+        report = view.report
+        if report is None or report.service != request.service:
+            continue
+        if not is_open(view, now):
+            continue
+        capacity = report.capacity
+        if cpu > capacity.cpu or memory > capacity.memory or gpu > capacity.gpu:
             continue
-        if not is_open(view, now) or not serves(view, request.service, request.step):
+        if step.label and step.label not in report.labels:
             continue
-        seconds = run_seconds(view, request)
-        is_late = seconds + OVERHEAD_SECONDS > request.seconds_left
-        capacity = max(view.report.capacity.cpu, 1)
-        found.append(Candidate(view, seconds, is_late, capacity))
+        seconds = estimate * view.pace
+        if step.rack and step.rack not in report.labels:
+            seconds *= request.remote_slowdown
+        is_late = seconds > max_seconds
+        found.append(Candidate(view, seconds, is_late, max(capacity.cpu, 1)))
     return found
 
 
@@ -126,12 +138,3 @@
         return None
     placement = Placement(request.run, request.step.room)
     return Choice(best.view, best.seconds, placement)
-
-
-def run_seconds(view: SidecarView, request: PlacementRequest) -> float:
-    """Return the expected run time of a task there."""
-    step = request.step
-    seconds = step.estimate.total_seconds() * view.pace
-    if step.rack and step.rack not in view.report.labels:
-        seconds *= request.remote_slowdown
-    return seconds
--- a/gypsumspoke/runs/run_ends.py
+++ b/gypsumspoke/runs/run_ends.py
@@ -50,6 +50,7 @@
     runs.discard(placed)
     if not runs:
         del state.withdrawn[placed.run.task]
+        state.needs_placing_round = True
 
 
 def _handle_done(
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -18,6 +18,9 @@
 DEFAULT_PACE = 1.0
 # Bounds on a reported pace, which a single outlier may distort.
 LOWEST_PACE, HIGHEST_PACE = 0.2, 20.0
+# Each completed run changes the pace a little. Smaller changes wait for the next tick,
+# which tries all queued tasks.
+MIN_PACE_CHANGE = 0.1
 
 
 class Placement(NamedTuple):
@@ -195,17 +198,23 @@
     return Offer(is_open(view, now), worker, view.pace, view.free)
 
 
-def may_allow_placement(offer: Offer, previous: Offer | None) -> bool:
+def may_allow_placement(offer: Offer, previous: Offer | None, least: Room) -> bool:
     """Return whether a change of an offer may let a queued task be placed.
 
     That includes a worker that closes or slows down: tasks may have waited for it
-    instead of taking another one.
+    instead of taking another one. More room counts only if a task fits in it: on full
+    workers most changes leave too little.
+
+    Args:
+      offer: the offer of a sidecar.
+      previous: its offer before; None if there was none.
+      least: no queued task needs less.
     """
-    return (
-        previous is None
-        or offer[:3] != previous[:3]
-        or not fits(offer.free, previous.free)
-    )
+    if previous is None or offer[:2] != previous[:2]:
+        return True
+    if abs(offer.pace - previous.pace) > MIN_PACE_CHANGE * previous.pace:
+        return True
+    return fits(least, offer.free) and not fits(offer.free, previous.free)
 
 
 def fastest_pace(views: Iterable[SidecarView], service: str) -> float:
--- a/tests/runs/test_placing_rounds.py
+++ b/tests/runs/test_placing_rounds.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from gypsumspoke.core.events import TURN_ENDED, Received
+from gypsumspoke.core.events import TURN_ENDED, Received, Tick
 from gypsumspoke.runs import assignment, coordinator
+from gypsumspoke.runs.coordinator_state import PlacedRun
 from gypsumspoke.runs.messages import PlaceRun, RunEnded
-from gypsumspoke.runs.values import EndReason, RunEnd
+from gypsumspoke.runs.values import EndReason, Room, RunEnd
 from tests.runs.test_job_lifecycle import settled
 from tests.runs.world import job, ms
 
@@ -90,3 +91,58 @@
     searches.clear()
     assert coordinator.handle_event(state, TURN_ENDED, world.now) == []
     assert searches == []
+
+
+def test_room_that_fits_no_queued_task_starts_no_search(world, searches):
+    """On full workers nearly every report and end leaves too little room, and an entry
+    with a slow processor fell behind in searches that found nothing.
+    """
+    process = world.processes["entry0"]
+    name, report = reports(world)[0]
+    least = process.state.least_queued
+    searches.clear()
+    free = least._replace(cpu=least.cpu - 1)
+    process.reduce(process.state, Received(name, report._replace(free=free)), world.now)
+    assert not searches
+    sent = process.state.views[name].sent
+    enough = Received(name, report._replace(free=least, taken=sent))
+    assert placed(process.reduce(process.state, enough, world.now))
+
+
+def test_a_small_change_of_pace_waits_for_the_tick(world, searches):
+    """Each completed run changes the pace of its worker a little."""
+    process = world.processes["entry0"]
+    name, report = reports(world)[0]
+    process.reduce(process.state, Received(name, report._replace(pace=1.0)), world.now)
+    searches.clear()
+    process.reduce(process.state, Received(name, report._replace(pace=1.05)), world.now)
+    assert not searches
+    process.reduce(process.state, Received(name, report._replace(pace=2.0)), world.now)
+    assert searches
+    searches.clear()
+    process.reduce(process.state, Tick(), world.now)
+    assert searches
+
+
+def test_the_smallest_queued_task_decides_whether_room_is_enough(world):
+    """A later step may need less room than the first."""
+    state = world.processes["entry0"].state
+    small = Room(100, 10, 0)
+    sent = job("small", count=1)
+    steps = (sent.steps[0], sent.steps[0]._replace(room=small))
+    world.submit("entry0", "small", sent._replace(steps=steps))
+    assert state.least_queued == small
+    world.close_request("entry0", "small")
+    world.run(ms(100))
+    assert state.least_queued.cpu > small.cpu
+
+
+def test_the_end_of_a_withdrawn_run_lets_its_task_be_placed(world):
+    """The task waits for that end and not for room on the worker that reports it."""
+    process = world.processes["entry0"]
+    name, run = ends(world)[0]
+    process.state.withdrawn[run.task] = {PlacedRun(name, run)}
+    process.state.needs_placing_round = False
+    ended = RunEnded(run, RunEnd.STOPPED, EndReason.WITHDRAWN, ms(50))
+    coordinator.handle_event(process.state, Received(name, ended), world.now)
+    assert process.state.needs_placing_round
