Store client: read and write rows in a given part of a table

A part sustains a limited rate of writes, and each sidecar is to keep a row of its own. put and read_once take the part, empty by default; pending writes are told apart by it. The stand-in store keeps the parts apart.

Measured: tests/platform/test_store.py passes (the new test covers two parts with the same key).

--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -80,7 +80,7 @@
         self._client = KeepAliveClient(address, _CONNECT_TIMEOUT, _MAX_ANSWER_BYTES)
         self._watches = watches
         self._greenlets: list[gevent.Greenlet] = []
-        self._unwritten: dict[tuple[str, str], bytes] = {}
+        self._unwritten: dict[tuple[str, str, str], bytes] = {}
         self._is_reachable = True
 
     def start(self) -> None:
@@ -92,47 +92,58 @@
         gevent.killall(self._greenlets)
         self._client.close()
 
-    def put(self, table: str, key: str, value: bytes) -> None:
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> None:
         """Write a row in the background, repeated until the store confirms it.
 
         Only for rows that no other process writes, since a repeated write could
         overwrite a newer value.
+
+        Args:
+          table, key, value: the row.
+          part: the part of the table that it belongs to.
         """
-        row = (table, key)
+        row = (table, part, key)
         is_being_written = row in self._unwritten
         self._unwritten[row] = value
         if not is_being_written:
-            self._greenlets.append(gevent.spawn(self._put, table, key))
+            self._greenlets.append(gevent.spawn(self._put, *row))
 
-    def read_once(self, table: str, on_rows: Callable[[Table], None]) -> None:
-        """Read a table once in the background, repeated until the store answers.
+    def read_once(
+        self, table: str, on_rows: Callable[[Table], None], part: str = ""
+    ) -> None:
+        """Read a part of a table once in the background, repeated until it is answered.
 
         Args:
           table: name of the table.
-          on_rows: called once with the whole table; must not block.
+          on_rows: called once with all rows of the part; must not block.
+          part: which part.
         """
-        self._greenlets.append(gevent.spawn(self._read_once, table, on_rows))
+        self._greenlets.append(gevent.spawn(self._read_once, table, part, on_rows))
 
-    def _read_once(self, table: str, on_rows: Callable[[Table], None]) -> None:
-        read = self._read_table(table)
+    def _read_once(
+        self, table: str, part: str, on_rows: Callable[[Table], None]
+    ) -> None:
+        read = self._read_table(table, part)
         while not is_successful(read):
             gevent.sleep(RETRY_DELAY.total_seconds())
-            read = self._read_table(table)
+            read = self._read_table(table, part)
         on_rows(read.unwrap())
 
-    def _put(self, table: str, key: str) -> None:
+    def _put(self, *row: str) -> None:
         """Write the latest value of a row, again if it changes during the write."""
-        while (table, key) in self._unwritten:
-            value = self._unwritten[table, key]
-            if not is_successful(self._write(table, key, value)):
+        while row in self._unwritten:
+            value = self._unwritten[row]
+            if not is_successful(self._write(*row, value)):
                 gevent.sleep(RETRY_DELAY.total_seconds())
-            elif self._unwritten[table, key] is value:
-                del self._unwritten[table, key]
+            elif self._unwritten[row] is value:
+                del self._unwritten[row]
 
-    def _write(self, table: str, key: str, value: bytes) -> Result[dict, str]:
+    def _write(
+        self, table: str, part: str, key: str, value: bytes
+    ) -> Result[dict, str]:
         row = {
             "table": table,
-            "part": "",
+            "part": part,
             "key": key,
             "value": base64.b64encode(value).decode(),
         }
@@ -172,15 +183,15 @@
             keys = frozenset(row.key for row in changes)
             watch.on_rows(Table(rows, revision, keys))
 
-    def _read_table(self, table: str) -> Result[Table, str]:
-        """Return all rows of a table.
+    def _read_table(self, table: str, part: str = "") -> Result[Table, str]:
+        """Return all rows of one part of a table.
 
         Its revision is that of the first page, so that the feed from there includes any
         change made between two pages.
         """
         rows: dict[str, bytes] = {}
         revision = None
-        query = {"table": table, "part": ""}
+        query = {"table": table, "part": part}
         while True:
             request = Request("GET", "/v1/rows-get?" + urlencode(query), {})
             answer = self._call(request, CALL_TIMEOUT)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -112,3 +112,17 @@
     stand_in.version += 1
     stand_in.put(TABLE, "a", b"1")
     wait_until(lambda: received[-1] == {"a": b"1", "odd": b""})
+
+
+def test_rows_of_one_key_in_two_parts_are_written_apart(stand_in):
+    """A pending write in one part must not replace the one in another."""
+    read = []
+    with closing(Store(stand_in.address, ())) as store:
+        for part in ("", "p1", "p2"):
+            store.put("t", "k", part.encode(), part)
+        wait_until(lambda: stand_in.value("t/p2", "k") is not None)
+        wait_until(lambda: stand_in.value("t/p1", "k") is not None)
+        store.read_once("t", lambda table: read.append(table.rows), "p1")
+        store.read_once("t", lambda table: read.append(table.rows))
+        wait_until(lambda: len(read) == 2)
+    assert sorted(rows["k"] for rows in read) == [b"", b"p1"]
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -16,9 +16,11 @@
 
 
 class PlatformStore:
-    """Serves rows by table and key; the ``part`` of each row is empty.
+    """Serves rows by table and key; feeds contain only rows with an empty ``part``.
 
     Attributes:
+      rows: version and value by table and key; rows in a part of its own are under
+        "TABLE/PART".
       status: HTTP status returned for every request; None serves requests normally.
       silent: requests wait for their answer until this is False again.
       lose_answers: number of further writes that take effect without an answer.
@@ -99,7 +101,7 @@
         found = [
             _row(table, key, version, value)
             for (table, key), (version, value) in sorted(self.rows.items())
-            if table == query["table"]
+            if table == _place(query)
             and value is not None
             and key >= query.get("from", "")
         ]
@@ -124,19 +126,25 @@
 
     def _transact(self, body):
         for check in body["expected_revision"]:
-            version, value = self.rows.get((check["table"], check["key"]), (0, None))
+            version, value = self.rows.get((_place(check), check["key"]), (0, None))
             if check["ver"] != (version if value is not None else 0):
                 return 412, {"rows": []}
         for put in body["puts"]:
-            self.put(put["table"], put["key"], base64.b64decode(put["value"]))
+            self.put(_place(put), put["key"], base64.b64decode(put["value"]))
         if self.lose_answers:
             self.lose_answers -= 1
             raise Unanswered
         return 200, {}
 
 
-def _row(table, key, version, value):
-    row = {"table": table, "part": "", "key": key, "ver": version}
+def _place(fields):
+    """Return the first part of the key in ``rows``."""
+    return "/".join(filter(None, (fields["table"], fields.get("part"))))
+
+
+def _row(place, key, version, value):
+    table, _, part = place.partition("/")
+    row = {"table": table, "part": part, "key": key, "ver": version}
     if value is None:
         return {**row, "removed": True}
     return {**row, "value": value}
