Sidecar: restore the worker from its stored record once its incarnation is proven

A restarted sidecar waited for its worker's next heartbeat, up to 1.5 s, and had lost its pace. It now keeps a record of the worker (runs/worker_record.py) and uses it when an answer to a renewal of this process names the record's incarnation. Any heartbeat replaces it. A worker known only from the record is dropped when a later answer names another incarnation, since the first answer may have been late.

--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -50,6 +50,7 @@
     RenewalFailed,
     WorkerLeft,
 )
+from gypsumspoke.runs.worker_record import WorkerRecordRead
 
 
 def reduce(state: SupervisorState, event: Any, now: datetime) -> list[Effect]:
@@ -87,7 +88,10 @@
 
 @_handle.register
 def _(event: WorkerLeft, state: SupervisorState, now: datetime) -> list[Effect]:
-    if state.worker is None or state.worker.id != event.id:
+    if state.worker is None:
+        state.records.record_left()
+        return supervisor_incarnation.update_from_record(state)
+    if state.worker.id != event.id:
         return []
     state.worker = state.worker._replace(state=WorkerReady.DRAINING)
     log = Log(logging.INFO, "worker left", fields=(("worker", event.id),))
@@ -103,6 +107,7 @@
 @_handle.register
 def _(event: RenewalAnswered, state: SupervisorState, now: datetime) -> list[Effect]:
     effects = supervisor_renewals.handle_renewal_answer(state, event, now)
+    effects += supervisor_incarnation.update_from_record(state)
     effects += start_waiting_runs(state, now)
     effects += waiting_room.send_back_overdue(state, now)
     return [*effects, *supervisor_renewals.next_renewal(state, now)]
@@ -125,9 +130,18 @@
     effects += waiting_room.send_back_overdue(state, now)
     effects += supervisor_report.send_regular_reports(state, now)
     effects += supervisor_cordons.note_empty(state, now)
+    effects += state.records.to_store(
+        state.worker, state.worker_incarnation, state.pace, now
+    )
     return [*effects, *continue_stop(state, now)]
 
 
+@_handle.register
+def _(event: WorkerRecordRead, state: SupervisorState, now: datetime) -> list[Effect]:
+    effects = state.records.record_read(event, state.service)
+    return [*effects, *supervisor_incarnation.update_from_record(state)]
+
+
 @_handle.register
 def _(event: EntriesRead, state: SupervisorState, now: datetime) -> list[Effect]:
     state.group.record_domains(event.domains)
--- a/gypsumspoke/runs/supervisor_incarnation.py
+++ b/gypsumspoke/runs/supervisor_incarnation.py
@@ -32,9 +32,29 @@
     elif registration.state is not known.state:
         effects += _log_registration(registration)
     state.worker = registration
+    state.records.record_heartbeat()
     return effects
 
 
+def update_from_record(state: SupervisorState) -> list[Effect]:
+    """Restore the worker from its record, or drop the record or what was restored.
+
+    Called after each answer to a renewal, before anything is started. Without a
+    registration the worker's incarnation is known from such answers only.
+    """
+    effects: list[Effect] = []
+    if state.worker is not None:
+        dropped = state.records.withdraw(state.worker, state.worker_incarnation)
+        if dropped is not None:
+            state.worker = None
+            effects += dropped
+    record, decided = state.records.restore(state.worker, state.worker_incarnation)
+    if record is not None:
+        state.worker = record.registration()
+        state.pace = record.pace
+    return [*effects, *decided]
+
+
 def _is_older(registration: Registration, known: Registration) -> bool:
     """Return whether a heartbeat is older than the latest one.
 
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -19,6 +19,7 @@
     TaskId,
     add,
 )
+from gypsumspoke.runs.worker_record import WorkerRecords
 from gypsumspoke.runs.worker_retries import WorkerRetries
 
 # Ends kept so that they can be reported again after a lost connection.
@@ -132,6 +133,7 @@
       budget: the time budget of all runs.
       service: the service named in the settings; empty for any.
       worker: the worker's latest registration; None before the first.
+      records: the record of the worker in the store.
       worker_incarnation: the worker's incarnation; ``last_seen`` counts within it.
       incarnation_seen_at: when that incarnation was first seen.
       token: fencing token; 0 before the worker's clock is known.
@@ -193,6 +195,7 @@
         self.budget = budget
         self.service = service
         self.worker: Registration | None = None
+        self.records = WorkerRecords()
         self.worker_incarnation: int | None = None
         self.incarnation_seen_at: datetime | None = None
         self.token = 0
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -271,6 +271,23 @@
     TIMED_OUT = "timed_out"
 
 
+class WorkerRecordEvent(Enum):
+    """What became of the stored record of a sidecar's worker; each has a counter.
+
+    RESTORED: the worker is known from it. MISSING: there was none. WRITTEN: a new one
+    was passed to the store. The others are reasons why it was dropped.
+    """
+
+    RESTORED = "restored"
+    MISSING = "missing"
+    WRITTEN = "written"
+    UNREADABLE = "unreadable"
+    OTHER_SERVICE = "other_service"
+    OTHER_INCARNATION = "other_incarnation"
+    HEARTBEAT_FIRST = "heartbeat_first"
+    WORKER_LEFT = "worker_left"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -28,6 +28,7 @@
     RefusalReason,
     SidecarRetry,
     WorkerFailure,
+    WorkerRecordEvent,
 )
 from gypsumspoke.shell.logs import log
 
@@ -110,6 +111,9 @@
         self._worker_failures = self._counter(
             "worker_failures", "Lease renewals that the worker left open.", "reason"
         )
+        self._worker_records = self._counter(
+            "worker_records", "What became of the worker's stored record.", "event"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -175,6 +179,7 @@
             (self._lease_events, LeaseEvent),
             (self._sidecar_retries, SidecarRetry),
             (self._worker_failures, WorkerFailure),
+            (self._worker_records, WorkerRecordEvent),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -245,6 +250,11 @@
     return metrics._worker_failures
 
 
+@_family.register
+def _(what: WorkerRecordEvent, metrics: Metrics) -> CounterMetric:
+    return metrics._worker_records
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -72,6 +72,11 @@
     StartCommand,
     StopCommand,
 )
+from gypsumspoke.runs.worker_record import (
+    StoreWorkerRecord,
+    WorkerRecord,
+    WorkerRecordRead,
+)
 from gypsumspoke.shell.run_role import MAX_SILENCE
 from tests.runs.worker import ZERO, FakeWorker
 
@@ -211,6 +216,8 @@
         )
         self.on_answer: Callable[[AnswerJob], None] = lambda answer: None
         self.on_start: Callable[[Process], None] = lambda sidecar: None
+        # The stored records of workers; None while nothing is stored or read.
+        self.records: dict[str, WorkerRecord] | None = None
         self.drained_at: dict[str, datetime] = {}
         self.tick_on_wake = False
         self._connected: set[frozenset[str]] = set()
@@ -284,9 +291,17 @@
         )
         process = self._add(host, supervisor.reduce, state)
         self._read_entries(process)
-        self._send_heartbeats(process)
+        if self.records is None:
+            self._send_heartbeats(process)
+            return process
+        self.at(ms(5), lambda: self._read_record(process))
+        first = ms(self.random.uniform(0, 1500))
+        self.at(first, lambda: self._send_heartbeats(process))
         return process
 
+    def _read_record(self, process: Process) -> None:
+        self.post(process, WorkerRecordRead(self.records.get(process.host)))
+
     def _add(self, host: str, reduce: Callable, state: Any) -> Process:
         process = Process(f"{host}-{next(self._incarnations):04d}", reduce, state)
         self.processes[host] = process
@@ -531,6 +546,8 @@
                 if isinstance(effect, StartCommand):
                     self.on_start(process)
                 self.at(ZERO, lambda: self._send_command(process, effect))
+            case StoreWorkerRecord(record):
+                self.records[process.host] = record
             case DialEntries(addresses):
                 process.dialled = frozenset(addresses)
             case CloseConnection(incarnation):
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -12,6 +12,7 @@
     RefusalReason,
     SidecarRetry,
     WorkerFailure,
+    WorkerRecordEvent,
 )
 from gypsumspoke.shell.metrics import HISTOGRAMS
 from gypsumspoke.shell.runtime import (
@@ -36,6 +37,7 @@
         RefusalReason,
         SidecarRetry,
         WorkerFailure,
+        WorkerRecordEvent,
     ],
 )
 def test_every_word_has_its_line(words):
