--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -15,7 +15,8 @@
 from gypsumspoke.platform.cordons import parse_cordons
 from gypsumspoke.platform.entry_store import EntryStore
 from gypsumspoke.platform.settings import read_settings, settings_path
-from gypsumspoke.platform.store import Store, Table, Watch
+from gypsumspoke.platform.sidecar_store import SidecarStore
+from gypsumspoke.platform.store import Table, Watch
 from gypsumspoke.runs.coordinator_state import ConfigurationChanged
 from gypsumspoke.runs.directory import EntriesRead
 from gypsumspoke.runs.routing import RoutingTable
@@ -107,9 +108,9 @@
     return store
 
 
-def _sidecar_store(settings: RunSettings, post: Callable[[Any], None]) -> Store:
+def _sidecar_store(settings: RunSettings, post: Callable[[Any], None]) -> SidecarStore:
     watch = Watch(ENTRIES_TABLE, _ENTRIES_WAIT, partial(_on_entry_rows, post))
-    return Store(settings.store, (watch,))
+    return SidecarStore(settings, (watch,), post)
 
 
 def _on_operator_rows(post: Callable[[Any], None], table: Table) -> None:
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack, closing
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.runs import supervisor
@@ -13,6 +13,7 @@
 from gypsumspoke.runs.supervisor_report import can_start
 from gypsumspoke.runs.supervisor_state import SupervisorState
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
+from gypsumspoke.runs.worker_record import StoreWorkerRecord
 from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_http_server, open_metrics
 from gypsumspoke.shell.run_role import (
@@ -25,6 +26,13 @@
 from gypsumspoke.shell.settings_file import SettingsFile
 
 
+class SidecarStorePort(StorePort, Protocol):
+    """The store, as a sidecar uses it."""
+
+    def store_worker_record(self, effect: StoreWorkerRecord) -> None:
+        """Store the record of the worker without blocking."""
+
+
 class SidecarAdapter(NamedTuple):
     """Factories of the platform-specific parts of a sidecar.
 
@@ -38,7 +46,7 @@
 
     open_worker: Callable[..., Any]
     registration: Callable[[Callable[[Any], None]], Any]
-    open_store: Callable[[RunSettings, Callable[[Any], None]], StorePort]
+    open_store: Callable[[RunSettings, Callable[[Any], None]], SidecarStorePort]
     settings_file: SettingsFile
 
 
@@ -86,6 +94,7 @@
         registration = adapter.registration(runtime.post)
         open_http_server(settings.registration, registration, listeners, stack)
         store = adapter.open_store(settings, runtime.post)
+        runtime.add_handler(StoreWorkerRecord, store.store_worker_record)
         return run_until_stopped(
             runtime,
             context,
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -163,6 +163,21 @@
     assert not any(worker.worker.violations for worker in system.workers)
 
 
+def test_a_restarted_sidecar_knows_its_worker_from_the_store(system):
+    """Without the record it would wait for a heartbeat, and none arrives here."""
+    rows = "gypsumspoke-workers/side-0"
+    system.wait_until(lambda: system.store.value(rows, "worker"), "the record")
+    worker = system.workers[0]
+    good = worker.heartbeat()
+    worker.heartbeat = lambda: {**good, "state": "odd"}
+    system.sidecars[0].kill()
+    system.sidecars[0] = system.start_sidecar(0)
+    line = system.sidecars[0].wait_for_line("worker record restored")
+    assert line["details"]["worker"] == worker.id
+    system.workers[1].status = 503
+    system.wait_until_serving()
+
+
 def test_a_stopping_sidecar_completes_its_runs(system):
     for worker in system.workers:
         worker.task_duration = worker.task_duration * 5
