Random walk over restarts of sidecars and workers with records

Restarts of both together and apart, and records older than the latest write. Each walk must start runs on a worker that is known only from its record.

--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -7,6 +7,7 @@
     CordonWalk,
     GroupWalk,
     IsolationWalk,
+    RecordWalk,
     SilenceWalk,
     Walk,
 )
@@ -54,3 +55,13 @@
     beside live runs, and callers resubmit as early as they may.
     """
     assert CommandFaultWalk(seed).play() == []
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_restored_workers_break_no_guarantee(seed):
+    """Sidecars start runs on workers that they know only from records, beside restarts
+    of both; the walk must come to that at all.
+    """
+    walk = RecordWalk(seed)
+    assert walk.play() == []
+    assert walk.restored
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -22,6 +22,7 @@
 from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.values import JobEnd
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
+from gypsumspoke.runs.worker_record import WorkerRecord
 from tests.runs.groups import SingleEntryGroup
 from tests.runs.world import Delivery, Process, World, job, ms
 
@@ -552,7 +553,55 @@
         self.faults.clear()
 
 
+class RecordWalk(CommandFaultWalk):
+    """A walk on which sidecars know their workers from records in the store.
+
+    Heartbeats come up to 1.5 s after a sidecar's start. Sidecars and workers restart
+    together and apart, and records are older than what was written last.
+    """
+
+    def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
+        super().__init__(seed, budget)
+        self.world.records = {}
+        self.world.on_start = self._check_start
+        self.restored = 0
+        self._older: dict[str, WorkerRecord] = {}
+        for host in SIDES:
+            self.world.kill(host)
+            self.world.start_sidecar(host)
+
+    def _steps(self) -> list[Callable[[], None]]:
+        together = [self._replace, self._replace_with_worker, self._replace_all]
+        return [*super()._steps(), *together * 2, *[self._exchange_records] * 2]
+
+    def _replace_with_worker(self) -> None:
+        """Replace a sidecar and restart its worker shortly before or after."""
+        host = self.random.choice(SIDES)
+        after = ms(self.random.choice((0, 100, 160, 300)))
+        self.world.at(after, partial(self.world.crash_worker, host))
+        self.world.kill(host)
+        self._start(host)
+
+    def _replace_all(self) -> None:
+        for host in SIDES:
+            self.world.kill(host)
+            self._start(host)
+
+    def _exchange_records(self) -> None:
+        """Undo the writes since the latest call, as if they were lost or late."""
+        older, self._older = self._older, dict(self.world.records)
+        self.world.records = dict(older)
+
+    def _check_start(self, sidecar: Process) -> None:
+        state = sidecar.state
+        if state.records.is_restored:
+            self.restored += 1
+            if state.worker.incarnation != state.worker_incarnation:
+                self.world.violations.append(f"{sidecar.name} starts without proof")
+
+
 KINDS = {
+    "records": RecordWalk,
     "": Walk,
     "cut-off": IsolationWalk,
     "orders": CommandFaultWalk,
