Offer a cold worker's room in parts and report how long a leaving one has left

Nothing read what a heartbeat says of a worker's cold time or of the time that a draining worker has left. A worker that had just come back was filled at once while it was slow.

A sidecar reports at most a quarter of a cold worker's room as free, growing to all of it; runs there count towards that. It also reports leaves_in, counted down from the arrival of the heartbeat. Values that are negative, not numbers or over an hour count as missing, with one log line for each incarnation. Whether a change report is due no longer derives from the reported room, which the limit changes without a run.

--- a/gypsumspoke/platform/registration.py
+++ b/gypsumspoke/platform/registration.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -24,9 +24,24 @@
 # Specified by the platform.
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 
+# A longer time left or cold time is taken for an error.
+_MAX_DURATION_MS = 3_600_000
+
 _log = logging.getLogger(__name__)
 
 
+class Heartbeat(NamedTuple):
+    """A decoded heartbeat.
+
+    Attributes:
+      registration: what it states.
+      unusable: names of optional fields that count as missing for their value.
+    """
+
+    registration: Registration
+    unusable: tuple[str, ...] = ()
+
+
 class WorkerRegistration:
     """WSGI application that the worker sends heartbeats to.
 
@@ -36,6 +51,7 @@
 
     def __init__(self, post: Callable[[Any], None]) -> None:
         self._post = post
+        self._logged: tuple[str, int] | None = None
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
@@ -61,9 +77,10 @@
             return json_answer({"error": "the body is too large"}, 413)
         except (OSError, ValueError):
             return json_answer({"error": "the body ended early"}, 400)
-        match parse_registration(worker, body):
-            case Success(registration):
-                self._post(HeartbeatArrived(registration))
+        match parse_heartbeat(worker, body):
+            case Success(heartbeat):
+                self._log_unusable(heartbeat)
+                self._post(HeartbeatArrived(heartbeat.registration))
                 return json_answer({})
             case Failure(reason):
                 _log.warning(
@@ -75,8 +92,31 @@
                 return json_answer({"error": reason}, 400)
         raise AssertionError("a result is a success or a failure")
 
+    def _log_unusable(self, heartbeat: Heartbeat) -> None:
+        """Log fields that count as missing, once for each incarnation of the worker."""
+        registration = heartbeat.registration
+        incarnation = (registration.id, registration.incarnation)
+        if not heartbeat.unusable or self._logged == incarnation:
+            return
+        self._logged = incarnation
+        _log.warning(
+            {
+                "message": "heartbeat fields ignored",
+                "details": {
+                    "worker": registration.id,
+                    "born": registration.incarnation,
+                    "fields": ",".join(heartbeat.unusable),
+                },
+            }
+        )
+
 
 def parse_registration(worker: str, body: bytes) -> Result[Registration, str]:
+    """Decode a heartbeat, as ``parse_heartbeat`` does, without its unusable fields."""
+    return parse_heartbeat(worker, body).map(lambda heartbeat: heartbeat.registration)
+
+
+def parse_heartbeat(worker: str, body: bytes) -> Result[Heartbeat, str]:
     """Decode a heartbeat.
 
     Args:
@@ -84,27 +124,33 @@
       body: JSON text.
 
     Returns:
-      The registration, or an error message.
+      The heartbeat, or an error message.
     """
     try:
-        return Success(_registration(worker, json.loads(body)))
+        return Success(_heartbeat(worker, json.loads(body)))
     except KeyError as error:
         return Failure(f"{error.args[0]} is missing")
     except (ValueError, TypeError, AttributeError) as error:
         return Failure(str(error))
 
 
-def _registration(worker: str, fields: dict[str, Any]) -> Registration:
+def _heartbeat(worker: str, fields: dict[str, Any]) -> Heartbeat:
     capacity = fields["capacity"]
     labels = fields.get("labels") or []
     if not isinstance(fields["service"], str) or not isinstance(labels, list):
         raise ValueError("a field has another type")
-    return Registration(
+    state = WorkerReady(fields["state"])
+    # Without a notice there is no end to count down to.
+    names = ["cold_remaining_ms"]
+    if state is WorkerReady.DRAINING:
+        names.append("remaining_ms")
+    durations = {name: _duration(fields[name]) for name in names if name in fields}
+    registration = Registration(
         id=worker,
         incarnation=int(fields.get("born", 0)),
         sequence=int(fields["seq"]),
         service=fields["service"],
-        state=WorkerReady(fields["state"]),
+        state=state,
         capacity=Room(
             int(capacity.get("cpu", 0)),
             int(capacity.get("mem_mb", 0)),
@@ -112,4 +158,17 @@
         ),
         labels=tuple(str(label) for label in labels),
         clock=timedelta(milliseconds=fields.get("clock_ms", 0)),
+        remaining=durations.get("remaining_ms"),
+        cold=durations.get("cold_remaining_ms") or timedelta(),
     )
+    unusable = tuple(name for name, value in durations.items() if value is None)
+    return Heartbeat(registration, unusable)
+
+
+def _duration(value: Any) -> timedelta | None:
+    """Return a number of milliseconds as a duration; None if it is unusable."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if not 0 <= value <= _MAX_DURATION_MS:
+        return None
+    return timedelta(milliseconds=value)
--- a/gypsumspoke/runs/supervisor_incarnation.py
+++ b/gypsumspoke/runs/supervisor_incarnation.py
@@ -32,7 +32,8 @@
     elif registration.state is not known.state:
         effects += _log_registration(registration)
     state.worker = registration
-    return effects
+    state.registered_at = now
+    return [*effects, *state.warm_up.record(registration, now)]
 
 
 def _is_older(registration: Registration, known: Registration) -> bool:
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -11,7 +11,8 @@
     has_runs_of,
     promised_room,
 )
-from gypsumspoke.runs.values import NO_ROOM, WorkerReady, subtract
+from gypsumspoke.runs.values import NO_ROOM, WorkerReady
+from gypsumspoke.runs.warm_up import leaves_in, offered_room
 
 # Shortest interval between reports of changed room to one entry, which limits the
 # entry's processor time: a busy worker's room changes with each start and end.
@@ -89,7 +90,7 @@
     if not peers:
         return []
     common = _report(state, now)
-    promised = subtract(common.capacity, common.free)
+    promised = promised_room(state)
     effects: list[Effect] = []
     for peer in peers:
         message = common._replace(
@@ -115,13 +116,14 @@
         takes_work=takes_work(state, now),
         clean=state.is_fenced and state.knows_all_runs,
         capacity=capacity,
-        free=subtract(capacity, promised_room(state)),
+        free=offered_room(capacity, promised_room(state), state.warm_up.share(now)),
         pace=current_pace(state),
         failing=is_failing(state),
         taken=0,
         entries=max(len(state.peers) - len(state.leaving), 1),
         partial=state.group.is_partial(state.directory.known),
         cordoned=state.is_cordoned,
+        leaves_in=leaves_in(worker, state.registered_at, now),
     )
 
 
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -19,6 +19,7 @@
     TaskId,
     add,
 )
+from gypsumspoke.runs.warm_up import WarmUp
 from gypsumspoke.runs.worker_retries import WorkerRetries
 
 # Ends kept so that they can be reported again after a lost connection.
@@ -132,6 +133,8 @@
       budget: the time budget of all runs.
       service: the service named in the settings; empty for any.
       worker: the worker's latest registration; None before the first.
+      registered_at: when that registration arrived.
+      warm_up: how much of a cold worker's room is offered.
       worker_incarnation: the worker's incarnation; ``last_seen`` counts within it.
       incarnation_seen_at: when that incarnation was first seen.
       token: fencing token; 0 before the worker's clock is known.
@@ -193,6 +196,8 @@
         self.budget = budget
         self.service = service
         self.worker: Registration | None = None
+        self.registered_at: datetime | None = None
+        self.warm_up = WarmUp()
         self.worker_incarnation: int | None = None
         self.incarnation_seen_at: datetime | None = None
         self.token = 0
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of decoding the platform's formats, and of errors for invalid input."""
 
+import io
 import json
 from datetime import timedelta
 
@@ -10,7 +11,11 @@
 from gypsumspoke.platform.configuration import parse_configuration
 from gypsumspoke.platform.jobs import MAX_TASKS, Unsupported, is_job_id, parse_job
 from gypsumspoke.platform.names import parse_run_id, task_name
-from gypsumspoke.platform.registration import parse_registration
+from gypsumspoke.platform.registration import (
+    WorkerRegistration,
+    parse_heartbeat,
+    parse_registration,
+)
 from gypsumspoke.platform.settings import read_settings
 from gypsumspoke.runs.budget import DEFAULT_BUDGET
 from gypsumspoke.runs.values import Room, RunId, TaskId, WorkerReady
@@ -139,6 +144,71 @@
     assert registration.state is WorkerReady.READY
     assert registration.capacity == Room(8000, 64000, 0)
     assert registration.sequence == 1
+    assert (registration.remaining, registration.cold) == (None, timedelta())
+
+
+def heartbeat(**more):
+    return PlatformWorker("w1").heartbeat() | more
+
+
+def parsed_heartbeat(**more):
+    return parse_heartbeat("w1", json.dumps(heartbeat(**more)).encode()).unwrap()
+
+
+def test_a_heartbeat_with_the_time_left_and_the_cold_time():
+    parsed = parsed_heartbeat(
+        state="draining", remaining_ms=2000, cold_remaining_ms=812.5
+    )
+    assert parsed.registration.remaining == timedelta(seconds=2)
+    assert parsed.registration.cold == timedelta(milliseconds=812.5)
+    assert not parsed.unusable
+
+
+def test_a_heartbeat_of_an_earlier_platform_lacks_both():
+    body = heartbeat(state="draining")
+    del body["cold_remaining_ms"]
+    parsed = parse_heartbeat("w1", json.dumps(body).encode()).unwrap()
+    assert parsed.registration.remaining is None
+    assert parsed.registration.cold == timedelta()
+    assert not parsed.unusable
+
+
+def test_a_worker_that_stays_has_no_time_left():
+    """A 0 that means "no notice" would have its runs withdrawn once it leaves."""
+    assert parsed_heartbeat(remaining_ms=0).registration.remaining is None
+
+
+@pytest.mark.parametrize(
+    "value", [-1, -0.5, 3_600_001, 1e300, float("nan"), float("inf"), "7", True, None]
+)
+def test_an_unusable_time_counts_as_missing(value):
+    """The heartbeat itself must count, or the worker would be lost for it."""
+    parsed = parsed_heartbeat(
+        state="draining", remaining_ms=value, cold_remaining_ms=value
+    )
+    assert parsed.registration.remaining is None
+    assert parsed.registration.cold == timedelta()
+    assert set(parsed.unusable) == {"remaining_ms", "cold_remaining_ms"}
+
+
+def test_an_unusable_time_is_logged_once_for_each_incarnation(caplog):
+    """Heartbeats come every 1.5 s, and such a worker sends each of them like that."""
+    posted = []
+    application = WorkerRegistration(posted.append)
+    for sequence, born in enumerate((1, 1, 1, 2, 2)):
+        body = json.dumps(heartbeat(born=born, seq=sequence, cold_remaining_ms=-1))
+        environ = {
+            "PATH_INFO": "/v1/instances/w1",
+            "REQUEST_METHOD": "PUT",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body.encode()),
+        }
+        list(application(environ, lambda *answer: None))
+    assert len(posted) == 5
+    lines = [record.msg for record in caplog.records]
+    assert [line["message"] for line in lines] == ["heartbeat fields ignored"] * 2
+    assert [line["details"]["born"] for line in lines] == [1, 2]
+    assert lines[0]["details"]["fields"] == "cold_remaining_ms"
 
 
 def test_unreadable_settings_give_the_reason(tmp_path):
