Withdraw runs that a leaving worker would lose and place their tasks again

A task that can't end before its worker is taken away was lost with it. The entry noticed that 1.16 s after the end of the worker and only then started the task over.

When a report says that the worker leaves, or leaves sooner than before, the entry decides on each of its runs there and withdraws those that would be lost, if another worker could finish the task before the loss is detected. The task is queued at once and placed when the withdrawn run has ended; if that run completes after all, the task is done. A task is withdrawn once for this reason, and its job counts as one that may have run.

A queued task that waits for a withdrawn run no longer holds up the tasks behind it, nor counts as a miss of the placing round: with eight such jobs nothing else was placed.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -61,6 +61,8 @@
     effects: list[Effect] = []
     misses = 0
     for progress in _sorted_jobs(state, now):
+        if all(state.withdrawn.get(task.id) for task in state.waiting[progress.id]):
+            continue
         before = len(state.waiting[progress.id])
         effects += _place_job(state, progress, now)
         if len(state.waiting.get(progress.id, ())) == before:
@@ -140,22 +142,27 @@
     tasks = state.waiting.pop(progress.id)
     search = _Search(state, progress, now)
     effects: list[Effect] = []
+    left: list[TaskProgress] = []
     for position, task in enumerate(tasks):
-        choice = _choose(state, progress, task, search)
+        # A withdrawn run of the task, or of an earlier request for the same job, may
+        # still be running.
+        if state.withdrawn.get(task.id):
+            left.append(task)
+            continue
+        choice = _choose(progress, task, search)
         if choice is None:
-            state.waiting[progress.id] = tasks[position:]
+            left += tasks[position:]
             break
         effects += _place(state, progress, task, choice, now)
         search.record_placement(choice.view)
+    if left:
+        state.waiting[progress.id] = left
     return effects
 
 
 def _choose(
-    state: CoordinatorState, progress: JobProgress, task: TaskProgress, search: _Search
+    progress: JobProgress, task: TaskProgress, search: _Search
 ) -> Choice | None:
-    # A withdrawn run of an earlier request for the same job may still be running.
-    if state.withdrawn.get(task.id):
-        return None
     request = search.request(task)
     candidates = _allowed(progress, task, search.candidates(request))
     # A worker where the task failed or was refused is tried again only if no other one
@@ -202,6 +209,7 @@
     task.number = run.number
     task.run = run
     task.view = view
+    task.placed_at = now
     progress.placed += 1
     state.by_run[PlacedRun(view.incarnation, run)] = progress.id
     record_placement(view, choice.placement)
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -8,6 +8,7 @@
 from gypsumspoke.core.events import PeerConnected, PeerLost
 from gypsumspoke.runs.coordinator_state import CoordinatorState, PlacedRun
 from gypsumspoke.runs.isolation import end_isolation
+from gypsumspoke.runs.leaving_workers import leaves_sooner, withdraw_endangered_runs
 from gypsumspoke.runs.messages import (
     AskRun,
     ConfigurationOffer,
@@ -86,7 +87,10 @@
         effects.append(Log(logging.INFO, "sidecar found", fields=fields))
     took_work = view.report is not None and view.report.takes_work
     previous = make_offer(view, now) if state.waiting else None
+    is_leaving_sooner = leaves_sooner(message, view.report)
     update_report(view, message, state.arrival.read)
+    if is_leaving_sooner:
+        effects += withdraw_endangered_runs(state, view, now)
     if state.waiting and may_allow_placement(make_offer(view, now), previous):
         state.needs_placing_round = True
     if _is_ack_due(state, view):
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -100,17 +100,21 @@
       id: the task.
       run: its open or completed run; None while it waits for placement.
       view: the sidecar of that run; None while it waits for placement.
+      placed_at: when its latest run was placed; None before the first.
+      moved: its run that was withdrawn because the worker leaves; None without one.
       done: whether it is complete.
       failures: number of runs that failed.
       number: number of its latest run.
       avoided_hosts: instances where it failed or was refused.
-      has_started: whether any of its ended runs had started.
+      has_started: whether any of its ended or withdrawn runs had or may have started.
     """
 
     def __init__(self, task: TaskId) -> None:
         self.id = task
         self.run: RunId | None = None
         self.view: SidecarView | None = None
+        self.placed_at: datetime | None = None
+        self.moved: PlacedRun | None = None
         self.done = False
         self.failures = 0
         self.number = 0
--- a/gypsumspoke/runs/run_ends.py
+++ b/gypsumspoke/runs/run_ends.py
@@ -31,7 +31,8 @@
 ) -> list[Effect]:
     """Continue the task whose run has ended on a sidecar."""
     placed = PlacedRun(sidecar, message.run)
-    _forget_withdrawn(state, placed)
+    if _forget_withdrawn(state, placed):
+        return _handle_withdrawn(state, message, placed, now)
     progress = state.jobs.get(state.by_run.pop(placed, ""))
     if progress is None:
         return []
@@ -42,14 +43,62 @@
     return _handle_not_done(state, progress, task, message, now)
 
 
-def _forget_withdrawn(state: CoordinatorState, placed: PlacedRun) -> None:
-    """Forget a withdrawn run that has ended, so that its task may run again."""
-    runs = state.withdrawn.get(placed.run.task)
-    if runs is None:
-        return
+def _forget_withdrawn(state: CoordinatorState, placed: PlacedRun) -> bool:
+    """Forget a withdrawn run that has ended, so that its task may run again.
+
+    Returns:
+      Whether the run was withdrawn.
+    """
+    runs = state.withdrawn.get(placed.run.task, set())
+    if placed not in runs:
+        return False
     runs.discard(placed)
     if not runs:
         del state.withdrawn[placed.run.task]
+    return True
+
+
+def _handle_withdrawn(
+    state: CoordinatorState, message: RunEnded, placed: PlacedRun, now: datetime
+) -> list[Effect]:
+    """Handle the end of a withdrawn run.
+
+    Its job has ended, or its task is queued again since the worker leaves. In the
+    latter case the run may have completed or failed before it was stopped.
+    """
+    task_id = message.run.task
+    progress = state.jobs.get(task_id.job)
+    if progress is None or task_id.step >= len(progress.tasks):
+        return []
+    task = next((t for t in progress.tasks[task_id.step] if t.moved == placed), None)
+    if task is None:
+        # Of an earlier request for the same job.
+        return []
+    if message.end is RunEnd.DONE:
+        _dequeue(state, task)
+        # As for any completed task: its worker counts towards the step's bound.
+        task.run = placed.run
+        task.view = state.views.get(placed.sidecar)
+        return _handle_done(state, progress, task, now)
+    if message.reason is EndReason.NUMBER_TOO_LOW:
+        task.number = max(task.number, message.highest)
+    if message.end is RunEnd.FAILED:
+        task.failures += 1
+        if task.failures >= progress.route.attempts:
+            reason = RefusalReason.ATTEMPTS_EXHAUSTED
+            return finish(state, progress, JobEnd.FAILED, reason, now)
+    if message.reason is EndReason.SUPERSEDED:
+        return give_up(state, progress, RefusalReason.SUPERSEDED, now)
+    return [Count(message.reason)]
+
+
+def _dequeue(state: CoordinatorState, task: TaskProgress) -> None:
+    """Remove a queued task that needs no other run."""
+    left = [other for other in state.waiting[task.id.job] if other is not task]
+    if left:
+        state.waiting[task.id.job] = left
+    else:
+        del state.waiting[task.id.job]
 
 
 def _handle_done(
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -271,6 +271,20 @@
     TIMED_OUT = "timed_out"
 
 
+class LeavingRun(Enum):
+    """What an entry decides on a run whose worker leaves; each has a counter.
+
+    WITHDRAWN: its task is queued again. ENDS_IN_TIME: it is expected to end before its
+    worker. MOVED_BEFORE: another run of its task was withdrawn before. NOT_SOONER: no
+    other worker would finish the task before the loss is detected.
+    """
+
+    WITHDRAWN = "withdrawn"
+    ENDS_IN_TIME = "ends_in_time"
+    MOVED_BEFORE = "moved_before"
+    NOT_SOONER = "not_sooner"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -25,6 +25,7 @@
 from gypsumspoke.runs.values import (
     EndReason,
     LeaseEvent,
+    LeavingRun,
     RefusalReason,
     SidecarRetry,
     WorkerFailure,
@@ -110,6 +111,9 @@
         self._worker_failures = self._counter(
             "worker_failures", "Lease renewals that the worker left open.", "reason"
         )
+        self._leaving_runs = self._counter(
+            "leaving_runs", "Decisions on runs whose worker leaves.", "decision"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -175,6 +179,7 @@
             (self._lease_events, LeaseEvent),
             (self._sidecar_retries, SidecarRetry),
             (self._worker_failures, WorkerFailure),
+            (self._leaving_runs, LeavingRun),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -245,6 +250,11 @@
     return metrics._worker_failures
 
 
+@_family.register
+def _(what: LeavingRun, metrics: Metrics) -> CounterMetric:
+    return metrics._leaving_runs
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -212,6 +212,8 @@
         self.on_answer: Callable[[AnswerJob], None] = lambda answer: None
         self.on_start: Callable[[Process], None] = lambda sidecar: None
         self.drained_at: dict[str, datetime] = {}
+        self.leaves_at: dict[str, datetime] = {}
+        self.cold_until: dict[str, datetime] = {}
         self.tick_on_wake = False
         self._connected: set[frozenset[str]] = set()
         self._silent: set[frozenset[str]] = set()
@@ -574,6 +576,9 @@
 
     def send_heartbeat(self, host: str, state: WorkerReady = WorkerReady.READY) -> None:
         """Send a worker's heartbeat to its sidecar."""
+        remaining = None
+        if state is WorkerReady.DRAINING and host in self.leaves_at:
+            remaining = max(self.leaves_at[host] - self.now, ZERO)
         registration = Registration(
             id=f"w-{host}",
             incarnation=self.worker_incarnations[host],
@@ -583,14 +588,32 @@
             capacity=CAPACITY,
             labels=("a", "r1"),
             clock=self.worker_clock(host),
+            remaining=remaining,
+            cold=max(self.cold_until.get(host, self.now) - self.now, ZERO),
         )
         self.post(self.processes[host], HeartbeatArrived(registration))
 
+    def announce_leave(self, host: str, remaining: timedelta) -> None:
+        """Let a worker drain and state the time that it has left."""
+        self.drained_at[host] = self.now
+        self.leaves_at[host] = self.now + remaining
+        self.send_heartbeat(host, WorkerReady.DRAINING)
+
+    def return_worker(self, host: str, cold: timedelta = ZERO) -> None:
+        """Start the next incarnation of a worker that was leaving; it may be cold."""
+        self.drained_at.pop(host, None)
+        self.leaves_at.pop(host, None)
+        self.cold_until[host] = self.now + cold
+        self.start_worker(host)
+        self.send_heartbeat(host)
+
     def _send_heartbeats(self, process: Process) -> None:
         if not process.alive:
             return
         if process.host not in self.drained_at:
             self.send_heartbeat(process.host)
+        elif process.host in self.leaves_at:
+            self.send_heartbeat(process.host, WorkerReady.DRAINING)
         self.at(ms(1500), lambda: self._send_heartbeats(process))
 
     def _send_command(self, process: Process, command: Any) -> None:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -9,6 +9,7 @@
 from gypsumspoke.runs.values import (
     EndReason,
     LeaseEvent,
+    LeavingRun,
     RefusalReason,
     SidecarRetry,
     WorkerFailure,
@@ -33,6 +34,7 @@
         Counter,
         EndReason,
         LeaseEvent,
+        LeavingRun,
         RefusalReason,
         SidecarRetry,
         WorkerFailure,
