--- a/tests/runs/test_leaving_workers.py
+++ b/tests/runs/test_leaving_workers.py
@@ -9,6 +9,7 @@
 from gypsumspoke.runs.messages import WithdrawRun, WorkerReport
 from gypsumspoke.runs.values import JobEnd, LeavingRun, TaskId, WorkerReady
 from gypsumspoke.runs.worker_commands import StopCommand
+from tests.runs.leaving_replay import play
 from tests.runs.test_job_lifecycle import settled
 from tests.runs.world import CAPACITY, SERVICE, START, TASK_TIME, Delivery, job, ms
 
@@ -352,6 +353,13 @@
     assert world.end_of("last") is JobEnd.COMPLETED
 
 
+def test_no_task_runs_twice_at_once_while_workers_of_a_fleet_leave():
+    """With a notice of 1 s some long runs are expected to end after their worker."""
+    outcome = play(2, True, sidecars=10, duration=ms(12_000), notice=ms(1000))
+    assert outcome.decisions["withdrawn"] > 0
+    assert not outcome.violations
+
+
 def test_each_decision_is_counted_and_logged():
     world = world_with_long_run(count=2)
     world.submit("entry0", "r2", job("j2", 1))
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -7,6 +7,7 @@
     CordonWalk,
     GroupWalk,
     IsolationWalk,
+    LeavingWalk,
     SilenceWalk,
     Walk,
 )
@@ -46,6 +47,12 @@
     assert CordonWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_leaving_workers_break_no_guarantee(seed):
+    """Runs are withdrawn and placed again beside losses, cuts and lost stops."""
+    assert LeavingWalk(seed).play() == []
+
+
 # 9: a start was carried out, its answer lost, and the worker restarted; the job was
 # answered as not run.
 @pytest.mark.parametrize("seed", [*range(4), 9])
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -20,7 +20,7 @@
 from gypsumspoke.runs.coordinator_state import AnswerJob
 from gypsumspoke.runs.cordons import Cordons
 from gypsumspoke.runs.entry_group import EntryGroup
-from gypsumspoke.runs.values import JobEnd
+from gypsumspoke.runs.values import Job, JobEnd
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
 from tests.runs.groups import SingleEntryGroup
 from tests.runs.world import Delivery, Process, World, job, ms
@@ -91,9 +91,12 @@
         request = f"r{self.requests}"
         self.tries[name].append(request)
         within = ms(3000)
-        self.world.submit(host, request, job(name, count), within)
+        self.world.submit(host, request, self._make_job(name, count), within)
         self._watch(name, count, host, process.name, request, 0)
 
+    def _make_job(self, name: str, count: int) -> Job:
+        return job(name, count)
+
     def _watch(self, name, count, host, incarnation, request, waited) -> None:
         """Check every 20 ms whether the caller has to resubmit."""
         step = ms(20)
@@ -334,6 +337,62 @@
         self.world.lift("north", "south")
 
 
+class LeavingWalk(Walk):
+    """A walk on which workers announce that they leave, go and come back cold.
+
+    They go when they said, earlier or later, with their sidecar or without it. Tasks
+    run for 0.8 to 1.6 s and are estimated at 1.5 s, so that many runs can't end before
+    their worker does, and some end although they were withdrawn.
+    """
+
+    STEPS = 80
+    ESTIMATE = timedelta(milliseconds=1500)
+
+    def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
+        super().__init__(seed, budget)
+        for host in SIDES:
+            self.world.pace[host] = self.random.choice((4.0, 6.0, 8.0))
+            self.world.start_worker(host)
+
+    def _make_job(self, name: str, count: int) -> Job:
+        return job(name, count, self.ESTIMATE)
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [*super()._steps(), *[self._announce] * 6, *[self._ignore_stops] * 3]
+
+    def _announce(self) -> None:
+        """Let a worker state the time that it has left, perhaps for a second time."""
+        host = self.random.choice(SIDES)
+        is_first = host not in self.world.leaves_at
+        remaining = self.random.choice((0, 150, 500, 900, 2100))
+        self.world.announce_leave(host, ms(remaining))
+        if is_first:
+            error = self.random.choice((0.3, 1.0, 1.0, 1.5))
+            self.world.at(ms(remaining * error), partial(self._go, host))
+
+    def _go(self, host: str) -> None:
+        self.world.crash_worker(host)
+        if self.random.random() < 0.5:
+            self.world.power_off(host)
+            self.world.at(ms(1200), partial(self._start, host))
+        cold = ms(self.random.choice((0, 300, 2000)))
+        after = ms(self.random.choice((0, 600, 1500)))
+        self.world.at(after, partial(self.world.return_worker, host, cold))
+
+    def _ignore_stops(self) -> None:
+        """Let withdrawn runs go on for a while; some of them complete."""
+        host = self.random.choice(SIDES)
+        self.world.hosts_ignoring_stops.add(host)
+        after = ms(self.random.choice((100, 500)))
+        self.world.at(after, partial(self.world.hosts_ignoring_stops.discard, host))
+
+    def _clear_faults(self) -> None:
+        super()._clear_faults()
+        self.world.hosts_ignoring_stops.clear()
+        for host in list(self.world.leaves_at):
+            self.world.return_worker(host)
+
+
 class FaultKind(Enum):
     """What happens to a command."""
 
@@ -559,6 +618,7 @@
     "groups": GroupWalk,
     "cordons": CordonWalk,
     "silence": SilenceWalk,
+    "leaving": LeavingWalk,
 }
 
 
