--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -61,11 +61,11 @@
     effects: list[Effect] = []
     misses = 0
     for progress in _sorted_jobs(state, now):
-        if all(state.withdrawn.get(task.id) for task in state.waiting[progress.id]):
-            continue
         before = len(state.waiting[progress.id])
         effects += _place_job(state, progress, now)
-        if len(state.waiting.get(progress.id, ())) == before:
+        left = state.waiting.get(progress.id, [])
+        # Tasks that wait for a withdrawn run cost no scan.
+        if len(left) == before and not all(state.withdrawn.get(t.id) for t in left):
             misses += 1
         if misses >= MAX_MISSES:
             break
@@ -144,12 +144,10 @@
     effects: list[Effect] = []
     left: list[TaskProgress] = []
     for position, task in enumerate(tasks):
-        # A withdrawn run of the task, or of an earlier request for the same job, may
-        # still be running.
-        if state.withdrawn.get(task.id):
+        choice = _choose(state, progress, task, search)
+        if choice is None and state.withdrawn.get(task.id):
             left.append(task)
             continue
-        choice = _choose(progress, task, search)
         if choice is None:
             left += tasks[position:]
             break
@@ -161,8 +159,12 @@
 
 
 def _choose(
-    progress: JobProgress, task: TaskProgress, search: _Search
+    state: CoordinatorState, progress: JobProgress, task: TaskProgress, search: _Search
 ) -> Choice | None:
+    # A withdrawn run of the task, or of an earlier request for the same job, may still
+    # be running.
+    if state.withdrawn.get(task.id):
+        return None
     request = search.request(task)
     candidates = _allowed(progress, task, search.candidates(request))
     # A worker where the task failed or was refused is tried again only if no other one
