--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -69,7 +69,9 @@
     for progress in _sorted_jobs(state, now):
         before = len(state.waiting[progress.id])
         effects += _place_job(state, progress, now)
-        if len(state.waiting.get(progress.id, ())) == before:
+        left = state.waiting.get(progress.id, [])
+        # Tasks that wait for a withdrawn run cost no scan.
+        if len(left) == before and not all(state.withdrawn.get(t.id) for t in left):
             misses += 1
         if misses >= MAX_MISSES:
             break
@@ -158,20 +160,27 @@
     tasks = state.waiting.pop(progress.id)
     search = _Search(state, progress, now)
     effects: list[Effect] = []
+    left: list[TaskProgress] = []
     for position, task in enumerate(tasks):
         choice = _choose(state, progress, task, search)
+        if choice is None and state.withdrawn.get(task.id):
+            left.append(task)
+            continue
         if choice is None:
-            state.waiting[progress.id] = tasks[position:]
+            left += tasks[position:]
             break
         effects += _place(state, progress, task, choice, now)
         search.record_placement(choice.view)
+    if left:
+        state.waiting[progress.id] = left
     return effects
 
 
 def _choose(
     state: CoordinatorState, progress: JobProgress, task: TaskProgress, search: _Search
 ) -> Choice | None:
-    # A withdrawn run of an earlier request for the same job may still be running.
+    # A withdrawn run of the task, or of an earlier request for the same job, may still
+    # be running.
     if state.withdrawn.get(task.id):
         return None
     request = search.request(task)
@@ -220,6 +229,7 @@
     task.number = run.number
     task.run = run
     task.view = view
+    task.placed_at = now
     progress.placed += 1
     state.by_run[PlacedRun(view.incarnation, run)] = progress.id
     record_placement(view, choice.placement)
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -138,3 +138,12 @@
         return None
     placement = Placement(request.run, request.step.room)
     return Choice(best.view, best.seconds, placement)
+
+
+def run_seconds(view: SidecarView, request: PlacementRequest) -> float:
+    """Return the expected run time of a task there."""
+    step = request.step
+    seconds = step.estimate.total_seconds() * view.pace
+    if step.rack and step.rack not in view.report.labels:
+        seconds *= request.remote_slowdown
+    return seconds
--- a/gypsumspoke/runs/supervisor_incarnation.py
+++ b/gypsumspoke/runs/supervisor_incarnation.py
@@ -33,7 +33,8 @@
         effects += _log_registration(registration)
     state.worker = registration
     state.records.record_heartbeat()
-    return effects
+    state.registered_at = now
+    return [*effects, *state.warm_up.record(registration, now)]
 
 
 def update_from_record(state: SupervisorState) -> list[Effect]:
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -25,6 +25,7 @@
 from gypsumspoke.runs.values import (
     EndReason,
     LeaseEvent,
+    LeavingRun,
     RefusalReason,
     SidecarRetry,
     WorkerFailure,
@@ -114,6 +115,9 @@
         self._worker_records = self._counter(
             "worker_records", "What became of the worker's stored record.", "event"
         )
+        self._leaving_runs = self._counter(
+            "leaving_runs", "Decisions on runs whose worker leaves.", "decision"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -180,6 +184,7 @@
             (self._sidecar_retries, SidecarRetry),
             (self._worker_failures, WorkerFailure),
             (self._worker_records, WorkerRecordEvent),
+            (self._leaving_runs, LeavingRun),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -255,6 +260,11 @@
     return metrics._worker_records
 
 
+@_family.register
+def _(what: LeavingRun, metrics: Metrics) -> CounterMetric:
+    return metrics._leaving_runs
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
