Reserve room on workers for urgent work that other entries have queued

Cause: priorities apply only within an entry. An entry with only long jobs takes the room that another entry's urgent jobs wait for, and expected waits assume equal shares whatever the demand.

Entries state their queued work per worker by priority in acks, once a tick and only where a service has several priorities. Sidecars sum the statements, which expire after entry_silence, and report the sums and the room that they reserve, at most three quarters of the processors. An entry places less urgent runs only on what is left. A sidecar refuses nothing because of it. Invalid statements are dropped, counted and logged at most once a second.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -15,6 +15,7 @@
     JobProgress,
     longest_chain,
 )
+from gypsumspoke.runs.expected_share import expected_share
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace
 from gypsumspoke.runs.values import RefusalReason, Step
@@ -190,8 +191,8 @@
 def expected_wait(state: CoordinatorState, service: str, priority: int) -> timedelta:
     """Return how long the queued work of the same or higher priority takes.
 
-    An entry sees only its own queue. It assumes that all entries connected to a worker
-    use equal shares of it.
+    An entry sees only its own queue, and what all entries have stated of theirs: see
+    ``expected_share``.
     """
     work = 0.0
     for job_id, tasks in state.waiting.items():
@@ -204,7 +205,7 @@
     if not work:
         return timedelta()
     share = sum(
-        view.report.capacity.cpu / view.pace / max(view.report.entries, 1)
+        view.report.capacity.cpu / view.pace * expected_share(view, priority)
         for view in state.views.values()
         if view.connected and _takes_work(view, service)
     )
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -50,6 +50,7 @@
     state: CoordinatorState, progress: JobProgress, task: TaskProgress
 ) -> None:
     """Queue a task for placement."""
+    task.queued_at = state.arrival.read
     state.waiting.setdefault(progress.id, []).append(task)
 
 
@@ -117,6 +118,7 @@
             RunId(task.id, task.number + 1),
             self._seconds_left,
             self._state.remote_slowdown,
+            self._progress.route.priority,
         )
 
     def candidates(self, request: PlacementRequest) -> list[Candidate]:
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -7,6 +7,7 @@
 from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.core.events import PeerConnected, PeerLost
 from gypsumspoke.runs.coordinator_state import CoordinatorState, PlacedRun
+from gypsumspoke.runs.expected_share import statement_to
 from gypsumspoke.runs.isolation import end_isolation
 from gypsumspoke.runs.messages import (
     AskRun,
@@ -89,10 +90,12 @@
     update_report(view, message, state.arrival.read)
     if state.waiting and may_allow_placement(make_offer(view, now), previous):
         state.needs_placing_round = True
-    if _is_ack_due(state, view):
+    stated = statement_to(state, view)
+    if _is_ack_due(state, view) or bool(stated) is not bool(view.stated):
         record_proof(view, now)
+        view.stated = stated
         count = state.sidecar_counts.get(message.service, 0)
-        effects.append(Send(sender, ReportAck(message.stamp, count)))
+        effects.append(Send(sender, ReportAck(message.stamp, count, stated)))
     if took_work is not message.takes_work:
         effects.append(_log_changed(view))
     if message.clean:
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
-from gypsumspoke.runs.messages import WorkerReport
+from gypsumspoke.runs.messages import WaitingWork, WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, fits, subtract
 
 # Ratio of run time to estimate, assumed until a worker has completed a run.
@@ -48,6 +48,7 @@
       open_runs: room of the runs placed there that have not ended.
       pace: ratio of run time to estimate on this worker.
       report: its latest report; None before the first.
+      stated: the queued work that the latest ack has stated to it.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.host = host
         self.pace = DEFAULT_PACE
         self.report: WorkerReport | None = None
+        self.stated: tuple[WaitingWork, ...] = ()
         self._free: Room | None = None
         self.first_seen = now
         self.reported_at = now
@@ -151,6 +153,7 @@
     view.connected = True
     view.has_reported = False
     view.proof_read_at = None
+    view.stated = ()
     view.sent = 0
     view.unreported.clear()
     view.reported_at = read
@@ -178,12 +181,14 @@
       worker: service, labels and capacity of its worker.
       pace: ratio of run time to estimate.
       free: the free room.
+      reserved: processors that the sidecar reserves for urgent work.
     """
 
     is_open: bool
     worker: tuple[str, tuple[str, ...], Room]
     pace: float
     free: Room
+    reserved: int = 0
 
 
 def make_offer(view: SidecarView, now: datetime) -> Offer | None:
@@ -192,7 +197,8 @@
     if report is None:
         return None
     worker = (report.service, report.labels, report.capacity)
-    return Offer(is_open(view, now), worker, view.pace, view.free)
+    reserved = sum(part.cpu for part in report.reserved)
+    return Offer(is_open(view, now), worker, view.pace, view.free, reserved)
 
 
 def may_allow_placement(offer: Offer, previous: Offer | None) -> bool:
@@ -205,6 +211,7 @@
         previous is None
         or offer[:3] != previous[:3]
         or not fits(offer.free, previous.free)
+        or offer.reserved < previous.reserved
     )
 
 
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -124,6 +124,7 @@
     effects += start_waiting_runs(state, now)
     effects += waiting_room.send_back_overdue(state, now)
     effects += supervisor_report.send_regular_reports(state, now)
+    effects += supervisor_report.log_reserved(state, now)
     effects += supervisor_cordons.note_empty(state, now)
     return [*effects, *continue_stop(state, now)]
 
@@ -158,7 +159,9 @@
     if sender not in state.peers:
         return []
     state.group.record_sidecars(sender, message.sidecars)
-    return silent_links.handle_ack(state, sender, now)
+    capacity = state.worker.capacity.cpu if state.worker else None
+    effects = state.stated.record(sender, message.waiting, capacity, now)
+    return [*effects, *silent_links.handle_ack(state, sender, now)]
 
 
 def _cancel_runs_of_silent_entries(
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -271,6 +271,18 @@
     TIMED_OUT = "timed_out"
 
 
+class StatementFault(Enum):
+    """Why a sidecar drops an entry's statement of queued work; each has a counter.
+
+    TOO_MANY_PRIORITIES: more than 16 of them. BAD_PRIORITY: one that is outside 0 to
+    1,000 or occurs twice. BAD_ROOM: negative, or more than the worker has.
+    """
+
+    TOO_MANY_PRIORITIES = "too_many_priorities"
+    BAD_PRIORITY = "bad_priority"
+    BAD_ROOM = "bad_room"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -27,6 +27,7 @@
     LeaseEvent,
     RefusalReason,
     SidecarRetry,
+    StatementFault,
     WorkerFailure,
 )
 from gypsumspoke.shell.logs import log
@@ -110,6 +111,9 @@
         self._worker_failures = self._counter(
             "worker_failures", "Lease renewals that the worker left open.", "reason"
         )
+        self._statement_faults = self._counter(
+            "statement_faults", "Statements of queued work dropped.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -175,6 +179,7 @@
             (self._lease_events, LeaseEvent),
             (self._sidecar_retries, SidecarRetry),
             (self._worker_failures, WorkerFailure),
+            (self._statement_faults, StatementFault),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -245,6 +250,11 @@
     return metrics._worker_failures
 
 
+@_family.register
+def _(what: StatementFault, metrics: Metrics) -> CounterMetric:
+    return metrics._statement_faults
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -11,6 +11,7 @@
     LeaseEvent,
     RefusalReason,
     SidecarRetry,
+    StatementFault,
     WorkerFailure,
 )
 from gypsumspoke.shell.metrics import HISTOGRAMS
@@ -35,6 +36,7 @@
         LeaseEvent,
         RefusalReason,
         SidecarRetry,
+        StatementFault,
         WorkerFailure,
     ],
 )
