State queued work again while it waits, whatever else proves the entry alive

Cause: a placement proves as well as an ack that its entry is alive, so no ack was due to a sidecar that got placements, and its statement expired in the middle of a burst. Acks with a statement are now sent at the ack interval by the age of the statement. Found when long jobs had 0.6 of the room beside urgent jobs of 120 %, where the reservation leaves them a quarter.

A walk with jobs of three priorities and statements that no entry has made is added.

--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -25,9 +25,11 @@
     may_allow_placement,
     record_proof,
     record_run_end,
+    record_statement,
     restart_connection,
     update_report,
 )
+from gypsumspoke.runs.urgent_work import Work
 from gypsumspoke.runs.values import EndReason, RunEnd
 
 # Time after which a disconnected sidecar is dropped from the state. Its runs have ended
@@ -91,9 +93,9 @@
     if state.waiting and may_allow_placement(make_offer(view, now), previous):
         state.needs_placing_round = True
     stated = statement_to(state, view)
-    if _is_ack_due(state, view) or bool(stated) is not bool(view.stated):
+    if _is_ack_due(state, view) or _is_statement_due(state, view, stated):
         record_proof(view, now)
-        view.stated = stated
+        record_statement(view, stated)
         count = state.sidecar_counts.get(message.service, 0)
         effects.append(Send(sender, ReportAck(message.stamp, count, stated)))
     if took_work is not message.takes_work:
@@ -116,6 +118,17 @@
     return view.reported_at - view.proof_read_at >= interval
 
 
+def _is_statement_due(state: CoordinatorState, view: SidecarView, stated: Work) -> bool:
+    """Return whether queued work must be stated although no proof is due.
+
+    Placements prove that this entry is alive, but state nothing. An entry that places
+    runs all the time would let its statement expire.
+    """
+    if not stated or not view.stated:
+        return bool(stated) is not bool(view.stated)
+    return view.reported_at - view.stated_at >= state.budget.ack_interval
+
+
 def _log_changed(view: SidecarView) -> Log:
     fields = (
         ("sidecar", view.incarnation),
--- a/gypsumspoke/runs/room_reservation.py
+++ b/gypsumspoke/runs/room_reservation.py
@@ -20,8 +20,8 @@
 from gypsumspoke.runs.urgent_work import Work, add_up, room_of, validate
 from gypsumspoke.runs.values import StatementFault
 
-# Share of a worker's processors that is never reserved, so that urgent work can't keep
-# all other work away.
+# Share of a worker's processors that is never reserved, so that less urgent work of
+# other entries can't be kept away for good.
 UNRESERVED_SHARE = 0.25
 # One log line covers all dropped statements of an interval, and reservations that end
 # for a shorter time count as one: they come and go with each burst.
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -49,6 +49,7 @@
       pace: ratio of run time to estimate on this worker.
       report: its latest report; None before the first.
       stated: the queued work that the latest ack has stated to it.
+      stated_at: when the report was read that this ack answered.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.pace = DEFAULT_PACE
         self.report: WorkerReport | None = None
         self.stated: tuple[WaitingWork, ...] = ()
+        self.stated_at = now
         self._free: Room | None = None
         self.first_seen = now
         self.reported_at = now
@@ -122,6 +124,12 @@
     view.proof_read_at = view.reported_at
 
 
+def record_statement(view: SidecarView, stated: tuple[WaitingWork, ...]) -> None:
+    """Record an ack that states queued work."""
+    view.stated = stated
+    view.stated_at = view.reported_at
+
+
 def record_placement(view: SidecarView, placement: Placement) -> None:
     """Record a placement that is being sent."""
     view.sent += 1
--- a/tests/runs/test_expected_share.py
+++ b/tests/runs/test_expected_share.py
@@ -124,6 +124,23 @@
     assert [ack.waiting for ack in entry.report(201)] == [()]
 
 
+def test_an_entry_that_places_runs_all_the_time_repeats_its_statement():
+    """A placement is as good a proof of life as an ack, so that no ack was due; the
+    statement expired and others took the room.
+    """
+    entry = LoneEntry()
+    entry.submit(20, count=100)
+    entry.handle(100, Tick())
+    acked_at, placed = [], 0
+    for at in range(101, 900, 20):
+        placed += 1
+        if entry.report(at, free=TASK.cpu, taken=placed):
+            acked_at.append(at)
+    assert entry.state.views[SIDECARS[0]].open_runs
+    pauses = [later - at for at, later in zip(acked_at, acked_at[1:])]
+    assert max(pauses) <= 100
+
+
 def test_with_one_priority_nothing_is_stated():
     """There would be nothing to give way to, only messages."""
     entry = LoneEntry(RoutingTable(CONFIGURATION))
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -7,6 +7,7 @@
     CordonWalk,
     GroupWalk,
     IsolationWalk,
+    PriorityWalk,
     SilenceWalk,
     Walk,
 )
@@ -46,6 +47,14 @@
     assert CordonWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_reserved_room_breaks_no_guarantee(seed):
+    """Jobs wait for room that is reserved for work of entries that are lost or cut off,
+    or that was never queued.
+    """
+    assert PriorityWalk(seed).play() == []
+
+
 # 9: a start was carried out, its answer lost, and the worker restarted; the job was
 # answered as not run.
 @pytest.mark.parametrize("seed", [*range(4), 9])
