--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -28,6 +28,7 @@
     LeavingRun,
     RefusalReason,
     SidecarRetry,
+    StatementFault,
     WorkerFailure,
     WorkerRecordEvent,
 )
@@ -118,6 +119,9 @@
         self._leaving_runs = self._counter(
             "leaving_runs", "Decisions on runs whose worker leaves.", "decision"
         )
+        self._statement_faults = self._counter(
+            "statement_faults", "Statements of queued work dropped.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -185,6 +189,7 @@
             (self._worker_failures, WorkerFailure),
             (self._worker_records, WorkerRecordEvent),
             (self._leaving_runs, LeavingRun),
+            (self._statement_faults, StatementFault),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -265,6 +270,11 @@
     return metrics._leaving_runs
 
 
+@_family.register
+def _(what: StatementFault, metrics: Metrics) -> CounterMetric:
+    return metrics._statement_faults
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -12,6 +12,7 @@
     LeavingRun,
     RefusalReason,
     SidecarRetry,
+    StatementFault,
     WorkerFailure,
     WorkerRecordEvent,
 )
@@ -38,6 +39,7 @@
         LeavingRun,
         RefusalReason,
         SidecarRetry,
+        StatementFault,
         WorkerFailure,
         WorkerRecordEvent,
     ],
