Order waiting runs by due time, and let urgent ones displace others

Cause: on full workers all entries learn of free room at nearly the same time, and the nearest or fastest one places first. Runs that waited at the sidecar started by priority and then by arrival, and a placement for which no room was expected was refused even if less urgent runs were waiting.

Runs that wait start by priority, then those that can still be in time, then by due time, then by arrival (runs/waiting_order.py). Entries state the due time in PlaceRun. A placement without room displaces waiting runs that come after it, the last first, if that makes it fit. Runs that wait for an older run of their task or for the lease stay. Each displaced run has a log line and counts by reason.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -214,6 +214,7 @@
         step.estimate,
         progress.deadline - now,
         progress.job.spec,
+        progress.due - now,
     )
     return [Send(view.incarnation, message), _log_placed(progress, task, choice, now)]
 
--- a/gypsumspoke/runs/supervisor_placement.py
+++ b/gypsumspoke/runs/supervisor_placement.py
@@ -1,9 +1,10 @@
 """Runs that entries place on this sidecar, query or withdraw.
 
 Several entries place runs on one worker without seeing each other's, so more may arrive
-than fits. What does not fit waits here if room is expected soon (``waiting_room.py``);
-otherwise it is refused at once with a current report, so that it can be placed
-elsewhere. A run whose task has an older run here waits for its end.
+than fits. What does not fit waits here if room is expected soon (``waiting_room.py``),
+if need be in the place of less urgent runs; otherwise it is refused at once with a
+current report, so that it can be placed elsewhere. A run whose task has an older run
+here waits for its end.
 """
 
 from datetime import datetime, timedelta
@@ -20,7 +21,13 @@
     record_highest,
 )
 from gypsumspoke.runs.values import EndReason, RunEnd, RunId, WorkerReady, fits
-from gypsumspoke.runs.waiting_room import expects_room_soon, refuse_for_room
+from gypsumspoke.runs.waiting_order import due_time
+from gypsumspoke.runs.waiting_room import (
+    displace_waiting,
+    expects_room_soon,
+    has_older_run,
+    refuse_for_room,
+)
 
 
 def handle_placement(
@@ -55,6 +62,8 @@
         message.spec,
         now + message.within,
         state.placement_count,
+        now,
+        due_time(message.due, now),
     )
     effects += start_waiting_runs(state, now)
     return [*effects, *_refuse_without_room(state, message.run, now)]
@@ -146,26 +155,24 @@
 def _refuse_without_room(
     state: SupervisorState, run: RunId, now: datetime
 ) -> list[Effect]:
-    """Refuse a run that found no room and will find none soon, after a current report.
+    """Let a run wait for room, or refuse it after a current report.
 
-    Its entry did not know of the latest placements of other entries.
+    It is refused if no room is expected soon, not even in the place of less urgent runs
+    that wait. Its entry did not know of the latest placements of other entries.
     """
     local = state.runs.get(run)
     if local is None or local.phase is not Phase.WAITING:
         return []
-    if _has_older_run(state, local):
+    if has_older_run(state, local):
         return []
     if expects_room_soon(state, now):
         local.waits_for_room_since = now
         return []
-    return refuse_for_room(state, local, now)
-
-
-def _has_older_run(state: SupervisorState, local: LocalRun) -> bool:
-    return any(
-        other.run.task == local.run.task and other is not local
-        for other in state.runs.values()
-    )
+    displaced = displace_waiting(state, local, now)
+    if not displaced:
+        return refuse_for_room(state, local, now)
+    local.waits_for_room_since = now
+    return displaced
 
 
 def _supersede_older_runs(
--- a/gypsumspoke/runs/supervisor_queue.py
+++ b/gypsumspoke/runs/supervisor_queue.py
@@ -1,24 +1,24 @@
 """Queue of the runs that wait at a sidecar.
 
 They wait for an older run of their task to end, for room that is expected soon, or
-until the worker may take work, and start by priority, then by arrival.
+until the worker may take work, and start in the order of ``waiting_order.py``.
 """
 
 from datetime import datetime
 
 from gypsumspoke.core.effects import Effect
-from gypsumspoke.runs import supervisor_commands, supervisor_report
+from gypsumspoke.runs import supervisor_commands, supervisor_report, waiting_order
 from gypsumspoke.runs.supervisor_lease import lease_allows_run, lease_allows_start
 from gypsumspoke.runs.supervisor_state import LocalRun, Phase, SupervisorState
 from gypsumspoke.runs.values import EndReason, fits, subtract
 
 
 def start_waiting_runs(state: SupervisorState, now: datetime) -> list[Effect]:
-    """Start waiting runs that fit, by priority and arrival, without overtaking."""
+    """Start waiting runs that fit, in their order and without overtaking."""
     effects = _cancel_overdue_runs(state, now)
     if not supervisor_report.can_start(state, now):
         return effects
-    queue = waiting_runs(state)
+    queue = waiting_runs(state, now)
     if not queue or not lease_allows_start(state, now):
         return effects
     free = subtract(state.worker.capacity, state.reserved)
@@ -40,11 +40,13 @@
     return effects
 
 
-def waiting_runs(state: SupervisorState) -> list[LocalRun]:
+def waiting_runs(state: SupervisorState, now: datetime) -> list[LocalRun]:
     """Return the waiting runs, the next one first."""
     found = [run for run in state.runs.values() if run.phase is Phase.WAITING]
-    found.sort(key=lambda local: (local.priority, local.placement_number))
-    return found
+    if len(found) < 2:
+        return found
+    pace = supervisor_report.current_pace(state) or 1.0
+    return waiting_order.in_order(found, pace, now)
 
 
 def _cancel_overdue_runs(state: SupervisorState, now: datetime) -> list[Effect]:
@@ -61,6 +63,6 @@
     state: SupervisorState, reason: EndReason, now: datetime
 ) -> list[Effect]:
     effects: list[Effect] = []
-    for local in waiting_runs(state):
+    for local in waiting_runs(state, now):
         effects += supervisor_commands.cancel_run(state, local, reason, now)
     return effects
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -64,7 +64,9 @@
       coordinator: incarnation of the entry that placed it.
       room, priority, estimate, spec: as in PlaceRun.
       start_by: deadline for the start.
-      placement_number: rises with each placement; breaks ties within a priority.
+      placement_number: rises with each placement.
+      arrived: when the placement arrived.
+      due: when the run's job is late; None if its entry doesn't say.
       phase: see Phase.
       waits_for_room_since: when it began to wait for room; None if it doesn't.
       started_at: when the start was sent; once accepted, when it was accepted.
@@ -95,6 +97,8 @@
         spec: str,
         start_by: datetime,
         placement_number: int,
+        arrived: datetime,
+        due: datetime | None = None,
     ) -> None:
         self.run = run
         self.coordinator = coordinator
@@ -104,6 +108,8 @@
         self.spec = spec
         self.start_by = start_by
         self.placement_number = placement_number
+        self.arrived = arrived
+        self.due = due
         self.waits_for_room_since: datetime | None = None
         self.phase = Phase.WAITING
         self.started_at: datetime | None = None
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -271,6 +271,18 @@
     TIMED_OUT = "timed_out"
 
 
+class DisplacementReason(Enum):
+    """Why a new run displaced one that waited at a sidecar; each has a counter.
+
+    PRIORITY: the new run is more urgent. IN_TIME: of the two only the new run can still
+    be in time. DUE_EARLIER: the new run is due earlier.
+    """
+
+    PRIORITY = "priority"
+    IN_TIME = "in_time"
+    DUE_EARLIER = "due_earlier"
+
+
 class JobEnd(Enum):
     """Outcome of a best-effort job, as its caller is told."""
 
--- a/gypsumspoke/runs/waiting_room.py
+++ b/gypsumspoke/runs/waiting_room.py
@@ -8,21 +8,32 @@
 
 A run that waits counts as taken room in reports. Only as much waits as is expected to
 find room within ``MAX_WAIT``; a run that has waited longer than ``MAX_WAIT`` is sent
-back. What waits here is bound by the time budget like any run: it is dropped when its
-entry is silent, and starts only on a lease that its entry's last message allows.
+back, and so is one that a new run displaces (``waiting_order.py``). What waits here is
+bound by the time budget like any run: it is dropped when its entry is silent, and
+starts only on a lease that its entry's last message allows.
 """
 
+import logging
 from datetime import datetime, timedelta
 
-from gypsumspoke.core.effects import Effect
-from gypsumspoke.runs import supervisor_commands, supervisor_report
+from gypsumspoke.core.effects import Count, Effect, Log
+from gypsumspoke.runs import supervisor_commands, supervisor_report, waiting_order
+from gypsumspoke.runs.supervisor_lease import lease_allows_run, lease_allows_start
 from gypsumspoke.runs.supervisor_state import (
     LocalRun,
     Phase,
     SupervisorState,
     promised_room,
 )
-from gypsumspoke.runs.values import NO_ROOM, EndReason, Room, add, fits, subtract
+from gypsumspoke.runs.values import (
+    NO_ROOM,
+    DisplacementReason,
+    EndReason,
+    Room,
+    add,
+    fits,
+    subtract,
+)
 
 # Short against the time that callers allow a job beyond its work.
 MAX_WAIT = timedelta(milliseconds=60)
@@ -32,13 +43,86 @@
 
 def expects_room_soon(state: SupervisorState, now: datetime) -> bool:
     """Return whether all waiting runs are expected to start within ``MAX_WAIT``."""
-    if supervisor_report.is_failing(state) or not supervisor_report.can_start(
-        state, now
-    ):
+    if not _may_wait_for_room(state, now):
         return False
     return fits(_room_of_waiting(state), _room_soon(state, now))
 
 
+def has_older_run(state: SupervisorState, local: LocalRun) -> bool:
+    """Return whether another run of a run's task has not ended here."""
+    return any(
+        other.run.task == local.run.task and other is not local
+        for other in state.runs.values()
+    )
+
+
+def displace_waiting(
+    state: SupervisorState, new: LocalRun, now: datetime
+) -> list[Effect]:
+    """Send back waiting runs for which a more urgent one has no place.
+
+    Args:
+      state: the sidecar's state.
+      new: the run that has just arrived, for which no room is expected soon.
+      now: the current time.
+
+    Returns:
+      The effects; none if the new run can't get a place in this way.
+    """
+    if not _may_wait_for_room(state, now) or not _lacks_only_room(state, new, now):
+        return []
+    displaceable = [
+        local
+        for local in state.runs.values()
+        if local.waits_for_room_since is not None
+        and _lacks_only_room(state, local, now)
+    ]
+    excess = subtract(_room_of_waiting(state), _room_soon(state, now))
+    pace = supervisor_report.current_pace(state) or 1.0
+    effects: list[Effect] = []
+    for local in waiting_order.choose_displaced(new, displaceable, excess, pace, now):
+        reason = waiting_order.displacement_reason(new, local, pace, now)
+        effects += [Count(reason), _log_displaced(local, new, reason, now)]
+        effects += refuse_for_room(state, local, now)
+    return effects
+
+
+def _may_wait_for_room(state: SupervisorState, now: datetime) -> bool:
+    return not supervisor_report.is_failing(state) and supervisor_report.can_start(
+        state, now
+    )
+
+
+def _lacks_only_room(state: SupervisorState, local: LocalRun, now: datetime) -> bool:
+    """Return whether a run waits neither for an older run of its task nor the lease."""
+    return (
+        local.phase is Phase.WAITING
+        and not has_older_run(state, local)
+        and lease_allows_start(state, now)
+        and lease_allows_run(state, local, now)
+    )
+
+
+def _log_displaced(
+    local: LocalRun, new: LocalRun, reason: DisplacementReason, now: datetime
+) -> Log:
+    waited = (now - local.waits_for_room_since) / timedelta(milliseconds=1)
+    fields = (
+        ("job", local.run.task.job),
+        ("step", local.run.task.step),
+        ("run", local.run.number),
+        ("entry", local.coordinator),
+        ("reason", reason.value),
+        ("waited_ms", round(waited, 1)),
+        ("for_job", new.run.task.job),
+        ("for_step", new.run.task.step),
+        ("for_task", new.run.task.index),
+        ("for_run", new.run.number),
+        ("for_entry", new.coordinator),
+    )
+    return Log(logging.INFO, "run displaced", task=local.run.task.index, fields=fields)
+
+
 def _room_of_waiting(state: SupervisorState) -> Room:
     return subtract(promised_room(state), state.reserved)
 
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -23,6 +23,7 @@
 from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.runs.values import (
+    DisplacementReason,
     EndReason,
     LeaseEvent,
     RefusalReason,
@@ -110,6 +111,9 @@
         self._worker_failures = self._counter(
             "worker_failures", "Lease renewals that the worker left open.", "reason"
         )
+        self._displaced_runs = self._counter(
+            "displaced_runs", "Waiting runs sent back for another.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -175,6 +179,7 @@
             (self._lease_events, LeaseEvent),
             (self._sidecar_retries, SidecarRetry),
             (self._worker_failures, WorkerFailure),
+            (self._displaced_runs, DisplacementReason),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -245,6 +250,11 @@
     return metrics._worker_failures
 
 
+@_family.register
+def _(what: DisplacementReason, metrics: Metrics) -> CounterMetric:
+    return metrics._displaced_runs
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -7,6 +7,7 @@
 from gypsumspoke.core.counters import Counter, RetryReason
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.runs.values import (
+    DisplacementReason,
     EndReason,
     LeaseEvent,
     RefusalReason,
@@ -31,6 +32,7 @@
         ErrorKind,
         RetryReason,
         Counter,
+        DisplacementReason,
         EndReason,
         LeaseEvent,
         RefusalReason,
