Measure contention for workers with one slow entry

Cause: the effect of the order at sidecars was not measured, and the replay drew its load from the generator that the world's faults use, so two versions of the code did not get the same jobs.

The replay draws jobs and run times from the seed alone.

--- a/tests/runs/contended_fleet.py
+++ b/tests/runs/contended_fleet.py
@@ -6,15 +6,15 @@
 
 import sys
 from collections import Counter
-from collections.abc import Callable
 from datetime import datetime, timedelta
 from functools import partial
+from random import Random
 from typing import Any, NamedTuple
 
 from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.coordinator_state import JobArrived, time_allowed
 from gypsumspoke.runs.messages import RunEnded
-from gypsumspoke.runs.values import EndReason, Job, JobEnd, Step
+from gypsumspoke.runs.values import EndReason, Job, JobEnd, Step, TaskId
 from tests.runs.fleet import ROOM, SLOTS_PER_WORKER, Fleet
 from tests.runs.world import ROUTE, Process, ms
 
@@ -53,18 +53,18 @@
     refused: int
     messages: int
 
-    def late_at(self, wanted: Callable[[str], bool]) -> float:
-        """Return the late share of the jobs of some entries."""
-        jobs = sum(count for (host, _), count in self.jobs.items() if wanted(host))
-        late = sum(count for (host, _), count in self.late.items() if wanted(host))
-        return late / max(jobs, 1)
-
 
 class ContendedFleet(Fleet):
-    """A fleet of entries of unequal speed that submit jobs of all priorities."""
+    """A fleet of entries of unequal speed that submit jobs of all priorities.
+
+    Jobs and run times depend on the seed alone, so that two versions of the code get
+    the same ones.
+    """
 
     def __init__(self, entries: int, sidecars: int, seed: int, delay: str) -> None:
         self.delay = delay
+        self.seed = seed
+        self.load_random = Random(seed)
         self.submitted: dict[str, tuple[str, int, datetime]] = {}
         self.measured_from = 0
         self.measured_log: list[Any] = []
@@ -79,11 +79,12 @@
         self.pace.setdefault(host, WORKER_PACES[len(self.pace) % len(WORKER_PACES)])
         super().start_worker(host)
         pace = self.pace[host]
-        self.workers[host].run_time = lambda task: self._run_time(task.job) * pace
+        self.workers[host].run_time = lambda task: self._run_time(task) * pace
 
-    def _run_time(self, job_id: str) -> timedelta:
-        _, estimate, _ = KINDS[int(job_id[1])]
-        return estimate * self.task_times.uniform(
+    def _run_time(self, task: TaskId) -> timedelta:
+        _, estimate, _ = KINDS[int(task.job[1])]
+        task_random = Random(f"{self.seed} {task}")
+        return estimate * task_random.uniform(
             MIN_TIME_OVER_ESTIMATE, MAX_TIME_OVER_ESTIMATE
         )
 
@@ -105,9 +106,9 @@
         ]
         end = self.now + duration
         while self.now < end:
-            self.run(timedelta(seconds=self.random.expovariate(sum(rates))))
-            (priority,) = self.random.choices(range(len(KINDS)), rates)
-            self._submit_one(self.random.choice(self.entry_hosts), priority)
+            self.run(timedelta(seconds=self.load_random.expovariate(sum(rates))))
+            (priority,) = self.load_random.choices(range(len(KINDS)), rates)
+            self._submit_one(self.load_random.choice(self.entry_hosts), priority)
 
     def _submit_one(self, host: str, priority: int) -> None:
         count, estimate, _ = KINDS[priority]
