--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -23,6 +23,7 @@
 from gypsumspoke.core.effects import Count, Log, Observe
 from gypsumspoke.core.errors import ErrorKind
 from gypsumspoke.runs.values import (
+    DisplacementReason,
     EndReason,
     LeaseEvent,
     LeavingRun,
@@ -122,6 +123,9 @@
         self._statement_faults = self._counter(
             "statement_faults", "Statements of queued work dropped.", "reason"
         )
+        self._displaced_runs = self._counter(
+            "displaced_runs", "Waiting runs sent back for another.", "reason"
+        )
         for metric, values in self._families():
             for value in values:
                 metric.labels(value.value)
@@ -190,6 +194,7 @@
             (self._worker_records, WorkerRecordEvent),
             (self._leaving_runs, LeavingRun),
             (self._statement_faults, StatementFault),
+            (self._displaced_runs, DisplacementReason),
         ]
 
     def _add_process_metrics(self, role: str, worker: str) -> None:
@@ -275,6 +280,11 @@
     return metrics._statement_faults
 
 
+@_family.register
+def _(what: DisplacementReason, metrics: Metrics) -> CounterMetric:
+    return metrics._displaced_runs
+
+
 def install(runtime, metrics: Metrics) -> None:
     """Register the handlers of ``Count``, ``Observe`` and ``Log`` effects.
 
