--- a/gypsumspoke/runs/waiting_room.py
+++ b/gypsumspoke/runs/waiting_room.py
@@ -18,6 +18,7 @@
 
 from gypsumspoke.core.effects import Count, Effect, Log
 from gypsumspoke.runs import supervisor_commands, supervisor_report, waiting_order
+from gypsumspoke.runs.room_reservation import UNRESERVED_SHARE
 from gypsumspoke.runs.supervisor_lease import lease_allows_run, lease_allows_start
 from gypsumspoke.runs.supervisor_state import (
     LocalRun,
@@ -77,6 +78,7 @@
         if local.waits_for_room_since is not None
         and _lacks_only_room(state, local, now)
     ]
+    displaceable = _beyond_minimum(state, new, displaceable)
     excess = subtract(_room_of_waiting(state), _room_soon(state, now))
     pace = supervisor_report.current_pace(state) or 1.0
     effects: list[Effect] = []
@@ -87,6 +89,27 @@
     return effects
 
 
+def _beyond_minimum(
+    state: SupervisorState, new: LocalRun, displaceable: list[LocalRun]
+) -> list[LocalRun]:
+    """Leave out less urgent runs that are part of their minimum share of the worker.
+
+    Less urgent work would otherwise lose by displacement what is never reserved.
+    """
+    minimum = state.worker.capacity.cpu * UNRESERVED_SHARE
+    held = sum(
+        local.room.cpu for local in state.runs.values() if local.priority > new.priority
+    )
+    allowed = []
+    for local in displaceable:
+        if local.priority > new.priority:
+            if held - local.room.cpu < minimum:
+                continue
+            held -= local.room.cpu
+        allowed.append(local)
+    return allowed
+
+
 def _may_wait_for_room(state: SupervisorState, now: datetime) -> bool:
     return not supervisor_report.is_failing(state) and supervisor_report.can_start(
         state, now
