--- a/gypsumspoke/runs/supervisor_incarnation.py
+++ b/gypsumspoke/runs/supervisor_incarnation.py
@@ -51,8 +51,8 @@
             effects += dropped
     record, decided = state.records.restore(state.worker, state.worker_incarnation)
     if record is not None:
-        state.worker = record.registration()
-        state.pace = record.pace
+        state.worker = state.worker or record.registration()
+        state.pace = state.pace or record.pace
     return [*effects, *decided]
 
 
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -274,8 +274,9 @@
 class WorkerRecordEvent(Enum):
     """What became of the stored record of a sidecar's worker; each has a counter.
 
-    RESTORED: the worker is known from it. MISSING: there was none. WRITTEN: a new one
-    was passed to the store. The others are reasons why it was dropped.
+    RESTORED: the worker is known from it. PACE_RESTORED: a heartbeat came first, and
+    the pace is known from it. MISSING: there was none. WRITTEN: a new one was passed to
+    the store. The others are reasons why it was dropped.
     """
 
     RESTORED = "restored"
@@ -284,7 +285,7 @@
     UNREADABLE = "unreadable"
     OTHER_SERVICE = "other_service"
     OTHER_INCARNATION = "other_incarnation"
-    HEARTBEAT_FIRST = "heartbeat_first"
+    PACE_RESTORED = "pace_restored"
     WORKER_LEFT = "worker_left"
 
 
--- a/gypsumspoke/runs/worker_record.py
+++ b/gypsumspoke/runs/worker_record.py
@@ -3,9 +3,10 @@
 A restarted sidecar would otherwise wait for its worker's next heartbeat, up to 1.5 s
 during which callers come back, and would have lost the worker's pace.
 
-The record is a hint of an earlier process. It is used only once the worker has named
-the record's incarnation in an answer to a renewal of this process, and any heartbeat
-of that incarnation replaces it.
+The record is a hint of an earlier process. The worker is restored from it only once it
+has named the record's incarnation in an answer to a renewal of this process, and any
+heartbeat of that incarnation replaces it. If the heartbeat comes first, the pace alone
+is restored.
 """
 
 import logging
@@ -122,19 +123,27 @@
     ) -> tuple[WorkerRecord | None, list[Effect]]:
         """Return the record once its incarnation is proven, or drop it.
 
+        Where a heartbeat of that incarnation came first, only the record's pace is of
+        use.
+
         Args:
           worker: the worker's registration; None if none has arrived.
           incarnation: the incarnation that the worker's latest answer has named.
 
         Returns:
-          The record to restore the worker from, or None; and what to log and count.
+          The record to restore the worker or its pace from, or None; and what to log
+          and count.
         """
         record = self._candidate
         if record is None:
             return None, []
         reason = None
+        if worker is not None and worker.incarnation == record.incarnation:
+            self._candidate = None
+            log = Log(logging.INFO, "worker pace restored", fields=_details(record))
+            return record, [Count(WorkerRecordEvent.PACE_RESTORED), log]
         if worker is not None:
-            reason = WorkerRecordEvent.HEARTBEAT_FIRST
+            reason = WorkerRecordEvent.OTHER_INCARNATION
         elif self._has_left:
             reason = WorkerRecordEvent.WORKER_LEFT
         elif incarnation is None:
@@ -145,13 +154,7 @@
         if reason is not None:
             return None, _drop(reason, _identity(record))
         self.is_restored = True
-        fields = (
-            *_identity(record),
-            ("state", record.state.value),
-            ("cpu", record.capacity.cpu),
-            ("pace", round(record.pace, 3)),
-        )
-        log = Log(logging.INFO, "worker record restored", fields=fields)
+        log = Log(logging.INFO, "worker record restored", fields=_details(record))
         return record, [Count(WorkerRecordEvent.RESTORED), log]
 
     def withdraw(self, worker: Registration, incarnation: int) -> list[Effect] | None:
@@ -230,6 +233,15 @@
     return (("worker", record.worker), ("born", record.incarnation))
 
 
+def _details(record: WorkerRecord) -> tuple[tuple[str, str | int | float], ...]:
+    return (
+        *_identity(record),
+        ("state", record.state.value),
+        ("cpu", record.capacity.cpu),
+        ("pace", round(record.pace, 3)),
+    )
+
+
 def _drop(reason: WorkerRecordEvent, fields: tuple) -> list[Effect]:
     fields = (("reason", reason.value), *fields)
     log = Log(logging.INFO, "worker record dropped", fields=fields)
