--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -85,7 +85,7 @@
 
     def start(self) -> None:
         """Start following the watched tables."""
-        self._greenlets = [gevent.spawn(self._follow, each) for each in self._watches]
+        self._greenlets += [gevent.spawn(self._follow, each) for each in self._watches]
 
     def close(self) -> None:
         """Stop all calls and close the connections."""
@@ -106,6 +106,7 @@
         is_being_written = row in self._unwritten
         self._unwritten[row] = value
         if not is_being_written:
+            self._greenlets = [each for each in self._greenlets if not each.dead]
             self._greenlets.append(gevent.spawn(self._put, *row))
 
     def read_once(
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -15,7 +15,6 @@
     JobProgress,
     longest_chain,
 )
-from gypsumspoke.runs.expected_share import expected_share
 from gypsumspoke.runs.placement import serves
 from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace
 from gypsumspoke.runs.values import RefusalReason, Step
@@ -191,8 +190,8 @@
 def expected_wait(state: CoordinatorState, service: str, priority: int) -> timedelta:
     """Return how long the queued work of the same or higher priority takes.
 
-    An entry sees only its own queue, and what all entries have stated of theirs: see
-    ``expected_share``.
+    An entry sees only its own queue. It assumes that all entries connected to a worker
+    use equal shares of it.
     """
     work = 0.0
     for job_id, tasks in state.waiting.items():
@@ -205,7 +204,7 @@
     if not work:
         return timedelta()
     share = sum(
-        view.report.capacity.cpu / view.pace * expected_share(view, priority)
+        view.report.capacity.cpu / view.pace / max(view.report.entries, 1)
         for view in state.views.values()
         if view.connected and _takes_work(view, service)
     )
--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -54,7 +54,6 @@
     if not state.waiting:
         state.least_queued = room
     state.least_queued = Room(*map(min, state.least_queued, room))
-    task.queued_at = state.arrival.read
     state.waiting.setdefault(progress.id, []).append(task)
     state.needs_placing_round = True
 
@@ -138,7 +137,6 @@
             RunId(task.id, task.number + 1),
             self._seconds_left,
             self._state.remote_slowdown,
-            self._progress.route.priority,
         )
 
     def candidates(self, request: PlacementRequest) -> list[Candidate]:
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -54,7 +54,6 @@
 from gypsumspoke.runs.coordinator_stop import begin_stop, continue_stop
 from gypsumspoke.runs.cordons import CordonsRead
 from gypsumspoke.runs.directory import EntriesRead, SettingsRead
-from gypsumspoke.runs.expected_share import compute_queued_work
 from gypsumspoke.runs.isolation import check_isolation
 from gypsumspoke.runs.job_ends import (
     end_of_refusal,
@@ -307,7 +306,6 @@
     if store is not None:
         effects.append(store)
     effects += place_waiting(state, now)
-    state.queued_work = compute_queued_work(state, now)
     return [*effects, *continue_stop(state, now)]
 
 
--- a/gypsumspoke/runs/coordinator_sidecars.py
+++ b/gypsumspoke/runs/coordinator_sidecars.py
@@ -7,7 +7,6 @@
 from gypsumspoke.core.effects import Effect, Log, Send
 from gypsumspoke.core.events import PeerConnected, PeerLost
 from gypsumspoke.runs.coordinator_state import CoordinatorState, PlacedRun
-from gypsumspoke.runs.expected_share import statement_to
 from gypsumspoke.runs.isolation import end_isolation
 from gypsumspoke.runs.leaving_workers import leaves_sooner, withdraw_endangered_runs
 from gypsumspoke.runs.messages import (
@@ -26,11 +25,9 @@
     may_allow_placement,
     record_proof,
     record_run_end,
-    record_statement,
     restart_connection,
     update_report,
 )
-from gypsumspoke.runs.urgent_work import Work
 from gypsumspoke.runs.values import EndReason, RunEnd, fits
 
 # Time after which a disconnected sidecar is dropped from the state. Its runs have ended
@@ -98,12 +95,10 @@
         make_offer(view, now), previous, state.least_queued
     ):
         state.needs_placing_round = True
-    stated = statement_to(state, view)
-    if _is_ack_due(state, view) or _is_statement_due(state, view, stated):
+    if _is_ack_due(state, view):
         record_proof(view, now)
-        record_statement(view, stated)
         count = state.sidecar_counts.get(message.service, 0)
-        effects.append(Send(sender, ReportAck(message.stamp, count, stated)))
+        effects.append(Send(sender, ReportAck(message.stamp, count)))
     if took_work is not message.takes_work:
         effects.append(_log_changed(view))
     if message.clean:
@@ -124,17 +119,6 @@
     return view.reported_at - view.proof_read_at >= interval
 
 
-def _is_statement_due(state: CoordinatorState, view: SidecarView, stated: Work) -> bool:
-    """Return whether queued work must be stated although no proof is due.
-
-    Placements prove that this entry is alive, but state nothing. An entry that places
-    runs all the time would let its statement expire.
-    """
-    if not stated or not view.stated:
-        return bool(stated) is not bool(view.stated)
-    return view.reported_at - view.stated_at >= state.budget.ack_interval
-
-
 def _log_changed(view: SidecarView) -> Log:
     fields = (
         ("sidecar", view.incarnation),
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -12,7 +12,6 @@
 from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.load import LoadShedder
-from gypsumspoke.runs.messages import WaitingWork
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.sidecar_views import SidecarView
 from gypsumspoke.runs.values import (
@@ -107,7 +106,6 @@
       done: whether it is complete.
       failures: number of runs that failed.
       number: number of its latest run.
-      queued_at: when it was last queued for placement.
       avoided_hosts: instances where it failed or was refused.
       has_started: whether any of its ended or withdrawn runs had or may have started.
     """
@@ -121,7 +119,6 @@
         self.done = False
         self.failures = 0
         self.number = 0
-        self.queued_at: datetime | None = None
         self.avoided_hosts: set[str] = set()
         self.has_started = False
 
@@ -195,7 +192,6 @@
       withdrawn: withdrawn runs that may still be running, by task.
       waiting: queued tasks by job id.
       least_queued: no queued task needs less room, in each dimension.
-      queued_work: queued work per worker by service, as of the latest tick.
       needs_placing_round: whether a queued task may fit on a worker since the last
         placing round.
       table: the configuration in force; None before the first.
@@ -244,7 +240,6 @@
         self.withdrawn: dict[TaskId, set[PlacedRun]] = {}
         self.waiting: dict[str, list[TaskProgress]] = {}
         self.least_queued = NO_ROOM
-        self.queued_work: dict[str, tuple[WaitingWork, ...]] = {}
         self.needs_placing_round = False
         self.table: RoutingTable | None = None
         self.configuration_text = ""
--- a/gypsumspoke/runs/leaving_workers.py
+++ b/gypsumspoke/runs/leaving_workers.py
@@ -25,11 +25,15 @@
 from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.placement import PlacementRequest, find_candidates, run_seconds
 from gypsumspoke.runs.sidecar_views import SidecarView
-from gypsumspoke.runs.values import LeavingRun
+from gypsumspoke.runs.values import LeavingRun, fits
 
 # Time for a withdrawn run to end: the messages, the stop and its list.
 WITHDRAWAL_TIME = timedelta(milliseconds=60)
 
+# A longer time left is taken for an error.
+MAX_LEAVES_IN = timedelta(hours=1)
+
+_ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -40,7 +44,7 @@
       ends_at: expected end of the run.
       worker_ends_at: when the worker may be gone.
       loss_seen_at: when the loss of the run would be detected.
-      elsewhere_ends_at: expected end on another worker; None without an open one.
+      elsewhere_ends_at: expected end on another worker; None if none has room.
       was_withdrawn: whether an earlier run of the task was withdrawn for this reason.
     """
 
@@ -53,7 +57,7 @@
 
 def leaves_sooner(report: WorkerReport, previous: WorkerReport | None) -> bool:
     """Return whether a worker leaves now, or sooner than the previous report said."""
-    if report.leaves_in is None:
+    if report.leaves_in is None or not _ZERO <= report.leaves_in <= MAX_LEAVES_IN:
         return False
     if previous is None or previous.leaves_in is None:
         return True
@@ -114,7 +118,11 @@
         progress.route.service, step, task.run, 0.0, state.remote_slowdown
     )
     candidates = find_candidates(state.views.values(), request, now)
-    fastest = min((candidate.seconds for candidate in candidates), default=None)
+    # On a full worker the task would wait for longer than this run may take.
+    fastest = min(
+        (each.seconds for each in candidates if fits(step.room, each.view.free)),
+        default=None,
+    )
     elsewhere = None
     if fastest is not None:
         elsewhere = now + WITHDRAWAL_TIME + timedelta(seconds=fastest)
--- a/gypsumspoke/runs/messages.py
+++ b/gypsumspoke/runs/messages.py
@@ -13,18 +13,6 @@
 from gypsumspoke.runs.values import EndReason, Room, RunEnd, RunId
 
 
-class WaitingWork(NamedTuple):
-    """Room of queued tasks of one priority.
-
-    Attributes:
-      priority: 0 is the highest.
-      cpu: their room in thousandths of a core.
-    """
-
-    priority: int
-    cpu: int
-
-
 class WorkerReport(NamedTuple):
     """Sidecar to entry: state and free room of its worker, several times a second.
 
@@ -43,8 +31,6 @@
       entries: number of entries that place runs on the worker.
       partial: whether the sidecar knows entries that it isn't connected to by choice.
       cordoned: whether operators have cordoned the worker's failure domain.
-      waiting: what all entries together have queued for the worker, by priority.
-      reserved: room held back for runs of each priority or a more urgent one.
       leaves_in: time from ``stamp`` until the worker may be gone; None if it stays.
     """
 
@@ -62,8 +48,6 @@
     entries: int = 1
     partial: bool = False
     cordoned: bool = False
-    waiting: tuple[WaitingWork, ...] = ()
-    reserved: tuple[WaitingWork, ...] = ()
     leaves_in: timedelta | None = None
 
 
@@ -74,12 +58,10 @@
       heard: as in the module's description.
       sidecars: number of sidecars of the same service that are connected to the entry;
         0 if it hasn't counted them yet.
-      waiting: what the entry has queued for this worker, by priority.
     """
 
     heard: timedelta
     sidecars: int = 0
-    waiting: tuple[WaitingWork, ...] = ()
 
 
 class PlaceRun(NamedTuple):
--- a/gypsumspoke/runs/placement.py
+++ b/gypsumspoke/runs/placement.py
@@ -12,7 +12,6 @@
 from typing import NamedTuple
 
 from gypsumspoke.runs.sidecar_views import Placement, SidecarView, is_open
-from gypsumspoke.runs.urgent_work import reserved_for_others
 from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN, RunId, Step, fits
 
 # Time for messages, the start of the run and the answer.
@@ -44,7 +43,6 @@
       run: the run to be placed.
       seconds_left: time until its job is late.
       remote_slowdown: factor on a task's run time away from its data.
-      priority: priority of the route; 0 is the highest.
     """
 
     service: str
@@ -52,7 +50,6 @@
     run: RunId
     seconds_left: float
     remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN
-    priority: int = 0
 
 
 def serves(view: SidecarView, service: str, step: Step) -> bool:
@@ -74,14 +71,12 @@
       seconds: expected run time there.
       is_late: whether the task's job would be late if it started there now.
       capacity: processors of the worker, in thousandths of a core.
-      reserved: the part of them that is left to more urgent work of other entries.
     """
 
     view: SidecarView
     seconds: float
     is_late: bool
     capacity: int
-    reserved: int = 0
 
 
 def find_candidates(
@@ -110,12 +105,7 @@
         if step.rack and step.rack not in report.labels:
             seconds *= request.remote_slowdown
         is_late = seconds > max_seconds
-        reserved = 0
-        if report.reserved:
-            reserved = reserved_for_others(
-                report.reserved, view.stated, request.priority
-            )
-        found.append(Candidate(view, seconds, is_late, max(capacity.cpu, 1), reserved))
+        found.append(Candidate(view, seconds, is_late, max(capacity.cpu, 1)))
     return found
 
 
@@ -134,15 +124,14 @@
     best_cost = 0.0
     may_wait = False
     for candidate in candidates:
-        view, seconds, is_late, capacity, reserved = candidate
+        view, seconds, is_late, capacity = candidate
         free = view.free
-        free_cpu = free.cpu - reserved
-        if cpu > free_cpu or memory > free.memory or gpu > free.gpu:
+        if cpu > free.cpu or memory > free.memory or gpu > free.gpu:
             may_wait = may_wait or not is_late
             continue
         if best is not None and is_late > best.is_late:
             continue
-        cost = seconds / max(free_cpu / capacity, MIN_FREE_SHARE)
+        cost = seconds / max(free.cpu / capacity, MIN_FREE_SHARE)
         if best is None or is_late < best.is_late or cost < best_cost:
             best, best_cost = candidate, cost
     if best is None or best.is_late and may_wait:
--- a/gypsumspoke/runs/sidecar_views.py
+++ b/gypsumspoke/runs/sidecar_views.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
-from gypsumspoke.runs.messages import WaitingWork, WorkerReport
+from gypsumspoke.runs.messages import WorkerReport
 from gypsumspoke.runs.values import NO_ROOM, Room, RunId, add, fits, subtract
 
 # Ratio of run time to estimate, assumed until a worker has completed a run.
@@ -51,8 +51,6 @@
       open_runs: room of the runs placed there that have not ended.
       pace: ratio of run time to estimate on this worker.
       report: its latest report; None before the first.
-      stated: the queued work that the latest ack has stated to it.
-      stated_at: when the report was read that this ack answered.
     """
 
     def __init__(
@@ -68,8 +66,6 @@
         self.host = host
         self.pace = DEFAULT_PACE
         self.report: WorkerReport | None = None
-        self.stated: tuple[WaitingWork, ...] = ()
-        self.stated_at = now
         self._free: Room | None = None
         self.first_seen = now
         self.reported_at = now
@@ -127,12 +123,6 @@
     view.proof_read_at = view.reported_at
 
 
-def record_statement(view: SidecarView, stated: tuple[WaitingWork, ...]) -> None:
-    """Record an ack that states queued work."""
-    view.stated = stated
-    view.stated_at = view.reported_at
-
-
 def record_placement(view: SidecarView, placement: Placement) -> None:
     """Record a placement that is being sent."""
     view.sent += 1
@@ -164,7 +154,6 @@
     view.connected = True
     view.has_reported = False
     view.proof_read_at = None
-    view.stated = ()
     view.sent = 0
     view.unreported.clear()
     view.reported_at = read
@@ -192,14 +181,12 @@
       worker: service, labels and capacity of its worker.
       pace: ratio of run time to estimate.
       free: the free room.
-      reserved: processors that the sidecar reserves for urgent work.
     """
 
     is_open: bool
     worker: tuple[str, tuple[str, ...], Room]
     pace: float
     free: Room
-    reserved: int = 0
 
 
 def make_offer(view: SidecarView, now: datetime) -> Offer | None:
@@ -208,8 +195,7 @@
     if report is None:
         return None
     worker = (report.service, report.labels, report.capacity)
-    reserved = sum(part.cpu for part in report.reserved)
-    return Offer(is_open(view, now), worker, view.pace, view.free, reserved)
+    return Offer(is_open(view, now), worker, view.pace, view.free)
 
 
 def may_allow_placement(offer: Offer, previous: Offer | None, least: Room) -> bool:
@@ -228,10 +214,7 @@
         return True
     if abs(offer.pace - previous.pace) > MIN_PACE_CHANGE * previous.pace:
         return True
-    has_more_room = (
-        not fits(offer.free, previous.free) or offer.reserved < previous.reserved
-    )
-    return has_more_room and fits(least, offer.free)
+    return fits(least, offer.free) and not fits(offer.free, previous.free)
 
 
 def fastest_pace(views: Iterable[SidecarView], service: str) -> float:
--- a/gypsumspoke/runs/supervisor.py
+++ b/gypsumspoke/runs/supervisor.py
@@ -129,7 +129,6 @@
     effects += start_waiting_runs(state, now)
     effects += waiting_room.send_back_overdue(state, now)
     effects += supervisor_report.send_regular_reports(state, now)
-    effects += supervisor_report.log_reserved(state, now)
     effects += supervisor_cordons.note_empty(state, now)
     effects += state.records.to_store(
         state.worker, state.worker_incarnation, state.pace, now
@@ -173,9 +172,7 @@
     if sender not in state.peers:
         return []
     state.group.record_sidecars(sender, message.sidecars)
-    capacity = state.worker.capacity.cpu if state.worker else None
-    effects = state.stated.record(sender, message.waiting, capacity, now)
-    return [*effects, *silent_links.handle_ack(state, sender, now)]
+    return silent_links.handle_ack(state, sender, now)
 
 
 def _cancel_runs_of_silent_entries(
--- a/gypsumspoke/runs/supervisor_links.py
+++ b/gypsumspoke/runs/supervisor_links.py
@@ -37,7 +37,6 @@
     """
     state.peers.pop(event.incarnation, None)
     state.taken.pop(event.incarnation, None)
-    state.stated.forget(event.incarnation)
     state.last_reports.pop(event.incarnation, None)
     state.leaving.pop(event.incarnation, None)
     state.group.record_lost(event.incarnation, now)
--- a/gypsumspoke/runs/supervisor_renewals.py
+++ b/gypsumspoke/runs/supervisor_renewals.py
@@ -115,7 +115,7 @@
             effects += stop_uncertain_run(state, local, now)
         return effects
     _clear_pending_renewal(state, event.number)
-    effects = state.retries.record_failure(event.result, now)
+    effects = state.retries.record_failure(event.result, state.lease.ends_by, now)
     if state.retries.may_repeat_at_once(event.result) or state.token > token:
         effects += next_renewal(state, now)
     return effects
--- a/gypsumspoke/runs/supervisor_report.py
+++ b/gypsumspoke/runs/supervisor_report.py
@@ -5,14 +5,12 @@
 
 from gypsumspoke.core.effects import Effect, Send
 from gypsumspoke.runs.messages import WorkerReport
-from gypsumspoke.runs.room_reservation import RunRoom, reserve
 from gypsumspoke.runs.supervisor_state import (
     LastReport,
     SupervisorState,
     has_runs_of,
     promised_room,
 )
-from gypsumspoke.runs.urgent_work import Work
 from gypsumspoke.runs.values import NO_ROOM, WorkerReady
 from gypsumspoke.runs.warm_up import leaves_in, offered_room
 
@@ -110,7 +108,6 @@
     """Return the report to an entry that this sidecar doesn't leave."""
     worker = state.worker
     capacity = worker.capacity if worker else NO_ROOM
-    waiting = state.stated.sums(now)
     return WorkerReport(
         stamp=now - state.origin,
         worker=state.worker_id,
@@ -127,25 +124,9 @@
         partial=state.group.is_partial(state.directory.known),
         cordoned=state.is_cordoned,
         leaves_in=leaves_in(worker, state.registered_at, now),
-        waiting=waiting,
-        reserved=_reserved(state, waiting),
     )
 
 
-def _reserved(state: SupervisorState, waiting: Work) -> Work:
-    """Return the room to reserve for queued work."""
-    if not waiting or state.worker is None:
-        return ()
-    runs = (RunRoom(local.priority, local.room.cpu) for local in state.runs.values())
-    return reserve(waiting, runs, state.worker.capacity.cpu)
-
-
-def log_reserved(state: SupervisorState, now: datetime) -> list[Effect]:
-    """Log when a reservation begins or has ended. Called at each tick."""
-    reserved = _reserved(state, state.stated.sums(now))
-    return state.stated.log_reserved(reserved, now)
-
-
 def current_pace(state: SupervisorState) -> float:
     """Return the worker's current run time over estimate.
 
--- a/gypsumspoke/runs/supervisor_state.py
+++ b/gypsumspoke/runs/supervisor_state.py
@@ -10,7 +10,6 @@
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.entry_group import EntryGroup
 from gypsumspoke.runs.messages import RunEnded
-from gypsumspoke.runs.room_reservation import StatedWork
 from gypsumspoke.runs.values import (
     NO_ROOM,
     EndReason,
@@ -169,7 +168,6 @@
       reserved: room of all runs that are not waiting.
       ended: the latest ends by entry and run; entries number their runs independently.
       heard: for each entry, the latest time at which it was known to be alive.
-      stated: queued work that the connected entries have stated.
       taken: for each entry, the placements that arrived on its current connection.
       peers: connected entries, with the time of the latest connection.
       replacements: entries whose connection was found silent lately; the value is the
@@ -230,7 +228,6 @@
         self.reserved = NO_ROOM
         self.ended: OrderedDict[tuple[str, RunId], RunEnded] = OrderedDict()
         self.heard: dict[str, datetime] = {}
-        self.stated = StatedWork(budget.entry_silence)
         self.taken: dict[str, int] = {}
         self.peers: dict[str, datetime] = {}
         self.replacements: dict[str, datetime] = {}
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -303,18 +303,6 @@
     NOT_SOONER = "not_sooner"
 
 
-class StatementFault(Enum):
-    """Why a sidecar drops an entry's statement of queued work; each has a counter.
-
-    TOO_MANY_PRIORITIES: more than 16 of them. BAD_PRIORITY: one that is outside 0 to
-    1,000 or occurs twice. BAD_ROOM: negative, or more than the worker has.
-    """
-
-    TOO_MANY_PRIORITIES = "too_many_priorities"
-    BAD_PRIORITY = "bad_priority"
-    BAD_ROOM = "bad_room"
-
-
 class DisplacementReason(Enum):
     """Why a new run displaced one that waited at a sidecar; each has a counter.
 
--- a/gypsumspoke/runs/waiting_room.py
+++ b/gypsumspoke/runs/waiting_room.py
@@ -18,7 +18,6 @@
 
 from gypsumspoke.core.effects import Count, Effect, Log
 from gypsumspoke.runs import supervisor_commands, supervisor_report, waiting_order
-from gypsumspoke.runs.room_reservation import UNRESERVED_SHARE
 from gypsumspoke.runs.supervisor_lease import lease_allows_run, lease_allows_start
 from gypsumspoke.runs.supervisor_state import (
     LocalRun,
@@ -40,6 +39,9 @@
 MAX_WAIT = timedelta(milliseconds=60)
 # Estimates are inaccurate: a run past its expected end may take this share longer.
 OVERDUE_SHARE = 0.25
+# Share of a worker's processors that less urgent runs don't lose to displacement, so
+# that they are not kept away for good.
+MIN_LESS_URGENT_SHARE = 0.25
 
 
 def expects_room_soon(state: SupervisorState, now: datetime) -> bool:
@@ -78,9 +80,9 @@
         if local.waits_for_room_since is not None
         and _lacks_only_room(state, local, now)
     ]
-    displaceable = _beyond_minimum(state, new, displaceable)
-    excess = subtract(_room_of_waiting(state), _room_soon(state, now))
     pace = supervisor_report.current_pace(state) or 1.0
+    displaceable = _beyond_minimum(state, new, displaceable, pace, now)
+    excess = subtract(_room_of_waiting(state), _room_soon(state, now))
     effects: list[Effect] = []
     for local in waiting_order.choose_displaced(new, displaceable, excess, pace, now):
         reason = waiting_order.displacement_reason(new, local, pace, now)
@@ -90,18 +92,22 @@
 
 
 def _beyond_minimum(
-    state: SupervisorState, new: LocalRun, displaceable: list[LocalRun]
+    state: SupervisorState,
+    new: LocalRun,
+    displaceable: list[LocalRun],
+    pace: float,
+    now: datetime,
 ) -> list[LocalRun]:
     """Leave out less urgent runs that are part of their minimum share of the worker.
 
-    Less urgent work would otherwise lose by displacement what is never reserved.
+    Those that come last in the order are the first that may be displaced.
     """
-    minimum = state.worker.capacity.cpu * UNRESERVED_SHARE
+    minimum = state.worker.capacity.cpu * MIN_LESS_URGENT_SHARE
     held = sum(
         local.room.cpu for local in state.runs.values() if local.priority > new.priority
     )
     allowed = []
-    for local in displaceable:
+    for local in reversed(waiting_order.in_order(displaceable, pace, now)):
         if local.priority > new.priority:
             if held - local.room.cpu < minimum:
                 continue
--- a/gypsumspoke/runs/worker_record.py
+++ b/gypsumspoke/runs/worker_record.py
@@ -198,6 +198,9 @@
             return []
         if worker.incarnation != incarnation:
             return []
+        # The record doesn't say how much of the worker may be offered.
+        if worker.cold:
+            return []
         record = WorkerRecord(
             worker.id,
             worker.incarnation,
--- a/gypsumspoke/runs/worker_retries.py
+++ b/gypsumspoke/runs/worker_retries.py
@@ -64,8 +64,17 @@
             return self._failures == 1
         return result is CommandResult.UNANSWERED
 
-    def record_failure(self, result: CommandResult, now: datetime) -> list[Effect]:
-        """Record a renewal that got no answer; other results change nothing."""
+    def record_failure(
+        self, result: CommandResult, lease_ends_by: datetime, now: datetime
+    ) -> list[Effect]:
+        """Record a renewal that got no answer; other results change nothing.
+
+        Args:
+          result: how it failed.
+          lease_ends_by: when the worker's lease ends at the latest. The pause stays
+            short until then, since runs may still be saved by a renewal.
+          now: the current time.
+        """
         if result not in _FAILURES:
             return []
         effects: list[Effect] = [Count(_FAILURES[result])]
@@ -74,7 +83,7 @@
         self._failures += 1
         if self._failing_since is None:
             self._failing_since = now
-        if self._failures >= LONG_PAUSE_FAILURES:
+        if self._failures >= LONG_PAUSE_FAILURES and now >= lease_ends_by:
             self._next_at = now + self._tick
         if self._failures == MIN_DOWN_FAILURES:
             fields = (("reason", _FAILURES[result].value),)
--- a/gypsumspoke/shell/metrics.py
+++ b/gypsumspoke/shell/metrics.py
@@ -29,7 +29,6 @@
     LeavingRun,
     RefusalReason,
     SidecarRetry,
-    StatementFault,
     WorkerFailure,
     WorkerRecordEvent,
 )
@@ -120,9 +119,6 @@
         self._leaving_runs = self._counter(
             "leaving_runs", "Decisions on runs whose worker leaves.", "decision"
         )
-        self._statement_faults = self._counter(
-            "statement_faults", "Statements of queued work dropped.", "reason"
-        )
         self._displaced_runs = self._counter(
             "displaced_runs", "Waiting runs sent back for another.", "reason"
         )
@@ -193,7 +189,6 @@
             (self._worker_failures, WorkerFailure),
             (self._worker_records, WorkerRecordEvent),
             (self._leaving_runs, LeavingRun),
-            (self._statement_faults, StatementFault),
             (self._displaced_runs, DisplacementReason),
         ]
 
@@ -275,11 +270,6 @@
     return metrics._leaving_runs
 
 
-@_family.register
-def _(what: StatementFault, metrics: Metrics) -> CounterMetric:
-    return metrics._statement_faults
-
-
 @_family.register
 def _(what: DisplacementReason, metrics: Metrics) -> CounterMetric:
     return metrics._displaced_runs
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -18,7 +18,6 @@
 )
 from gypsumspoke.runs.directory import Directory, neighbours
 from gypsumspoke.runs.settings import RunSettings, address_text
-from gypsumspoke.runs.urgent_work import room_of
 from gypsumspoke.runs.values import Configuration
 from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
 from gypsumspoke.shell.early_listeners import EarlyListeners
@@ -106,11 +105,6 @@
             "Failure domains that operators have cordoned.",
             lambda: len(state.cordons.domains),
         )
-        context.metrics.gauge(
-            "queued_cores",
-            "Queued work that is stated to each worker, as of the latest tick.",
-            partial(_queued_cores, state),
-        )
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, context.metrics, is_ready, stack)
         readiness = adapter.readiness(is_ready)
@@ -133,11 +127,6 @@
         )
 
 
-def _queued_cores(state: CoordinatorState) -> float:
-    # The reducer replaces the dictionary and never changes it.
-    return sum(room_of(work) for work in state.queued_work.values()) / 1000
-
-
 def _header_timeout(state: CoordinatorState) -> timedelta:
     if state.table is None:
         return HEADER_TIMEOUT
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -109,11 +109,6 @@
     context.metrics.gauge(
         "runs", "Runs on the worker that have not ended.", lambda: len(state.runs)
     )
-    context.metrics.gauge(
-        "reserved_cores",
-        "Processors reserved for urgent work, as of the latest tick.",
-        lambda: state.stated.reserved_cpu / 1000,
-    )
     context.metrics.gauge(
         "cordoned",
         "Whether operators have cordoned the failure domain.",
--- a/gypsumspoke/wire/gypsumspoke.thrift
+++ b/gypsumspoke/wire/gypsumspoke.thrift
@@ -335,12 +335,6 @@
   2: i64 number
 }
 
-/** Room of queued tasks of one priority, in thousandths of a core. */
-struct WaitingWork {
-  1: i64 priority
-  2: i64 cpu
-}
-
 /** Sidecar to entry: its worker and the room left. */
 struct WorkerReport {
   1: DurationMicros stamp
@@ -357,16 +351,13 @@
   12: i64 entries
   13: bool partial
   14: bool cordoned
-  15: list<WaitingWork> waiting
-  16: list<WaitingWork> reserved
-  17: optional DurationMicros leaves_in
+  15: optional DurationMicros leaves_in
 }
 
 /** Entry to sidecar: acknowledges a report, and keeps the entry's runs alive. */
 struct ReportAck {
   1: DurationMicros heard
   2: i64 sidecars
-  3: list<WaitingWork> waiting
 }
 
 /** Entry to sidecar: start this run when there is room. */
--- a/tests/runs/test_leaving_workers.py
+++ b/tests/runs/test_leaving_workers.py
@@ -5,10 +5,11 @@
 import pytest
 
 from gypsumspoke.core.effects import Count, Log, Send
+from gypsumspoke.core.events import Received
 from gypsumspoke.runs.leaving_workers import Outlook, decide, leaves_sooner
 from gypsumspoke.runs.messages import WithdrawRun, WorkerReport
 from gypsumspoke.runs.values import JobEnd, LeavingRun, TaskId, WorkerReady
-from gypsumspoke.runs.worker_commands import StopCommand
+from gypsumspoke.runs.worker_commands import HeartbeatArrived, StopCommand
 from tests.runs.leaving_replay import play
 from tests.runs.test_job_lifecycle import settled
 from tests.runs.world import CAPACITY, SERVICE, START, TASK_TIME, Delivery, job, ms
@@ -374,3 +375,39 @@
     each = [line for line in lines if line.event == "run withdrawn"]
     assert sorted(line.task for line in each) == [0, 1]
     assert dict(each[0].fields)["host"] == "side0"
+
+
+@pytest.mark.parametrize("left", [timedelta(days=4_000_000), ms(-1)])
+def test_an_absurd_time_left_is_ignored(left):
+    """The sum of a time and such a duration ended the entry's process."""
+    assert not leaves_sooner(report(ms(0), left), None)
+    world = world_with_long_run()
+    entry = world.processes["entry0"]
+    view = next(v for v in entry.state.views.values() if v.host == "side0")
+    spoiled = view.report._replace(leaves_in=left)
+    world.post(entry, Received(view.incarnation, spoiled))
+    assert not withdrawn(world)
+
+
+def test_a_run_is_not_withdrawn_while_all_other_workers_are_full():
+    """Its task would wait for room longer than the run may take: a worker often stays
+    longer than it has to.
+    """
+    world = world_with_long_run()
+    world.submit("entry0", "r2", job("j2", 3, LONG), ms(9000))
+    world.run(ms(50))
+    full = next(
+        view
+        for view in world.processes["entry0"].state.views.values()
+        if view.host == "side1"
+    )
+    assert len(full.open_runs) == 2
+    world.drained_at["side0"] = world.now
+    state = WorkerReady.DRAINING
+    leaving = world.processes["side0"].state.worker._replace(
+        state=state, remaining=NOTICE, sequence=10_000
+    )
+    world.post(world.processes["side0"], HeartbeatArrived(leaving))
+    world.run(REPORT_INTERVAL + ms(10))
+    assert not withdrawn(world)
+    assert counted(world, LeavingRun.NOT_SOONER) == 2
--- a/tests/runs/test_worker_record.py
+++ b/tests/runs/test_worker_record.py
@@ -530,3 +530,12 @@
     world = world_with_records(sidecars=5)
     count = len([1 for _, _, each in world.log if isinstance(each, StoreWorkerRecord)])
     assert 5 <= count <= 10
+
+
+def test_a_cold_worker_is_not_written():
+    """Restored from the record it would be offered whole."""
+    writer = Writer()
+    writer.change(cold=ms(4000))
+    assert not writer.written(ms(0))
+    writer.change(cold=ms(0))
+    assert writer.written(ms(100))
