--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -35,6 +35,11 @@
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self._apply([((table, "", key), text)])
 
+    def has_value(self, value: str) -> bool:
+        """Return whether a row has this value."""
+        text = base64.b64encode(value.encode()).decode()
+        return any(row.value == text for row in self._rows.values())
+
     def _apply(self, changes: list[tuple[tuple[str, str, str], str | None]]) -> None:
         self._version += 1
         for place, value in changes:
