--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -233,7 +233,7 @@
         self.send_signal(f"front-{old}", signal.SIGTERM)
 
     async def kill_and_restart_all(self, down_seconds: float) -> None:
-        """Kill all processes of the system; start those of the present entries again."""
+        """Kill all processes of the system; start the present ones again."""
         present = [f"front-{number}" for number in self.entries]
         present += [f"side-{number}" for number in range(len(self._kinds))]
         for name, child in self._children.items():
