--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -232,8 +232,15 @@
         self.entries[place] = number
         self.send_signal(f"front-{old}", signal.SIGTERM)
 
-    async def kill_and_restart_all(self, down_seconds: float) -> None:
-        """Kill all processes of the system; start the present ones again."""
+    async def kill_and_restart_all(
+        self, down_seconds: float, has_fresh_seeds: bool
+    ) -> None:
+        """Kill all processes of the system; start the present ones again.
+
+        Args:
+          down_seconds: time between the two.
+          has_fresh_seeds: whether the settings name the present entries by then.
+        """
         present = [f"front-{number}" for number in self.entries]
         present += [f"side-{number}" for number in range(len(self._kinds))]
         for name, child in self._children.items():
@@ -241,8 +248,18 @@
                 self.kill(name)
         await asyncio.sleep(down_seconds)
         for name in present:
+            if has_fresh_seeds:
+                self._refresh_seeds(name)
             self.restart(name)
 
+    def _refresh_seeds(self, node: str) -> None:
+        path = self._scratch / f"{node}.json"
+        settings = json.loads(path.read_text())
+        settings["seeds"] = [
+            f"{self._front_ip(number)}:{self._control}" for number in self.entries
+        ]
+        path.write_text(json.dumps(settings))
+
     def start_worker(
         self, number: int, kind: Kind, first_heartbeat_ms: int = 0
     ) -> None:
