--- a/review/standins_2/small_system.py
+++ b/review/standins_2/small_system.py
@@ -22,6 +22,8 @@
 from urllib.parse import parse_qs
 
 ROOT = Path(__file__).resolve().parents[2]
+# The platform's names for calls and fields.
+NAMES = json.loads(Path(__file__).with_name("wire.json").read_text())
 HOST = "pots.example"
 PREFIX = "/checks/"
 SERVICE = "estimate"
@@ -205,11 +207,11 @@
     async def answer(self, method, path, headers, body):
         path, _, query = path.partition("?")
         given = {name: values[0] for name, values in parse_qs(query).items()}
-        if path == "/v1/rows-get":
+        if path == NAMES["rows_get"]:
             status, fields = self._get(given)
-        elif path == "/v1/rows-feed":
+        elif path == NAMES["rows_feed"]:
             status, fields = await self._feed(given)
-        elif path == "/v1/rows-tx":
+        elif path == NAMES["rows_tx"]:
             status, fields = self._transact(json.loads(body))
         else:
             return 404, {}
@@ -245,7 +247,7 @@
                 pass
 
     def _transact(self, fields):
-        for each in fields["expected_revision"]:
+        for each in fields[NAMES["expected"]]:
             name = each["table"], each.get("part", ""), each["key"]
             version, value = self.rows.get(name, (0, None))
             if each["ver"] != (version if value is not None else 0):
@@ -354,7 +356,7 @@
             "version": "v1",
             "slots": 8,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            NAMES["cold"]: 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
             "labels": [self.kind, "r1-1"],
             "clock_ms": self._clock(),
@@ -392,9 +394,9 @@
         if token < self._token:
             return self._refuse("fence")
         self._token = token
-        if path == "/v1/run-start":
+        if path == NAMES["run_start"]:
             return self._start(fields)
-        if path == "/v1/run-stop":
+        if path == NAMES["run_stop"]:
             return self._stop(fields)
         if path == "/v1/hold":
             return await self._hold(fields)
@@ -630,7 +632,7 @@
             "LANG": os.environ.get("LANG", "C.UTF-8"),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
-            "GYPSUMSPOKE_SETTINGS": str(path),
+            NAMES["settings"]: str(path),
         }
         log = self._stack.enter_context((self._folder / f"{node}.log").open("ab"))
         self._children[node] = subprocess.Popen(
@@ -711,9 +713,12 @@
         self.record.write("post-answered", entry=number, job=job_id, answer=answer)
         return answer
 
-    async def wait_until_serving(self) -> None:
+    async def wait_until_serving(self, estimate_ms: int) -> None:
         """Wait until each entry completes jobs.
 
+        Args:
+          estimate_ms: estimate of a task of these jobs.
+
         Raises:
           TimeoutError: it takes too long.
         """
@@ -721,7 +726,7 @@
             for number in range(self._counts[0]):
                 await self.wait_until_ready(number)
                 while True:
-                    body = job_body(step(1, 50))
+                    body = job_body(step(1, estimate_ms))
                     answer = await self.submit(number, new_job_id(), body, 4000)
                     if answer is not None and answer[0] == 200:
                         break
