--- a/review/5/case.py
+++ b/review/5/case.py
@@ -26,6 +26,7 @@
 
 # As many workers as the site has, so that one is within the shares of its sheet.
 ENTRIES, WORKERS = 2, 11
+TASK_MS = 150
 TIME_ERROR_SECONDS = 2.4
 DOWN_SECONDS = 0.3
 # Seconds of the load: the time of day jumps ahead and back, the worker crashes twice.
@@ -65,7 +66,7 @@
     """Send jobs until cancelled."""
     sending = set()
     while True:
-        body = job_body(step(4, 150))
+        body = job_body(step(4, TASK_MS))
         entry = random.randrange(ENTRIES)
         call = asyncio.create_task(system.submit(entry, new_job_id(), body, 3000))
         sending.add(call)
@@ -81,10 +82,12 @@
 
 
 async def case(with_trouble: bool) -> int:
-    async with SmallSystem(FOLDER, ENTRIES, WORKERS, lambda task: 0.15) as system:
+    async with SmallSystem(
+        FOLDER, ENTRIES, WORKERS, lambda task: TASK_MS / 1000
+    ) as system:
         worker = system.workers[0]
         check = DrainCheck(system, worker)
-        await system.wait_until_serving()
+        await system.wait_until_serving(TASK_MS)
         loading = asyncio.create_task(send_load(system))
         begun = system.record.now()
 
