--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -14,6 +14,7 @@
 from gypsumspoke.core.effects import Count
 from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
 from gypsumspoke.runs.admission import configuration_timeout, refuse_overloaded
+from gypsumspoke.runs.cancellations import AnswerCancel, CancelEnd
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
     CancelJobArrived,
@@ -39,6 +40,9 @@
 
 # Applies to a caller without a deadline, and bounds every deadline.
 _MAX_CALLER_TIMEOUT = timedelta(seconds=30)
+# How long a request to cancel a job waits for the store; below the platform's bound on
+# the acknowledgement.
+_CANCEL_TIMEOUT = timedelta(seconds=3)
 # The reducer answers every request by its deadline; the margin guards against a bug.
 _ANSWER_MARGIN = timedelta(seconds=2)
 _SHORT_RETRY_DELAY = timedelta(seconds=1)
@@ -53,6 +57,9 @@
     JobEnd.GIVEN_UP: 504,
 }
 
+# The job may have been stopped here, but other entries may not know of it.
+_UNCONFIRMED_CANCEL = CancelEnd(is_known=True, is_stored=False)
+
 
 class Callers:
     """WSGI application that serves callers.
@@ -77,6 +84,7 @@
         self._clock = clock
         self._state = state
         self._waiters = Waiters()
+        self._cancels = Waiters()
         # Number of waiting requests by job id; the reducer may not know them yet.
         self._waiting_jobs: Counter[str] = Counter()
         self._configured = Event()
@@ -90,6 +98,10 @@
         """Pass an answer to the request that waits for it."""
         self._waiters.deliver(effect.request, effect)
 
+    def deliver_cancel(self, effect: AnswerCancel) -> None:
+        """Pass an answer to the request that cancels a job."""
+        self._cancels.deliver(effect.request, effect.end)
+
     def abort_all(self) -> None:
         """Answer all waiting requests, and refuse all later ones.
 
@@ -103,6 +115,7 @@
                 request, JobEnd.GIVEN_UP, RefusalReason.STOPPING, _SHORT_RETRY_DELAY
             )
         )
+        self._cancels.deliver_all(lambda request: _UNCONFIRMED_CANCEL)
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
@@ -140,9 +153,7 @@
         if method == "GET":
             return json_answer({"error": "no such job"}, 410)
         if method == "DELETE":
-            self._post(CancelJobArrived(job_id))
-            known = job_id in self._state.jobs
-            return json_answer({}, 200 if known else 410)
+            return self._cancel(job_id)
         return self._refuse(405, RefusalReason.INVALID_JOB, "no such method")
 
     def _submit(self, environ: Environ, route: Route, job_id: str) -> HttpAnswer:
@@ -189,6 +200,23 @@
             if not self._waiting_jobs[job_id]:
                 del self._waiting_jobs[job_id]
 
+    def _cancel(self, job_id: str) -> HttpAnswer:
+        request, result = self._cancels.open()
+        try:
+            self._post(CancelJobArrived(request, job_id))
+            end = result.get(timeout=_CANCEL_TIMEOUT.total_seconds())
+        except gevent.Timeout:
+            end = _UNCONFIRMED_CANCEL
+        finally:
+            self._cancels.close(request)
+        if not end.is_known:
+            return json_answer({"error": "no such job"}, 410)
+        if not end.is_stored:
+            reason = RefusalReason.CANCEL_NOT_STORED
+            detail = "stopped here, but not stored yet"
+            return self._refuse(503, reason, detail, _SHORT_RETRY_DELAY)
+        return json_answer({})
+
     def _refuse_body(self, error: ValueError) -> HttpAnswer:
         if isinstance(error, Unsupported):
             reason = RefusalReason.NOT_SUPPORTED
--- a/gypsumspoke/platform/roles.py
+++ b/gypsumspoke/platform/roles.py
@@ -13,7 +13,7 @@
 from gypsumspoke.core.clock import SteadyClock
 from gypsumspoke.platform.configuration import parse_configuration
 from gypsumspoke.platform.cordons import parse_cordons
-from gypsumspoke.platform.entry_store import EntryStore
+from gypsumspoke.platform.entry_store import EntryStore, watch_cancelled_jobs
 from gypsumspoke.platform.settings import read_settings, settings_path
 from gypsumspoke.platform.sidecar_store import SidecarStore
 from gypsumspoke.platform.store import Table, Watch
@@ -101,6 +101,7 @@
     watches = (
         Watch("op", _CONFIGURATION_WAIT, partial(_on_operator_rows, post)),
         Watch(ENTRIES_TABLE, _ENTRIES_WAIT, partial(_on_entry_rows, post)),
+        watch_cancelled_jobs(post),
     )
     store = EntryStore(settings, watches, post)
     own = address_text(settings.peers).encode()
--- a/gypsumspoke/platform/store.py
+++ b/gypsumspoke/platform/store.py
@@ -61,11 +61,13 @@
         connection is noticed only after it, so it also bounds how late a change is
         seen.
       on_rows: called with the whole table after each change; must not block.
+      pause: time between a change and the next call, to bound the number of calls.
     """
 
     table: str
     wait: timedelta
     on_rows: Callable[[Table], None]
+    pause: timedelta = timedelta()
 
 
 class Store:
@@ -92,7 +94,14 @@
         gevent.killall(self._greenlets)
         self._client.close()
 
-    def put(self, table: str, key: str, value: bytes, part: str = "") -> None:
+    def put(
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        part: str = "",
+        on_stored: Callable[[], None] | None = None,
+    ) -> None:
         """Write a row in the background, repeated until the store confirms it.
 
         Only for rows that no other process writes, since a repeated write could
@@ -101,13 +110,26 @@
         Args:
           table, key, value: the row.
           part: the part of the table that it belongs to.
+          on_stored: called once the store has confirmed the row; must not block. Only
+            for rows that are written once.
         """
         row = (table, part, key)
         is_being_written = row in self._unwritten
         self._unwritten[row] = value
         if not is_being_written:
-            self._greenlets = [each for each in self._greenlets if not each.dead]
-            self._greenlets.append(gevent.spawn(self._put, *row))
+            self._spawn(self._put, *row, on_stored)
+
+    def remove(self, table: str, keys: tuple[str, ...]) -> None:
+        """Try once to remove rows, in the background.
+
+        Args:
+          table, keys: the rows; at most a hundred.
+        """
+        self._spawn(self._remove, table, keys)
+
+    def _spawn(self, call: Callable[..., None], *arguments: Any) -> None:
+        self._greenlets = [each for each in self._greenlets if not each.dead]
+        self._greenlets.append(gevent.spawn(call, *arguments))
 
     def read_once(
         self, table: str, on_rows: Callable[[Table], None], part: str = ""
@@ -130,14 +152,30 @@
             read = self._read_table(table, part)
         on_rows(read.unwrap())
 
-    def _put(self, *row: str) -> None:
+    def _put(
+        self,
+        table: str,
+        part: str,
+        key: str,
+        on_stored: Callable[[], None] | None,
+    ) -> None:
         """Write the latest value of a row, again if it changes during the write."""
+        row = (table, part, key)
         while row in self._unwritten:
             value = self._unwritten[row]
             if not is_successful(self._write(*row, value)):
                 gevent.sleep(RETRY_DELAY.total_seconds())
             elif self._unwritten[row] is value:
                 del self._unwritten[row]
+        if on_stored is not None:
+            on_stored()
+
+    def _remove(self, table: str, keys: tuple[str, ...]) -> None:
+        rows = [{"table": table, "part": "", "key": key} for key in keys]
+        removed = self._transact([], rows)
+        if not is_successful(removed):
+            details = {"table": table, "reason": removed.failure()}
+            _log.warning({"message": "rows not removed", "details": details})
 
     def _write(
         self, table: str, part: str, key: str, value: bytes
@@ -148,7 +186,12 @@
             "key": key,
             "value": base64.b64encode(value).decode(),
         }
-        body = {"expected_revision": [], "puts": [row], "remove": []}
+        return self._transact([row], [])
+
+    def _transact(
+        self, puts: list[dict[str, str]], removed: list[dict[str, str]]
+    ) -> Result[dict, str]:
+        body = {"expected_revision": [], "puts": puts, "remove": removed}
         request = Request("POST", "/v1/rows-tx", _JSON, json.dumps(body).encode())
         return self._call(request, CALL_TIMEOUT)
 
@@ -183,6 +226,7 @@
                     rows[row.key] = row.value
             keys = frozenset(row.key for row in changes)
             watch.on_rows(Table(rows, revision, keys))
+            gevent.sleep(watch.pause.total_seconds())
 
     def _read_table(self, table: str, part: str = "") -> Result[Table, str]:
         """Return all rows of one part of a table.
--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -45,14 +45,17 @@
     """Return a refusal if the entry is overloaded, or None.
 
     Called before the body is read. A resubmission of a job that this entry
-    coordinates is never refused: the answer "not run" could be false. An isolated
-    entry refuses nothing here, as it can't claim that a job has not run.
+    coordinates or knows as cancelled is never refused: the answer "not run" could be
+    false. An isolated entry refuses nothing here, as it can't claim that a job has not
+    run.
 
     Args:
       state: the coordinator's state; counts the refusals for the log.
       job_id: the job's id.
     """
-    if state.isolated or job_id in state.jobs or not state.load_shedder.should_refuse():
+    if state.isolated or not state.load_shedder.should_refuse():
+        return None
+    if job_id in state.jobs or job_id in state.cancellations:
         return None
     state.refused_unread += 1
     wait = DEFAULT_RETRY_AFTER + state.load_shedder.standing_lag
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -22,7 +22,11 @@
     Timed,
     TurnEnded,
 )
-from gypsumspoke.runs import coordinator_configuration, coordinator_cordons
+from gypsumspoke.runs import (
+    coordinator_cancellations,
+    coordinator_configuration,
+    coordinator_cordons,
+)
 from gypsumspoke.runs.admission import (
     DEFAULT_RETRY_AFTER,
     WORKER_DISCOVERY_TIMEOUT,
@@ -35,6 +39,7 @@
 )
 from gypsumspoke.runs.assignment import enqueue_ready_steps, place_waiting
 from gypsumspoke.runs.caller_timeouts import CallerTimeoutsRead
+from gypsumspoke.runs.cancellations import CancelledJobsRead, CancelledJobsStored
 from gypsumspoke.runs.coordinator_sidecars import (
     check_silent_sidecars,
     count_sidecars,
@@ -57,7 +62,6 @@
 from gypsumspoke.runs.isolation import check_isolation
 from gypsumspoke.runs.job_ends import (
     end_of_refusal,
-    finish,
     give_up,
     has_open_run,
     may_have_run,
@@ -147,6 +151,9 @@
     existing = state.jobs.get(event.job.id)
     if existing is not None:
         return _attach_request(state, existing, event)
+    cancelled = coordinator_cancellations.refuse_cancelled(state, event)
+    if cancelled is not None:
+        return cancelled
     if state.isolated:
         refusal = Refusal(RefusalReason.ISOLATED, DEFAULT_RETRY_AFTER)
         return refuse(event.request, event.job.id, refusal, JobEnd.GIVEN_UP)
@@ -198,12 +205,9 @@
     return [*effects, *place_waiting(state, now)]
 
 
-@_handle.register
-def _(event: CancelJobArrived, state: CoordinatorState, now: datetime) -> list[Effect]:
-    progress = state.jobs.get(event.job_id)
-    if progress is None:
-        return []
-    return finish(state, progress, JobEnd.FAILED, RefusalReason.CANCELLED, now)
+_handle.register(CancelJobArrived, coordinator_cancellations.handle_cancel)
+_handle.register(CancelledJobsStored, coordinator_cancellations.handle_stored)
+_handle.register(CancelledJobsRead, coordinator_cancellations.handle_read)
 
 
 def _log_accepted(state: CoordinatorState, progress: JobProgress) -> Log:
@@ -305,6 +309,8 @@
     store = state.caller_timeouts.to_store(now)
     if store is not None:
         effects.append(store)
+    effects += state.cancellations.to_store(now)
+    effects += state.cancellations.to_remove(now)
     effects += place_waiting(state, now)
     return [*effects, *continue_stop(state, now)]
 
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -9,6 +9,7 @@
 from gypsumspoke.core.events import Arrival
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.caller_timeouts import CallerTimeouts
+from gypsumspoke.runs.cancellations import Cancellations
 from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.load import LoadShedder
@@ -50,8 +51,14 @@
 
 
 class CancelJobArrived(NamedTuple):
-    """Event: a caller cancels a job by its id."""
+    """Event: a caller cancels a job.
 
+    Attributes:
+      request: id of the request at this entry, which waits for the answer.
+      job_id: the job's id.
+    """
+
+    request: str
     job_id: str
 
 
@@ -210,6 +217,7 @@
       peers: connected entries and sidecars.
       entries: connected entries.
       caller_timeouts: the usual timeouts of callers, by route.
+      cancellations: the cancelled jobs.
 
     Args:
       parse_configuration: parses the text that another entry sent.
@@ -217,6 +225,7 @@
       now: when it starts.
       budget: the time budget of all runs.
       remote_slowdown: factor on a task's run time away from its data.
+      incarnation: unique id of this start of the process.
     """
 
     def __init__(
@@ -226,6 +235,7 @@
         now: datetime,
         budget: Budget = DEFAULT_BUDGET,
         remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN,
+        incarnation: str = "",
     ) -> None:
         self.budget = budget
         self.remote_slowdown = remote_slowdown
@@ -257,6 +267,7 @@
         self.peers: set[str] = set()
         self.entries: set[str] = set()
         self.caller_timeouts = CallerTimeouts(budget.bounds.resend, now)
+        self.cancellations = Cancellations(incarnation, now)
         self.directory = directory
 
     @property
--- a/gypsumspoke/runs/coordinator_stop.py
+++ b/gypsumspoke/runs/coordinator_stop.py
@@ -29,11 +29,12 @@
 
 
 def continue_stop(state: CoordinatorState, now: datetime) -> list[Effect]:
-    """Exit when all jobs are answered, or after ``MAX_DRAIN``."""
+    """Exit when all jobs and cancels are answered, or after ``MAX_DRAIN``."""
     if state.draining is None or state.stopped:
         return []
     since = now - state.draining
-    if since < MIN_DRAIN or (state.jobs and since < MAX_DRAIN):
+    is_busy = bool(state.jobs or state.cancellations.unstored)
+    if since < MIN_DRAIN or (is_busy and since < MAX_DRAIN):
         return []
     effects: list[Effect] = []
     for progress in list(state.jobs.values()):
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -344,5 +344,6 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CALLER_LEFT = "caller_left"
     CANCELLED = "cancelled"
+    CANCEL_NOT_STORED = "cancel_not_stored"
     SUPERSEDED = "superseded"
     STOPPING = "stopping"
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -11,6 +11,11 @@
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.runs import coordinator
 from gypsumspoke.runs.caller_timeouts import StoreCallerTimeouts
+from gypsumspoke.runs.cancellations import (
+    AnswerCancel,
+    RemoveCancelledJobs,
+    StoreCancelledJobs,
+)
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
     CoordinatorState,
@@ -37,6 +42,12 @@
     def store_caller_timeouts(self, effect: StoreCallerTimeouts) -> None:
         """Store the learned timeouts of callers without blocking."""
 
+    def store_cancelled_jobs(self, effect: StoreCancelledJobs) -> None:
+        """Store cancelled jobs without blocking, and post an event when they are."""
+
+    def remove_cancelled_jobs(self, effect: RemoveCancelledJobs) -> None:
+        """Remove stored cancelled jobs without blocking."""
+
 
 class EntryAdapter(NamedTuple):
     """Factories of the platform-specific parts of an entry.
@@ -44,8 +55,8 @@
     Attributes:
       parse_configuration: parses the text of a configuration.
       open_callers: makes the WSGI application towards callers, with ``deliver``,
-        ``on_first_configuration`` and ``abort_all``, from the functions that post an
-        event and count a refusal, the clock and the state.
+        ``deliver_cancel``, ``on_first_configuration`` and ``abort_all``, from the
+        functions that post an event and count a refusal, the clock and the state.
       readiness: makes the WSGI application that reports whether the entry is ready.
       open_store: makes the store's client from the settings and the post function.
       settings_file: the settings file, for reloads.
@@ -91,6 +102,7 @@
             clock.now(),
             settings.budget,
             settings.remote_slowdown,
+            context.incarnation,
         )
         runtime = open_runtime(
             settings, context, coordinator.handle_event, state, clock, in_turns=True
@@ -99,12 +111,18 @@
             runtime.post, context.metrics.count, clock, state
         )
         runtime.add_handler(AnswerJob, callers.deliver)
+        runtime.add_handler(AnswerCancel, callers.deliver_cancel)
         runtime.add_handler(FirstConfiguration, callers.on_first_configuration)
         context.metrics.gauge(
             "cordoned_domains",
             "Failure domains that operators have cordoned.",
             lambda: len(state.cordons.domains),
         )
+        context.metrics.gauge(
+            "cancelled_jobs",
+            "Cancelled jobs that this entry knows and doesn't run again.",
+            lambda: len(state.cancellations),
+        )
         is_ready = partial(_is_ready, state, clock)
         open_metrics(settings.metrics, context.metrics, is_ready, stack)
         readiness = adapter.readiness(is_ready)
@@ -117,6 +135,8 @@
         stack.callback(callers.abort_all)
         store = adapter.open_store(settings, runtime.post)
         runtime.add_handler(StoreCallerTimeouts, store.store_caller_timeouts)
+        runtime.add_handler(StoreCancelledJobs, store.store_cancelled_jobs)
+        runtime.add_handler(RemoveCancelledJobs, store.remove_cancelled_jobs)
         return run_until_stopped(
             runtime,
             context,
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -257,6 +257,48 @@
     system.wait_until(lambda: system.call(0, "GET", "/new/")[0] == 200, "the change")
 
 
+def test_a_cancelled_job_does_not_run_when_its_request_arrives_again(system):
+    """The entry that gets the repeated request must know the cancel, or it takes the
+    request for a new job.
+    """
+    for worker in system.workers:
+        worker.task_duration = worker.task_duration * 10
+    waiting = gevent.spawn(system.submit, 0, job_id(1))
+    system.wait_until(lambda: starts_of(system, job_id(1)), "the start of the job")
+    assert system.call(0, "DELETE", PREFIX + job_id(1))[0] == 200
+    assert waiting.get()[:2] == (200, {"state": "failed"})
+    started = starts_of(system, job_id(1))
+    assert system.submit(0, job_id(1))[:2] == (200, {"state": "failed"})
+    system.entries[1].wait_for_line("cancelled jobs read")
+    assert system.submit(1, job_id(1))[:2] == (200, {"state": "failed"})
+    assert starts_of(system, job_id(1)) == started
+
+
+def test_a_cancel_is_not_acknowledged_while_the_store_is_away(system):
+    """The loss of the entry would undo it."""
+    for worker in system.workers:
+        worker.task_duration = worker.task_duration * 10
+    waiting = gevent.spawn(system.submit, 0, job_id(1))
+    system.wait_until(lambda: starts_of(system, job_id(1)), "the start of the job")
+    system.store.status = 503
+    status, body, headers = system.call(0, "DELETE", PREFIX + job_id(1))
+    assert (status, body["reason"]) == (503, "cancel_not_stored")
+    assert int(headers["retry-after"]) >= 1
+    assert waiting.get()[:2] == (200, {"state": "failed"})
+    system.store.status = None
+    assert system.call(0, "DELETE", PREFIX + job_id(1))[0] == 200
+
+
+def starts_of(system, job):
+    """Return the runs of a job that the workers have started."""
+    return [
+        start
+        for worker in system.workers
+        for start in worker.worker.starts
+        if start.task.job == job
+    ]
+
+
 def test_logs_and_metrics_report_a_job(system):
     system.submit(0, job_id(77))
     system.submit(0, job_id(78), steps=[])
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -30,8 +30,16 @@
 from gypsumspoke.runs import coordinator, supervisor
 from gypsumspoke.runs.admission import refuse_overloaded
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
+from gypsumspoke.runs.cancellations import (
+    AnswerCancel,
+    CancelEnd,
+    CancelledJobsRead,
+    CancelledJobsStored,
+    StoreCancelledJobs,
+)
 from gypsumspoke.runs.coordinator_state import (
     AnswerJob,
+    CancelJobArrived,
     ConfigurationChanged,
     CoordinatorState,
     JobArrived,
@@ -87,6 +95,8 @@
 # The silence timeout of connections, and half the interval of its checks.
 SILENCE_TIMEOUT = MAX_SILENCE + timedelta(milliseconds=125)
 MILLISECOND = timedelta(milliseconds=1)
+STORE_CALL_TIME = timedelta(milliseconds=5)
+STORE_RETRY_DELAY = timedelta(milliseconds=400)
 SERVICE = "estimate"
 ROUTE = Route(
     "checks",
@@ -194,6 +204,8 @@
         self.cordoned: set[str] = set()
         self.store_revision = 0
         self.cut_from_store: set[str] = set()
+        self.cancelled_jobs: dict[str, frozenset[str]] = {}
+        self.cancel_ends: dict[str, CancelEnd] = {}
         self.workers: dict[str, FakeWorker] = {}
         self.all_workers: list[FakeWorker] = []
         self.worker_incarnations: dict[str, int] = {}
@@ -260,9 +272,11 @@
             Directory(self.address_of(host), ()),
             self.now,
             self.budget,
+            incarnation=f"{host}-{next(self._numbers)}",
         )
         process = self._add(host, coordinator.reduce, state)
         self.read_cordons(host)
+        self.read_cancelled_jobs(host)
         table = RoutingTable(CONFIGURATION)
         self.post(process, ConfigurationChanged(table, ""))
         self._publish_entries()
@@ -408,8 +422,36 @@
         event = CordonsRead(self.store_revision, domains, is_unchanged=False)
         self.post(process, event)
 
+    def read_cancelled_jobs(self, host: str) -> None:
+        """Let an entry read all rows with cancelled jobs, if it reaches the store."""
+        if host not in self.cut_from_store:
+            rows = dict(self.cancelled_jobs)
+            self.post(self.processes[host], CancelledJobsRead(rows, is_complete=True))
+
+    def _store_cancelled_jobs(
+        self, process: Process, effect: StoreCancelledJobs
+    ) -> None:
+        if process.host in self.cut_from_store:
+            self.at(
+                STORE_RETRY_DELAY, lambda: self._store_cancelled_jobs(process, effect)
+            )
+            return
+        if not process.alive:
+            return
+        rows = {effect.key: frozenset(effect.jobs)}
+        self.cancelled_jobs.update(rows)
+        self.post(process, CancelledJobsStored(effect.key))
+        for other in list(self.processes.values()):
+            is_entry = isinstance(other.state, CoordinatorState)
+            if is_entry and other.host not in self.cut_from_store:
+                self.post(other, CancelledJobsRead(rows, is_complete=False))
+
     # Callers
 
+    def cancel(self, host: str, request: str, job_id: str) -> None:
+        """Send a request to an entry that cancels a job."""
+        self.post(self.processes[host], CancelJobArrived(request, job_id))
+
     def submit(
         self, host: str, request: str, sent: Job, within: timedelta = ms(4000)
     ) -> None:
@@ -544,6 +586,13 @@
                 self.at(ONE_WAY, lambda: self._deliver(pair, number, to, event))
             case AnswerJob():
                 self._record_answer(effect)
+            case AnswerCancel(request, end):
+                self.cancel_ends[request] = end
+            case StoreCancelledJobs():
+                self.at(
+                    STORE_CALL_TIME,
+                    lambda: self._store_cancelled_jobs(process, effect),
+                )
             case StartCommand() | StopCommand() | RenewCommand():
                 if isinstance(effect, StartCommand):
                     self.on_start(process)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -131,6 +131,8 @@
                 return 412, {"rows": []}
         for put in body["puts"]:
             self.put(_place(put), put["key"], base64.b64decode(put["value"]))
+        for removed in body["remove"]:
+            self.put(_place(removed), removed["key"], None)
         if self.lose_answers:
             self.lose_answers -= 1
             raise Unanswered
