--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -209,12 +209,12 @@
             end = _UNCONFIRMED_CANCEL
         finally:
             self._cancels.close(request)
-        if not end.is_known:
-            return json_answer({"error": "no such job"}, 410)
         if not end.is_stored:
             reason = RefusalReason.CANCEL_NOT_STORED
-            detail = "stopped here, but not stored yet"
+            detail = "the cancel is not stored yet"
             return self._refuse(503, reason, detail, _SHORT_RETRY_DELAY)
+        if not end.is_known:
+            return json_answer({"error": "no such job"}, 410)
         return json_answer({})
 
     def _refuse_body(self, error: ValueError) -> HttpAnswer:
--- a/gypsumspoke/runs/cancellations.py
+++ b/gypsumspoke/runs/cancellations.py
@@ -83,6 +83,11 @@
     kept_until: datetime
 
 
+class _Waiting(NamedTuple):
+    request: str
+    is_known: bool
+
+
 class Cancellations:
     """The cancelled jobs that an entry knows.
 
@@ -97,8 +102,8 @@
         # Number of rows with each job.
         self._stored: Counter[str] = Counter()
         # Requests that wait for the store, by job.
-        self._unstored: dict[str, list[str]] = {}
-        self._being_stored: dict[str, list[str]] = {}
+        self._unstored: dict[str, list[_Waiting]] = {}
+        self._being_stored: dict[str, list[_Waiting]] = {}
         self._number = 0
         self._written_at = now - WRITE_INTERVAL
         self._removed_at = now
@@ -114,16 +119,22 @@
         """Number of jobs that the store has not confirmed yet."""
         return len(self._unstored) + len(self._being_stored)
 
-    def add(self, job: str, request: str) -> list[Effect]:
-        """Record a cancelled job; the request is answered once the job is stored."""
+    def add(self, job: str, request: str, is_known: bool = True) -> list[Effect]:
+        """Record a cancelled job; the request is answered once the job is stored.
+
+        Args:
+          job, request: the job, and the request that cancels it.
+          is_known: as in ``CancelEnd``.
+        """
+        waiting = _Waiting(request, is_known)
         if job in self._stored:
-            return [AnswerCancel(request, CancelEnd(True, True))]
+            return [_answer(waiting, is_stored=True)]
         if job in self._being_stored:
-            self._being_stored[job].append(request)
+            self._being_stored[job].append(waiting)
         elif job in self._unstored or self.unstored < MAX_UNSTORED:
-            self._unstored.setdefault(job, []).append(request)
+            self._unstored.setdefault(job, []).append(waiting)
         else:
-            return [AnswerCancel(request, CancelEnd(True, False))]
+            return [_answer(waiting, is_stored=False)]
         return []
 
     def to_store(self, now: datetime) -> list[Effect]:
@@ -147,14 +158,13 @@
         """Answer the requests that waited for a row."""
         if event.key != self._key or not self._being_stored:
             return []
-        waiting = self._being_stored
+        stored = self._being_stored
         self._being_stored = {}
-        self._add_row(event.key, frozenset(waiting), now + RETENTION)
-        end = CancelEnd(True, True)
+        self._add_row(event.key, frozenset(stored), now + RETENTION)
         return [
-            AnswerCancel(request, end)
-            for requests in waiting.values()
-            for request in requests
+            _answer(waiting, is_stored=True)
+            for requests in stored.values()
+            for waiting in requests
         ]
 
     def record_read(self, event: CancelledJobsRead, now: datetime) -> set[str]:
@@ -205,3 +215,7 @@
             self._stored[job] -= 1
             if not self._stored[job]:
                 del self._stored[job]
+
+
+def _answer(waiting: _Waiting, is_stored: bool) -> AnswerCancel:
+    return AnswerCancel(waiting.request, CancelEnd(waiting.is_known, is_stored))
--- a/gypsumspoke/runs/coordinator_cancellations.py
+++ b/gypsumspoke/runs/coordinator_cancellations.py
@@ -5,12 +5,7 @@
 
 from gypsumspoke.core.effects import Effect, Log
 from gypsumspoke.runs.admission import DEFAULT_RETRY_AFTER, Refusal
-from gypsumspoke.runs.cancellations import (
-    AnswerCancel,
-    CancelEnd,
-    CancelledJobsRead,
-    CancelledJobsStored,
-)
+from gypsumspoke.runs.cancellations import CancelledJobsRead, CancelledJobsStored
 from gypsumspoke.runs.coordinator_state import (
     CancelJobArrived,
     CoordinatorState,
@@ -25,7 +20,9 @@
 ) -> list[Effect]:
     """Stop a job, and acknowledge its cancel once the store has it.
 
-    If it were acknowledged earlier, the loss of this entry could undo it.
+    If it were acknowledged earlier, the loss of this entry could undo it. A job that
+    isn't known here may be in progress at another entry, or its request may arrive
+    again after it was given up here.
     """
     is_known = event.job_id in state.jobs or event.job_id in state.cancellations
     fields = (
@@ -34,10 +31,8 @@
         ("known", is_known),
     )
     log = Log(logging.INFO, "cancel arrived", fields=fields)
-    if not is_known:
-        return [log, AnswerCancel(event.request, CancelEnd(False, False))]
     effects = [log, *_end_cancelled(state, event.job_id, now)]
-    effects += state.cancellations.add(event.job_id, event.request)
+    effects += state.cancellations.add(event.job_id, event.request, is_known)
     return [*effects, *state.cancellations.to_store(now)]
 
 
--- a/tests/runs/test_cancellations.py
+++ b/tests/runs/test_cancellations.py
@@ -153,10 +153,36 @@
     assert not world.processes["entry0"].alive
 
 
-def test_a_cancel_of_an_unknown_job_is_answered_at_once():
+def test_a_cancel_reaches_a_job_that_is_in_progress_at_another_entry():
+    """It would go on, since the entry that got the cancel doesn't have it."""
     world = settled()
+    world.submit("entry1", "r1", job("j1"))
+    world.run(ms(100))
+    world.cancel("entry0", "c1", "j1")
+    world.run(ms(100))
+    assert world.cancel_ends["c1"] == CancelEnd(is_known=False, is_stored=True)
+    assert world.end_of("r1") is JobEnd.FAILED
+    started = world.starts_of("j1")
+    world.submit("entry0", "r2", job("j1"))
+    world.run(ms(1000))
+    assert world.end_of("r2") is JobEnd.FAILED
+    assert world.starts_of("j1") == started
+
+
+def test_a_job_that_was_given_up_can_still_be_cancelled():
+    """Its caller has left and its request may arrive again."""
+    world = settled()
+    world.submit("entry0", "r1", job("j1"))
+    world.run(ms(100))
+    world.close_request("entry0", "r1")
+    world.run(ms(100))
     world.cancel("entry0", "c1", "j1")
-    assert world.cancel_ends["c1"].is_known is False
+    world.run(ms(100))
+    started = world.starts_of("j1")
+    world.submit("entry1", "r2", job("j1"))
+    world.run(ms(1000))
+    assert world.end_of("r2") is JobEnd.FAILED
+    assert world.starts_of("j1") == started
 
 
 # The rows
