Walk over cancelled jobs, and switch the new safeguards off one by one

A new kind of random walk, "cancels": jobs are cancelled through any entry beside losses, cuts and entries without the store, and an answered request arrives once more.

--- a/tests/runs/test_safeguards.py
+++ b/tests/runs/test_safeguards.py
@@ -10,6 +10,7 @@
     assignment,
     budget,
     caller_timeouts,
+    coordinator_cancellations,
     supervisor_commands,
     supervisor_incarnation,
     supervisor_lease,
@@ -20,9 +21,12 @@
 from gypsumspoke.runs.budget import DEFAULT_BUDGET
 from gypsumspoke.runs.messages import PlaceRun
 from gypsumspoke.runs.values import EndReason, JobEnd, RunId, TaskId
+from gypsumspoke.runs.worker_heartbeats import WorkerHeartbeats
 from tests.runs import (
     test_caller_timeouts,
+    test_cancellations,
     test_faults,
+    test_incarnations,
     test_job_lifecycle,
     test_lost_stops,
     test_orphans,
@@ -38,6 +42,12 @@
 lost_stops_test = (
     test_lost_stops.test_lost_stops_of_a_lost_entry_leave_no_run_beside_the_next
 )
+overtaking_request_test = (
+    test_cancellations.test_a_repeated_request_that_overtakes_the_cancel_ends_with_it
+)
+other_worker_test = (
+    test_incarnations.test_a_worker_with_another_id_is_used_after_a_clock_step
+)
 
 
 def delayed_placement() -> World:
@@ -191,6 +201,31 @@
         test_reports.test_a_run_that_finds_no_room_goes_where_there_is_some,
         id="runs without room are refused",
     ),
+    pytest.param(
+        [(coordinator_cancellations, "refuse_cancelled", lambda state, event: None)],
+        test_cancellations.test_a_cancelled_job_is_not_run_again_at_any_entry,
+        id="a request for a cancelled job is refused",
+    ),
+    pytest.param(
+        [(coordinator_cancellations, "_end_cancelled", lambda state, job, now: [])],
+        overtaking_request_test,
+        id="a cancel that is read ends the job",
+    ),
+    pytest.param(
+        [(WorkerHeartbeats, "hold", lambda self, registration, arrived: False)],
+        test_incarnations.test_a_heartbeat_before_the_first_list_is_used_with_that_list,
+        id="a heartbeat with an earlier start time is held",
+    ),
+    pytest.param(
+        [(WorkerHeartbeats, "has_ended", lambda self, incarnation: False)],
+        test_incarnations.test_a_late_heartbeat_of_an_ended_incarnation_is_not_used,
+        id="a heartbeat of an ended incarnation is not used",
+    ),
+    pytest.param(
+        [(supervisor_renewals, "follow_other_worker", lambda state, now: [])],
+        other_worker_test,
+        id="a worker with another id is followed",
+    ),
 ]
 
 
--- a/tests/runs/test_walks.py
+++ b/tests/runs/test_walks.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.runs.walk import (
+    CancelWalk,
     ClockWalk,
     CommandFaultWalk,
     CordonWalk,
@@ -62,6 +63,12 @@
     assert ClockWalk(seed).play() == []
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_cancelled_jobs_do_not_run_again(seed):
+    """Their requests arrive again beside losses, cuts and entries without the store."""
+    assert CancelWalk(seed).play() == []
+
+
 # 9: a start was carried out, its answer lost, and the worker restarted; the job was
 # answered as not run.
 @pytest.mark.parametrize("seed", [*range(4), 9])
--- a/tests/runs/walk.py
+++ b/tests/runs/walk.py
@@ -16,11 +16,14 @@
 from functools import partial
 from typing import Any, NamedTuple
 
+from gypsumspoke.core.effects import Send
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
+from gypsumspoke.runs.cancellations import AnswerCancel
 from gypsumspoke.runs.coordinator_state import AnswerJob
 from gypsumspoke.runs.cordons import Cordons
 from gypsumspoke.runs.entry_group import EntryGroup
-from gypsumspoke.runs.values import Job, JobEnd
+from gypsumspoke.runs.messages import PlaceRun
+from gypsumspoke.runs.values import Job, JobEnd, RunId
 from gypsumspoke.runs.worker_commands import RenewCommand, StartCommand, StopCommand
 from gypsumspoke.runs.worker_record import WorkerRecord
 from tests.runs.groups import SingleEntryGroup
@@ -431,6 +434,90 @@
             self.world.violations.append(f"{sidecar.host} drains and gets work")
 
 
+class CancelWalk(Walk):
+    """A walk on which jobs are cancelled and their requests arrive again.
+
+    Nothing of a job may start for longer than a bound after its cancel was
+    acknowledged, whichever entry its request reaches. An entry that has just started
+    may not have reached the store yet.
+    """
+
+    CANCEL_BOUND = ms(3000)
+    CONTACT_TIME = ms(3000)
+    STEPS = 60
+
+    def __init__(self, seed: int, budget: Budget = DEFAULT_BUDGET) -> None:
+        super().__init__(seed, budget)
+        self._cancelled: dict[str, str] = {}
+        self._repeated: set[str] = set()
+
+    def play(self) -> list[str]:
+        """Play the walk and return the broken guarantees."""
+        super().play()
+        self._check_cancels()
+        return self.world.violations
+
+    def _steps(self) -> list[Callable[[], None]]:
+        return [*super()._steps(), *[self._cancel] * 6, *[self._cut_from_store] * 2]
+
+    def _cancel(self) -> None:
+        """Cancel a recent job, and let its request arrive again later."""
+        host = self.random.choice(ENTRIES)
+        if not self.tries or not self.world.processes[host].alive:
+            return
+        name = self.random.choice(list(self.tries)[-5:])
+        request = f"c{len(self._cancelled)}"
+        self._cancelled[request] = name
+        self.world.cancel(host, request, name)
+        after = ms(self.random.choice((1500, 3100, 4500)))
+        self.world.at(after, partial(self._arrive_again, name))
+
+    def _arrive_again(self, name: str) -> None:
+        """Let an answered request arrive once more, as it may after a final answer."""
+        final = (JobEnd.COMPLETED, JobEnd.FAILED)
+        if name in self._repeated or not self.tries[name]:
+            return
+        if self.world.end_of(self.tries[name][-1]) not in final:
+            return
+        self._repeated.add(name)
+        self.requests += 1
+        host = self.random.choice(ENTRIES)
+        self.world.submit(host, f"r{self.requests}", self._make_job(name, 1), ms(3000))
+
+    def _cut_from_store(self) -> None:
+        host = self.random.choice(ENTRIES)
+        self.world.cut_from_store.add(host)
+        self.world.at(ms(1000), partial(self._reach_store, host))
+
+    def _reach_store(self, host: str) -> None:
+        self.world.cut_from_store.discard(host)
+        self.world.read_cancelled_jobs(host)
+
+    def _clear_faults(self) -> None:
+        super()._clear_faults()
+        for host in ENTRIES:
+            self._reach_store(host)
+
+    def _check_cancels(self) -> None:
+        acknowledged: dict[str, datetime] = {}
+        placed_by: dict[tuple[str, RunId], str] = {}
+        for at, process, effect in self.world.log:
+            match effect:
+                case AnswerCancel(request, end) if end.is_stored:
+                    acknowledged.setdefault(self._cancelled[request], at)
+                case Send(to, PlaceRun(run=run)):
+                    placed_by[to, run] = process
+                case StartCommand(run=run) if run.task.job in acknowledged:
+                    since = at - acknowledged[run.task.job]
+                    entry = placed_by[process, run]
+                    up = at - self.world.started[entry]
+                    if since > self.CANCEL_BOUND and up > self.CONTACT_TIME:
+                        job_id = run.task.job
+                        self.world.violations.append(
+                            f"{job_id} starts after its cancel"
+                        )
+
+
 class FaultKind(Enum):
     """What happens to a command."""
 
@@ -706,6 +793,7 @@
     "silence": SilenceWalk,
     "leaving": LeavingWalk,
     "clocks": ClockWalk,
+    "cancels": CancelWalk,
 }
 
 
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -199,6 +199,8 @@
         self.answered_at: dict[str, datetime] = {}
         self.log: list[tuple[datetime, str, Any]] = []
         self.processes: dict[str, Process] = {}
+        # When each process started, by its name.
+        self.started: dict[str, datetime] = {}
         self.addresses: dict[str, str] = {}
         self.failure_domains: dict[str, str] = {}
         self.cordoned: set[str] = set()
@@ -323,6 +325,7 @@
     def _add(self, host: str, reduce: Callable, state: Any) -> Process:
         process = Process(f"{host}-{next(self._incarnations):04d}", reduce, state)
         self.processes[host] = process
+        self.started[process.name] = self.now
         self.at(ZERO, lambda: self._tick(process))
         return process
 
