Links: let a connection hold little before its hello

Whoever can reach an entry's peer port could open connections without a hello: each could make the entry buffer a frame of up to 4 MB, and they were bounded only by 8,192 connections, more than a process has descriptors, so that peers and callers could not connect either. Each was logged when it was closed.

Before a connection's first frame is complete, frames are bounded by 4 KB (a hello has some hundred bytes). Of more than 512 accepted connections without a hello the oldest is closed: a peer sends its hello at once. These are counted (closed_unidentified), and logged at DEBUG.

Found by reading.

Tests: test_a_large_first_frame_fails_before_its_body_arrives and test_connections_without_a_hello_make_room_for_peers, which fail without the bounds.

--- a/gypsumspoke/shell/link_metrics.py
+++ b/gypsumspoke/shell/link_metrics.py
@@ -24,6 +24,7 @@
     "closed_silent": "Connections closed because nothing came any more.",
     "refused_hellos": "Peers refused: other protocol, partitions or incarnation.",
     "refused_frames": "Frames that held no valid message.",
+    "closed_unidentified": "Connections closed for want of a hello, by their number.",
     "refused_too_many_connections": "Connections over the bound.",
 }
 
--- a/gypsumspoke/wire/frames.py
+++ b/gypsumspoke/wire/frames.py
@@ -7,6 +7,8 @@
 from returns.result import Failure, Result, Success
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# The first frame is a hello. Whoever has not sent one yet may be no peer at all.
+MAX_FIRST_FRAME_BYTES = 4 * 1024
 HEARTBEAT_FRAME = b"\x00\x00\x00\x00"
 
 _LENGTH_BYTES = 4
@@ -22,11 +24,13 @@
 class FrameReader:
     """Splits a byte stream into payloads.
 
-    Buffers at most one incomplete frame, so at most ``MAX_FRAME_BYTES`` plus one read.
+    Buffers at most one incomplete frame, so at most ``MAX_FRAME_BYTES`` plus one read;
+    before the first frame is complete, ``MAX_FIRST_FRAME_BYTES`` plus one read.
     """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._max_bytes = MAX_FIRST_FRAME_BYTES
 
     @property
     def incomplete(self) -> bool:
@@ -55,12 +59,13 @@
             length = int.from_bytes(stream[start:body_start], "big")
             # Checked before the body arrives: a corrupt length would otherwise make the
             # process buffer up to 4 GiB.
-            if length > MAX_FRAME_BYTES:
-                return Failure(f"frame of {length} bytes, over {MAX_FRAME_BYTES}")
+            if length > self._max_bytes:
+                return Failure(f"frame of {length} bytes, over {self._max_bytes}")
             if size - body_start < length:
                 break
             if length:
                 payloads.append(bytes(stream[body_start : body_start + length]))
+                self._max_bytes = MAX_FRAME_BYTES
             start = body_start + length
         # Most chunks hold whole frames only, which are not copied into the buffer.
         if stream is self._buffer:
--- a/gypsumspoke/wire/links.py
+++ b/gypsumspoke/wire/links.py
@@ -35,6 +35,9 @@
 HEARTBEAT_INTERVAL = timedelta(seconds=0.5)
 HELLO_TIMEOUT = timedelta(seconds=1.5)
 MAX_CONNECTIONS = 8192
+# Accepted connections without a hello. With more of them the oldest is closed: a peer
+# sends its hello at once.
+MAX_UNIDENTIFIED = 512
 
 _CHECK_INTERVAL = timedelta(seconds=0.25)
 _MAX_CHECK_INTERVAL = timedelta(seconds=0.75)
@@ -104,6 +107,8 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._peers: dict[str, _Peer] = {}
         self._connections: set[Connection] = set()
+        # Accepted connections without a hello, oldest first.
+        self._unidentified: dict[Connection, None] = {}
         self._handlers = ConnectionHandlers(self._on_payload, self._on_closed)
         self._last_check = clock.now()
         self._closing = False
@@ -301,6 +306,13 @@
                 sock.close()
                 continue
             self._open(sock, None)
+            self._close_unidentified()
+
+    def _close_unidentified(self) -> None:
+        """Close the oldest accepted connection without a hello if there are many."""
+        if len(self._unidentified) > MAX_UNIDENTIFIED:
+            self._counts["closed_unidentified"] += 1
+            next(iter(self._unidentified)).close("too many without a hello")
 
     def adopt(self, sock: socket) -> Connection:
         """Add a connected socket whose peer is not known yet.
@@ -313,6 +325,8 @@
     def _open(self, sock: socket, dialled: str | None) -> Connection:
         connection = Connection(sock, dialled, self._clock, self._handlers)
         self._connections.add(connection)
+        if dialled is None:
+            self._unidentified[connection] = None
         connection.send(frame(encode(self._hello)).unwrap())
         connection.start()
         return connection
@@ -345,6 +359,7 @@
             )
             return checked.failure()
         connection.accept_peer(hello)
+        self._unidentified.pop(connection, None)
         self._add_to_peer(connection, hello.incarnation)
         return ""
 
@@ -374,8 +389,11 @@
 
     def _on_closed(self, connection: Connection, reason: str) -> None:
         self._connections.discard(connection)
+        self._unidentified.pop(connection, None)
         name = connection.peer.incarnation if connection.peer else connection.dialled
-        _log_event(logging.INFO, "connection closed", name, reason)
+        # Whatever connects without being a peer must not fill the log.
+        level = logging.DEBUG if name is None else logging.INFO
+        _log_event(level, "connection closed", name, reason)
         if connection.peer is not None:
             self._remove_from_peer(connection, connection.peer.incarnation)
         elif connection.dialled is not None:
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -5,6 +5,7 @@
 
 from gypsumspoke.wire.frames import (
     HEARTBEAT_FRAME,
+    MAX_FIRST_FRAME_BYTES,
     MAX_FRAME_BYTES,
     FrameReader,
     frame,
@@ -42,3 +43,15 @@
 def test_an_oversized_payload_is_not_framed():
     assert is_successful(frame(bytes(MAX_FRAME_BYTES)))
     assert not is_successful(frame(bytes(MAX_FRAME_BYTES + 1)))
+
+
+def test_a_large_first_frame_fails_before_its_body_arrives():
+    """Anybody may connect; only a peer that has said hello may send large frames."""
+    length = (MAX_FIRST_FRAME_BYTES + 1).to_bytes(4, "big")
+    assert not is_successful(FrameReader().feed(HEARTBEAT_FRAME + length))
+
+
+def test_a_large_frame_may_come_right_behind_the_first():
+    large = bytes(MAX_FIRST_FRAME_BYTES + 1)
+    stream = frame(b"hello").unwrap() + frame(large).unwrap()
+    assert FrameReader().feed(stream).unwrap() == [b"hello", large]
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -12,6 +12,7 @@
 from gypsumspoke.core.events import PeerConnected, PeerLost, Received
 from gypsumspoke.core.messages import ManifestUpdate, QueryJob
 from gypsumspoke.core.values import JobKey, Member, Role
+from gypsumspoke.wire import links
 from gypsumspoke.wire.codec import encode
 from gypsumspoke.wire.frames import HEARTBEAT_FRAME, MAX_FRAME_BYTES, frame
 from gypsumspoke.wire.hello import PROTOCOL_VERSION, Hello
@@ -331,3 +332,15 @@
     entry, home = process("entry"), process("home")
     entry.links.set_addresses([member("home", home.port, ended=START)])
     assert not entry.links.send("home", QUERY)
+
+
+def test_connections_without_a_hello_make_room_for_peers(process, stack, monkeypatch):
+    """Whoever only connects must not use up the descriptors that peers need."""
+    monkeypatch.setattr(links, "MAX_UNIDENTIFIED", 3)
+    target = process("home")
+    for _ in range(5):
+        connect_raw(stack, target)
+    wait_until(lambda: target.links.counts["closed_unidentified"] == 2)
+    assert target.links.open_connections == 3
+    connect_raw(stack, target, hello_frame("entry"))
+    wait_until(lambda: target.links.connection_count("entry") == 1)
