Read requests within bounds on all clients of a process

Callers saw: beside a crowd of clients that don't behave, an entry ended (on the platform it would be killed for its memory) or served nobody, and its readiness probe got no answer, so that the platform took it out of rotation. At paths without a route and at the readiness address too. A single request with 101 header fields of legal size was answered 400, one with a header over the configured maximum 200.

Cause: each connection was read by a greenlet of its own (gevent's pywsgi) that waited in the middle of a request. So nothing knew what all of them held together, a body of legal size for each of 3,000 connections; header lines were bounded one by one, and max_header_bytes was never applied; chunks were decoded byte by byte and the rest of an answered request read to its end, without serving others in between; bytes that were not read yet had no bound; and the readiness, registration and metrics listeners had 32 or 64 connections, all of which a crowd could keep.

Now one server (gypsumspoke/http) stands behind all listeners. Requests are read by callbacks and reach an application when they are complete. The clients of a process share a budget of connections and bytes that follows from the memory and descriptors in its settings. Beyond it what holds most times how long is refused (503, not run, Retry-After) or closed, never a complete request. Work on large requests takes turns of 2 ms with pauses. Receive buffers are bounded. A refusal of a job that is known at the entry is no answer at all, since "not run" could be false.

Why it works: a request that is sent in one go is complete within a loop or two, so it has hardly any age and is never the costliest; what waits for its client can be asked what it holds, and be dropped, at any time.

Ruled out: a maximum of connections for each listener (the first to come keep them), and holding back from reading (unread bytes count).

Changed: test_silent_connections_are_closed stated limits of one listener, which exist no more; in its place two tests, that silent connections are closed after the idle timeout and that they make room at once for others.

Also new in behaviour: idle connections of callers are closed after the configured idle_timeout (before: 60 s whatever it was); HTTP/0.9 and a request that declares two different lengths are refused.

--- a/gypsumspoke/platform/__main__.py
+++ b/gypsumspoke/platform/__main__.py
@@ -11,10 +11,13 @@
 import os
 import sys
 
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS, ProcessLimits
+from gypsumspoke.http.limits import client_limits
 from gypsumspoke.shell.early_listeners import Address, EarlyListeners
 
 _USAGE_ERROR = 2
 _PATH_VARIABLE = "GYPSUMSPOKE_SETTINGS"
+_MEGABYTE = 1_000_000
 
 
 def main(arguments: list[str]) -> None:
@@ -22,7 +25,7 @@
     if arguments not in (["entry"], ["sidecar"]):
         sys.stderr.write("usage: python -m gypsumspoke.platform entry|sidecar\n")
         sys.exit(_USAGE_ERROR)
-    listeners = EarlyListeners(_addresses())
+    listeners = _listen()
     gc.disable()
     from gypsumspoke.platform import roles
 
@@ -30,18 +33,32 @@
     run[arguments[0]](listeners)
 
 
-def _addresses() -> list[Address]:
-    """Return the addresses to listen on; none if the settings can't be read.
+def _listen() -> EarlyListeners:
+    """Listen on all addresses; on none if the settings can't be read.
 
     The settings are read again and validated once the libraries are loaded; errors are
     reported then.
     """
     try:
         with open(os.environ[_PATH_VARIABLE], encoding="utf-8") as file:
-            listen = json.load(file)["listen"]
-        return [_address(text) for text in listen.values() if text]
+            settings = json.load(file)
+        listen = settings["listen"]
+        addresses = [_address(text) for text in listen.values() if text]
+        # Peers exchange large messages.
+        is_entry = "front" in settings["serves"]
+        peers = _address(listen["control"]) if is_entry else None
+        size = client_limits(_process_limits(settings)).receive_buffer
+        buffers = {each: size for each in addresses if each != peers}
+        return EarlyListeners(addresses, buffers)
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
-        return []
+        return EarlyListeners()
+
+
+def _process_limits(settings: dict) -> ProcessLimits:
+    limits = settings.get("limits")
+    if not limits:
+        return DEFAULT_PROCESS_LIMITS
+    return ProcessLimits(int(limits["memory_mb"] * _MEGABYTE), int(limits["max_fds"]))
 
 
 def _address(text: str) -> Address:
--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
+from urllib.parse import unquote
 
 import gevent
 from gevent.event import Event
@@ -12,6 +13,19 @@
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count
+from gypsumspoke.http.answers import (
+    BodyTooLarge,
+    Environ,
+    HttpAnswer,
+    StartResponse,
+    json_answer,
+    read_body,
+    respond,
+    retry_headers,
+)
+from gypsumspoke.http.heads import RequestHead
+from gypsumspoke.http.server import SOCKET_KEY, UnreadRefusal
+from gypsumspoke.http.values import UNREAD_STATUS, Unread
 from gypsumspoke.platform.jobs import Unsupported, is_job_id, parse_job
 from gypsumspoke.runs.admission import configuration_timeout, refuse_overloaded
 from gypsumspoke.runs.cancellations import AnswerCancel, CancelEnd
@@ -24,18 +38,7 @@
     JobCallerLeft,
 )
 from gypsumspoke.runs.values import JobEnd, RefusalReason, Route
-from gypsumspoke.shell.caller_server import SOCKET_KEY
 from gypsumspoke.shell.disconnects import is_closed, watch_disconnect
-from gypsumspoke.shell.http_answers import (
-    BodyTooLarge,
-    Environ,
-    HttpAnswer,
-    StartResponse,
-    json_answer,
-    read_body,
-    respond,
-    retry_headers,
-)
 from gypsumspoke.shell.waiters import Waiters
 
 # Applies to a caller without a deadline, and bounds every deadline.
@@ -48,6 +51,18 @@
 _SHORT_RETRY_DELAY = timedelta(seconds=1)
 _LONG_RETRY_DELAY = timedelta(seconds=10)
 
+# Before the first configuration no limit is known; more is never held for one caller.
+_MAX_UNCONFIGURED_BODY_BYTES = 1024 * 1024
+_DEADLINE_FIELD = "gypsumspoke-deadline-ms"
+
+_UNREAD_REASONS = {
+    Unread.MALFORMED_REQUEST: RefusalReason.MALFORMED_REQUEST,
+    Unread.REQUEST_LINE_TOO_LONG: RefusalReason.HEADER_TOO_LARGE,
+    Unread.HEADER_TOO_LARGE: RefusalReason.HEADER_TOO_LARGE,
+    Unread.REQUEST_TIMEOUT: RefusalReason.REQUEST_TIMEOUT,
+    Unread.CLIENTS_PRESS: RefusalReason.CLIENTS_PRESS,
+}
+
 _STATUS_CODES = {
     JobEnd.COMPLETED: 200,
     JobEnd.FAILED: 200,
@@ -64,6 +79,9 @@
 class Callers:
     """WSGI application that serves callers.
 
+    Attributes:
+      FIELDS: names of the header fields that it looks at.
+
     Args:
       post: queues an event for the reducer.
       count: counts a refusal that never reaches the reducer.
@@ -72,6 +90,8 @@
         ``refuse_overloaded``.
     """
 
+    FIELDS = frozenset(("host", _DEADLINE_FIELD))
+
     def __init__(
         self,
         post: Callable[[Any], None],
@@ -117,6 +137,42 @@
         )
         self._cancels.deliver_all(lambda request: _UNCONFIRMED_CANCEL)
 
+    def body_limit(self, head: RequestHead) -> int:
+        """Return the size up to which a request's body is wanted."""
+        if head.method != "POST":
+            return 0
+        table = self._state.table
+        if table is None:
+            return _MAX_UNCONFIGURED_BODY_BYTES
+        if (
+            table.find(head.fields.get("host", ""), unquote(head.path, "latin-1"))
+            is None
+        ):
+            return 0
+        return table.configuration.limits.body_bytes
+
+    def refuse_unread(self, refusal: UnreadRefusal) -> HttpAnswer | None:
+        """Return the answer to a request that isn't read.
+
+        None if its job is known here: "not run" could be false.
+        """
+        reason = _UNREAD_REASONS[refusal.reason]
+        if refusal.head is not None and self._is_known(refusal.head.path):
+            self._count(Count(reason))
+            return None
+        status = UNREAD_STATUS[refusal.reason]
+        detail = "the request was not read, and nothing has run"
+        return self._refuse(status, reason, detail, refusal.retry_after)
+
+    def _is_known(self, path: str) -> bool:
+        """Return whether the job of a request's path runs, or was cancelled, here."""
+        job_id = path.rpartition("/")[2]
+        return (
+            job_id in self._waiting_jobs
+            or job_id in self._state.jobs
+            or job_id in self._state.cancellations
+        )
+
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
         answer = self._answer(environ)
@@ -164,13 +220,10 @@
                 return self._refuse(503, refusal.reason, detail, refusal.retry_after)
         limit = self._state.table.configuration.limits.body_bytes
         try:
-            body = read_body(environ, limit)
+            parsed = parse_job(job_id, read_body(environ, limit))
         except BodyTooLarge:
             reason = RefusalReason.BODY_TOO_LARGE
             return self._refuse(413, reason, f"at most {limit} bytes are taken")
-        except (OSError, ValueError):
-            return self._refuse(400, RefusalReason.INVALID_JOB, "the body ended early")
-        parsed = parse_job(job_id, body)
         if not is_successful(parsed):
             return self._refuse_body(parsed.failure())
         if is_closed(environ[SOCKET_KEY]):
--- a/gypsumspoke/platform/registration.py
+++ b/gypsumspoke/platform/registration.py
@@ -8,9 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.runs.values import Registration, Room, WorkerReady
-from gypsumspoke.runs.worker_commands import HeartbeatArrived, WorkerLeft
-from gypsumspoke.shell.http_answers import (
+from gypsumspoke.http.answers import (
     BodyTooLarge,
     Environ,
     HttpAnswer,
@@ -19,6 +17,9 @@
     read_body,
     respond,
 )
+from gypsumspoke.http.heads import RequestHead
+from gypsumspoke.runs.values import Registration, Room, WorkerReady
+from gypsumspoke.runs.worker_commands import HeartbeatArrived, WorkerLeft
 
 _PREFIX = "/v1/instances/"
 # Specified by the platform.
@@ -57,6 +58,12 @@
         """Answer one HTTP request (WSGI)."""
         return respond(self._answer(environ), start)
 
+    @staticmethod
+    def body_limit(head: RequestHead) -> int:
+        """Return the size up to which a request's body is wanted."""
+        is_heartbeat = head.method == "PUT" and head.path.startswith(_PREFIX)
+        return _MAX_BODY_BYTES if is_heartbeat else 0
+
     def _answer(self, environ: Environ) -> HttpAnswer:
         path = environ["PATH_INFO"]
         worker = path.removeprefix(_PREFIX)
--- a/gypsumspoke/runs/settings.py
+++ b/gypsumspoke/runs/settings.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS, ProcessLimits
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN
 
@@ -28,6 +29,7 @@
       grace: time from SIGTERM to SIGKILL.
       budget: the time budget of all runs, from the platform's bounds.
       remote_slowdown: factor on a task's run time away from its data.
+      limits: what the process may use.
     """
 
     instance: str
@@ -45,6 +47,7 @@
     grace: timedelta
     budget: Budget = DEFAULT_BUDGET
     remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN
+    limits: ProcessLimits = DEFAULT_PROCESS_LIMITS
 
 
 def address_text(address: Address) -> str:
--- a/gypsumspoke/runs/values.py
+++ b/gypsumspoke/runs/values.py
@@ -343,6 +343,10 @@
 
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
+    MALFORMED_REQUEST = "malformed_request"
+    HEADER_TOO_LARGE = "header_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    CLIENTS_PRESS = "clients_press"
     INVALID_JOB = "invalid_job"
     BODY_TOO_LARGE = "body_too_large"
     NOT_SUPPORTED = "not_supported"
--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -2,20 +2,22 @@
 
 ``/healthz`` answers while the event loop runs, ``/readyz`` succeeds while the process
 accepts new work. A role adds its own routes as WSGI applications by path prefix.
-Connections are bounded and idle ones are closed, so that abandoned clients don't lock
-out operators and scrapers.
+Idle connections are closed, so that abandoned clients don't lock out operators and
+scrapers.
 """
 
-import logging
 from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
 from typing import Any, Protocol
 
 from gevent import Timeout
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
 
-MAX_CONNECTIONS = 64
-IDLE_TIMEOUT_SECONDS = 10.0
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.heads import RequestHead
+from gypsumspoke.http.server import HttpServer, RequestPolicy, listen
+from gypsumspoke.http.values import ReadLimits
+
+READ_LIMITS = ReadLimits(idle_timeout=timedelta(seconds=10))
 REQUEST_TIMEOUT_SECONDS = 30.0
 
 Environ = dict[str, Any]
@@ -47,6 +49,9 @@
       ready: returns whether this process accepts new work.
       extra_routes: WSGI applications by path prefix, such as ``/v1/``; the longest
         matching prefix wins.
+      clients: the clients of this process.
+      fields: names of the header fields that the extra routes look at.
+      max_body_bytes: size of the largest body that they read.
     """
 
     def __init__(
@@ -56,24 +61,23 @@
         metrics: MetricsRenderer,
         ready: Callable[[], bool],
         extra_routes: Mapping[str, Application] | None = None,
+        clients: ClientRegistry | None = None,
+        fields: frozenset[str] = frozenset(),
+        max_body_bytes: int = 0,
     ) -> None:
+        self._address = (host, port)
         self._metrics = metrics
         self._ready = ready
         self._routes = dict(extra_routes or {})
-        self._server = WSGIServer(
-            (host, port),
-            self._answer,
-            spawn=Pool(MAX_CONNECTIONS),
-            handler_class=IdleClosingHandler,
-            log=None,
-            error_log=logging.getLogger("gypsumspoke.admin"),
-            environ=server_environ(host),
-        )
+        self._clients = clients or ClientRegistry()
+        self._max_body_bytes = max_body_bytes
+        self._policy = RequestPolicy(fields, lambda: READ_LIMITS, self._body_limit)
+        self._server: HttpServer | None = None
 
     @property
     def port(self) -> int:
         """The listening TCP port, once started."""
-        return self._server.server_port
+        return self._server.port
 
     def __enter__(self) -> "AdminServer":
         self.start()
@@ -88,11 +92,17 @@
         Raises:
           OSError: the address can't be bound.
         """
+        listener = listen(self._address, self._clients.receive_buffer)
+        self._server = HttpServer(listener, self._answer, self._policy, self._clients)
         self._server.start()
 
     def stop(self) -> None:
         """Close the port and abort open connections."""
-        self._server.stop(timeout=0)
+        self._server.close()
+
+    def _body_limit(self, head: RequestHead) -> int:
+        is_extra = self._route(head.path) in self._routes.values()
+        return self._max_body_bytes if is_extra else 0
 
     def _answer(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         application = self._route(environ["PATH_INFO"])
@@ -126,26 +136,6 @@
         return _respond(start, _NOT_READY, b"not ready\n")
 
 
-def server_environ(host: str) -> dict[str, str]:
-    """Return a WSGI environment that sets SERVER_NAME.
-
-    Without SERVER_NAME the server looks up its host name, and an unresponsive resolver
-    would delay the start.
-
-    Args:
-      host: the address it listens on.
-    """
-    return {"SERVER_NAME": host}
-
-
-class IdleClosingHandler(WSGIHandler):
-    """Closes a connection on which reads or writes make no progress for too long."""
-
-    def handle(self) -> None:
-        self.socket.settimeout(IDLE_TIMEOUT_SECONDS)
-        super().handle()
-
-
 def _only_get(application: Application) -> Application:
     def answer(environ: Environ, start: StartResponse) -> Iterable[bytes]:
         if environ["REQUEST_METHOD"] not in ("GET", "HEAD"):
--- a/gypsumspoke/shell/early_listeners.py
+++ b/gypsumspoke/shell/early_listeners.py
@@ -3,17 +3,15 @@
 When all processes restart at once, a client that connects before the servers exist
 would be refused and would retry too late for its job. With the port open early, the
 connection waits in the backlog instead. For this reason the module imports only the
-standard library at the top.
+standard library at the top, besides modules that do so too.
 """
 
 import socket
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Mapping
 
-Address = tuple[str, int]
+from gypsumspoke.http.limits import BACKLOG
 
-# Connections that may arrive before the server accepts; more are retried by TCP.
-BACKLOG = 512
+Address = tuple[str, int]
 
 
 class EarlyListeners:
@@ -22,25 +20,25 @@
     Args:
       addresses: where to listen. An address that can't be bound is skipped; its server
         reports the error.
+      receive_buffers: value of SO_RCVBUF for each connection, by address;
+        the system's default elsewhere.
     """
 
-    def __init__(self, addresses: Iterable[Address] = ()) -> None:
+    def __init__(
+        self,
+        addresses: Iterable[Address] = (),
+        receive_buffers: Mapping[Address, int] | None = None,
+    ) -> None:
         self._sockets: dict[Address, socket.socket] = {}
+        buffers = receive_buffers or {}
         for address in addresses:
-            listener = _listen(address)
+            listener = _listen(address, buffers.get(address))
             if listener is not None:
                 self._sockets[address] = listener
 
-    def take(self, address: Address) -> Any | None:
-        """Remove and return the socket of an address as a gevent socket, or None."""
-        from gevent import socket as gevent_socket
-
-        listener = self._sockets.pop(address, None)
-        if listener is None:
-            return None
-        return gevent_socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, fileno=listener.detach()
-        )
+    def take(self, address: Address) -> socket.socket | None:
+        """Remove and return the socket of an address, or None; it doesn't block."""
+        return self._sockets.pop(address, None)
 
     def close(self) -> None:
         """Close the sockets that were not taken."""
@@ -49,9 +47,13 @@
             listener.close()
 
 
-def _listen(address: Address) -> socket.socket | None:
+def _listen(address: Address, receive_buffer: int | None) -> socket.socket | None:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setblocking(False)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Connections inherit the size; they may carry bytes before they are accepted.
+    if receive_buffer is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     try:
         listener.bind(address)
         listener.listen(BACKLOG)
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -7,13 +7,21 @@
 from gypsumspoke.core import entry_role, membership
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count, Deliver
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.limits import client_limits
+from gypsumspoke.http.server import HttpServer, RequestPolicy, listen
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
 from gypsumspoke.shell.admin_http import AdminServer
-from gypsumspoke.shell.caller_server import CallerServer
+from gypsumspoke.shell.client_metrics import add_client_gauges
 from gypsumspoke.shell.entry_http import EntryHttp
-from gypsumspoke.shell.operator_http import OperatorHttp
+from gypsumspoke.shell.operator_http import (
+    FIELDS as OPERATOR_FIELDS,
+    MAX_BODY_BYTES,
+    OperatorHttp,
+)
 from gypsumspoke.shell.operator_table import OperatorTable
 from gypsumspoke.shell.role import (
     log_listening,
@@ -28,6 +36,7 @@
 # The reducer itself ends a stop that exceeds its timeout and answers all waiting
 # callers; the runtime allows this much more before it ends the process.
 _DRAIN_MARGIN = timedelta(seconds=5)
+_STOP_GRACE = timedelta(seconds=5)
 
 
 def run(settings: Settings, clock: Clock) -> int:
@@ -60,12 +69,18 @@
         own_metrics.count,
         stack,
     )
+    clients = ClientRegistry(client_limits(DEFAULT_PROCESS_LIMITS), clock)
+    stack.callback(clients.close)
+    add_client_gauges(own_metrics, clients)
     admin = AdminServer(
         settings.host,
         settings.admin_port,
         own_metrics,
         ready=lambda: entry_role.is_ready(state),
         extra_routes={OPERATOR_PREFIX: operators},
+        clients=clients,
+        fields=OPERATOR_FIELDS,
+        max_body_bytes=MAX_BODY_BYTES,
     )
     stack.enter_context(admin)
     member = own_member(settings, identity, peer_port, admin.port, clock.now())
@@ -87,8 +102,8 @@
         is_draining=lambda: entry_role.is_draining(state),
     )
     metrics.install(runtime, own_metrics)
-    callers = _open_callers(settings, clock, state, runtime, own_metrics)
-    stack.enter_context(closing(callers))
+    callers = _open_callers(settings, clock, state, runtime, own_metrics, clients)
+    stack.callback(callers.close, _STOP_GRACE)
     log_listening(peer_port=peer_port, http_port=callers.port, admin_port=admin.port)
     return runtime
 
@@ -120,7 +135,8 @@
     state: entry_role.EntryRoleState,
     runtime: Runtime,
     own_metrics: metrics.Metrics,
-) -> CallerServer:
+    clients: ClientRegistry,
+) -> HttpServer:
     """Start the callers' server and connect it to the runtime."""
     application = EntryHttp(
         runtime.post,
@@ -129,6 +145,12 @@
         is_draining=lambda: entry_role.is_draining(state),
     )
     runtime.add_handler(Deliver, application.deliver)
-    server = CallerServer(settings.host, settings.http_port, application)
+    policy = RequestPolicy(
+        application.FIELDS,
+        body_limit=application.body_limit,
+        refuse=application.refuse_unread,
+    )
+    listener = listen((settings.host, settings.http_port), clients.receive_buffer)
+    server = HttpServer(listener, application, policy, clients)
     server.start()
     return server
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -27,12 +27,7 @@
 from gypsumspoke.core.forwarding import DEADLINE_GRACE
 from gypsumspoke.core.refusals import refusal_answer
 from gypsumspoke.core.values import Answer, JobKey
-from gypsumspoke.parser.job_request import (
-    MAX_BODY_BYTES,
-    RequestError,
-    parse_job_request,
-)
-from gypsumspoke.shell.http_answers import (
+from gypsumspoke.http.answers import (
     BodyTooLarge,
     Environ,
     HttpAnswer,
@@ -40,6 +35,14 @@
     read_body,
     respond,
 )
+from gypsumspoke.http.heads import RequestHead
+from gypsumspoke.http.server import UnreadRefusal
+from gypsumspoke.http.values import Unread
+from gypsumspoke.parser.job_request import (
+    MAX_BODY_BYTES,
+    RequestError,
+    parse_job_request,
+)
 from gypsumspoke.shell.job_answers import cancel_answer, job_answer, problem
 from gypsumspoke.shell.waiters import Waiters
 
@@ -54,6 +57,9 @@
 class EntryHttp:
     """WSGI application of the callers' interface.
 
+    Attributes:
+      FIELDS: names of the header fields that it looks at.
+
     Args:
       post: queues an event for the reducer.
       count: counts refusals made without the reducer.
@@ -61,6 +67,8 @@
       is_draining: whether connections are closed after their answer.
     """
 
+    FIELDS = frozenset(("prefer",))
+
     def __init__(
         self,
         post: Callable[[Any], None],
@@ -78,6 +86,17 @@
         """Pass an answer to the waiting request."""
         self._waiters.deliver(effect.request, effect.answer)
 
+    @staticmethod
+    def body_limit(head: RequestHead) -> int:
+        """Return the size up to which a request's body is wanted."""
+        return MAX_BODY_BYTES if head.path == JOBS_PATH else 0
+
+    def refuse_unread(self, refusal: UnreadRefusal) -> HttpAnswer:
+        """Return the answer to a request that isn't read."""
+        is_pressed = refusal.reason is Unread.CLIENTS_PRESS
+        kind = ErrorKind.ENTRY_OVERLOADED if is_pressed else ErrorKind.INVALID_REQUEST
+        return self._refuse(kind, refusal.reason.value.replace("_", " "))
+
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request (WSGI)."""
         answer = self._answer(environ)
--- a/gypsumspoke/shell/http_servers.py
+++ b/gypsumspoke/shell/http_servers.py
@@ -1,56 +1,56 @@
-"""HTTP servers of the roles of best-effort jobs: metrics, readiness, registration."""
+"""HTTP servers of the roles of best-effort jobs."""
 
-import logging
 from contextlib import ExitStack
+from datetime import timedelta
 
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
-
-from gypsumspoke.runs.settings import Address
-from gypsumspoke.shell.admin_http import (
-    AdminServer,
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.server import (
     Application,
-    IdleClosingHandler,
-    MetricsRenderer,
-    server_environ,
+    HttpServer,
+    RequestPolicy,
+    listen,
 )
+from gypsumspoke.runs.settings import Address
+from gypsumspoke.shell.admin_http import AdminServer, MetricsRenderer
 from gypsumspoke.shell.early_listeners import EarlyListeners
 
-_MAX_CONNECTIONS = 32
-
 
 def open_http_server(
     address: Address,
     application: Application,
     listeners: EarlyListeners,
     stack: ExitStack,
-) -> None:
-    """Serve an application for few clients, such as readiness checks or heartbeats.
+    clients: ClientRegistry,
+    policy: RequestPolicy = RequestPolicy(),
+    grace: timedelta = timedelta(),
+) -> HttpServer:
+    """Serve an application.
 
     Args:
       address: where to listen.
       application: WSGI application.
       listeners: sockets that listen already.
       stack: closes the server.
+      clients: the clients of this process.
+      policy: what the application asks of its server.
+      grace: how long answers in progress may take when the server is closed.
 
     Raises:
       OSError: the address can't be bound.
     """
-    server = WSGIServer(
-        listeners.take(address) or address,
-        application,
-        spawn=Pool(_MAX_CONNECTIONS),
-        handler_class=IdleClosingHandler,
-        log=None,
-        error_log=logging.getLogger("gypsumspoke.http"),
-        environ=server_environ(address[0]),
-    )
+    listener = listeners.take(address) or listen(address, clients.receive_buffer)
+    server = HttpServer(listener, application, policy, clients)
     server.start()
-    stack.callback(server.stop, timeout=0)
+    stack.callback(server.close, grace)
+    return server
 
 
 def open_metrics(
-    address: Address, metrics: MetricsRenderer, is_ready, stack: ExitStack
+    address: Address,
+    metrics: MetricsRenderer,
+    is_ready,
+    stack: ExitStack,
+    clients: ClientRegistry,
 ) -> None:
     """Serve metrics and health checks.
 
@@ -59,5 +59,7 @@
       metrics: metrics to expose.
       is_ready: whether this process accepts new work.
       stack: closes the server.
+      clients: the clients of this process.
     """
-    stack.enter_context(AdminServer(address[0], address[1], metrics, is_ready))
+    server = AdminServer(*address, metrics, is_ready, clients=clients)
+    stack.enter_context(server)
--- a/gypsumspoke/shell/job_answers.py
+++ b/gypsumspoke/shell/job_answers.py
@@ -13,7 +13,7 @@
 
 from gypsumspoke.core.errors import ANSWER_RULES, ErrorKind
 from gypsumspoke.core.values import Answer, JobKey
-from gypsumspoke.shell.http_answers import HttpAnswer, json_answer, retry_headers
+from gypsumspoke.http.answers import HttpAnswer, json_answer, retry_headers
 
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_URN = "urn:gypsumspoke:error:"
--- a/gypsumspoke/shell/operator_http.py
+++ b/gypsumspoke/shell/operator_http.py
@@ -27,8 +27,7 @@
     member_value,
 )
 from gypsumspoke.core.values import Member, Row
-from gypsumspoke.parser.manifest import parse_manifest
-from gypsumspoke.shell.http_answers import (
+from gypsumspoke.http.answers import (
     BodyTooLarge,
     Environ,
     HttpAnswer,
@@ -37,6 +36,7 @@
     read_body,
     respond,
 )
+from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.shell.job_answers import problem
 from gypsumspoke.shell.manifest_history import (
     HISTORY_KEY,
@@ -56,6 +56,8 @@
 CHANGE_ID_HEADER = "Gypsumspoke-Change-Id"
 MAX_BODY_BYTES = 512 * 1024
 MAX_CHANGE_ID_LENGTH = 100
+# Header fields that are looked at.
+FIELDS = frozenset(("if-match", CHANGE_ID_HEADER.lower()))
 
 _log = logging.getLogger(__name__)
 
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -1,7 +1,7 @@
 """Entry process of best-effort jobs: servers, store and loop of the coordinator."""
 
 from collections.abc import Callable
-from contextlib import ExitStack, closing
+from contextlib import ExitStack
 from datetime import timedelta
 from functools import partial
 from typing import Any, NamedTuple, Protocol
@@ -9,6 +9,8 @@
 from returns.result import Result
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.http.server import RequestPolicy
+from gypsumspoke.http.values import DEFAULT_READ_LIMITS, ReadLimits
 from gypsumspoke.runs import coordinator
 from gypsumspoke.runs.caller_timeouts import StoreCallerTimeouts
 from gypsumspoke.runs.cancellations import (
@@ -24,7 +26,6 @@
 from gypsumspoke.runs.directory import Directory, neighbours
 from gypsumspoke.runs.settings import RunSettings, address_text
 from gypsumspoke.runs.values import Configuration
-from gypsumspoke.shell.caller_server import HEADER_TIMEOUT, CallerServer
 from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_http_server, open_metrics
 from gypsumspoke.shell.run_role import (
@@ -35,6 +36,9 @@
 )
 from gypsumspoke.shell.settings_file import SettingsFile
 
+# Answers that are complete when an entry has stopped are still written.
+_STOP_GRACE = timedelta(seconds=5)
+
 
 class EntryStorePort(StorePort, Protocol):
     """The store, as an entry uses it."""
@@ -55,8 +59,9 @@
     Attributes:
       parse_configuration: parses the text of a configuration.
       open_callers: makes the WSGI application towards callers, with ``deliver``,
-        ``deliver_cancel``, ``on_first_configuration`` and ``abort_all``, from the
-        functions that post an event and count a refusal, the clock and the state.
+        ``deliver_cancel``, ``on_first_configuration``, ``abort_all``, ``body_limit``,
+        ``refuse_unread`` and ``FIELDS``, from the functions that post an event and
+        count a refusal, the clock and the state.
       readiness: makes the WSGI application that reports whether the entry is ready.
       open_store: makes the store's client from the settings and the post function.
       settings_file: the settings file, for reloads.
@@ -124,14 +129,19 @@
             lambda: len(state.cancellations),
         )
         is_ready = partial(_is_ready, state, clock)
-        open_metrics(settings.metrics, context.metrics, is_ready, stack)
+        clients = context.clients
+        open_metrics(settings.metrics, context.metrics, is_ready, stack, clients)
         readiness = adapter.readiness(is_ready)
-        open_http_server(settings.readiness, readiness, listeners, stack)
-        header_timeout = partial(_header_timeout, state)
-        listener = listeners.take(settings.callers)
-        server = CallerServer(*settings.callers, callers, header_timeout, listener)
-        stack.enter_context(closing(server))
-        server.start()
+        open_http_server(settings.readiness, readiness, listeners, stack, clients)
+        policy = RequestPolicy(
+            callers.FIELDS,
+            partial(_read_limits, state),
+            callers.body_limit,
+            callers.refuse_unread,
+        )
+        open_http_server(
+            settings.callers, callers, listeners, stack, clients, policy, _STOP_GRACE
+        )
         stack.callback(callers.abort_all)
         store = adapter.open_store(settings, runtime.post)
         runtime.add_handler(StoreCallerTimeouts, store.store_caller_timeouts)
@@ -147,10 +157,11 @@
         )
 
 
-def _header_timeout(state: CoordinatorState) -> timedelta:
+def _read_limits(state: CoordinatorState) -> ReadLimits:
     if state.table is None:
-        return HEADER_TIMEOUT
-    return state.table.configuration.limits.header_timeout
+        return DEFAULT_READ_LIMITS
+    limits = state.table.configuration.limits
+    return ReadLimits(limits.header_bytes, limits.header_timeout, limits.idle_timeout)
 
 
 def _is_ready(state: CoordinatorState, clock: Clock) -> bool:
--- a/gypsumspoke/shell/run_role.py
+++ b/gypsumspoke/shell/run_role.py
@@ -4,20 +4,25 @@
 import logging
 import os
 import signal
+import socket
 from contextlib import ExitStack, closing
 from datetime import timedelta
 from typing import Any, NamedTuple, Protocol
 
 import gevent
+from gevent import socket as gevent_socket
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import Count, Log, Observe
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.limits import client_limits
 from gypsumspoke.runs.directory import (
     CloseConnection,
     DialEntries,
     ReplaceConnection,
 )
 from gypsumspoke.runs.settings import RunSettings, parse_address
+from gypsumspoke.shell.client_metrics import add_client_gauges
 from gypsumspoke.shell.deferred_metrics import DeferredMetrics
 from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.link_metrics import add_link_gauges
@@ -59,12 +64,14 @@
       links: connections to peers.
       dialler: maintains connections to entries.
       metrics: metrics of this process.
+      clients: the HTTP clients of this process.
     """
 
     incarnation: str
     links: PeerLinks
     dialler: Dialler
     metrics: DeferredMetrics
+    clients: ClientRegistry
 
 
 def open_run_context(
@@ -92,11 +99,20 @@
     hello = Hello(PROTOCOL_VERSION, incarnation, settings.instance, _PARTITIONS)
     links = stack.enter_context(closing(PeerLinks(hello, clock, seed, MAX_SILENCE)))
     if settings.peers is not None:
-        links.listen(*settings.peers, listeners.take(settings.peers))
+        links.listen(*settings.peers, _gevent_socket(listeners.take(settings.peers)))
     dialler = stack.enter_context(closing(Dialler(links, clock, seed)))
     metrics = DeferredMetrics(role, settings.instance)
     add_link_gauges(metrics, links)
-    return RunContext(incarnation, links, dialler, metrics)
+    clients = ClientRegistry(client_limits(settings.limits), clock)
+    stack.callback(clients.close)
+    add_client_gauges(metrics, clients)
+    return RunContext(incarnation, links, dialler, metrics, clients)
+
+
+def _gevent_socket(sock: socket.socket | None) -> gevent_socket.socket | None:
+    if sock is None:
+        return None
+    return gevent_socket.socket(sock.family, sock.type, fileno=sock.detach())
 
 
 def open_runtime(
--- a/gypsumspoke/shell/run_sidecar.py
+++ b/gypsumspoke/shell/run_sidecar.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.http.server import RequestPolicy
 from gypsumspoke.runs import supervisor
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.entry_group import EntryGroup
@@ -90,9 +91,13 @@
         runtime.add_handler(RenewCommand, worker.renew)
         _add_gauges(context, state)
         is_ready = partial(_is_ready, state, clock)
-        open_metrics(settings.metrics, context.metrics, is_ready, stack)
+        clients = context.clients
+        open_metrics(settings.metrics, context.metrics, is_ready, stack, clients)
         registration = adapter.registration(runtime.post)
-        open_http_server(settings.registration, registration, listeners, stack)
+        policy = RequestPolicy(body_limit=registration.body_limit)
+        open_http_server(
+            settings.registration, registration, listeners, stack, clients, policy
+        )
         store = adapter.open_store(settings, runtime.post)
         runtime.add_handler(StoreWorkerRecord, store.store_worker_record)
         return run_until_stopped(
--- a/gypsumspoke/shell/sidecar.py
+++ b/gypsumspoke/shell/sidecar.py
@@ -5,10 +5,14 @@
 from gypsumspoke.core import membership, sidecar
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.core.effects import ApplyManifest, StartUpstream
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.limits import client_limits
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
 from gypsumspoke.shell.admin_http import AdminServer
+from gypsumspoke.shell.client_metrics import add_client_gauges
 from gypsumspoke.shell.role import (
     log_listening,
     open_peer_context,
@@ -18,7 +22,7 @@
 from gypsumspoke.shell.runtime import Runtime
 from gypsumspoke.shell.table_client import TableClient
 from gypsumspoke.shell.upstream_client import UpstreamClient
-from gypsumspoke.shell.upstream_http import UPSTREAM_PATH, UpstreamHttp
+from gypsumspoke.shell.upstream_http import MAX_BODY_BYTES, UPSTREAM_PATH, UpstreamHttp
 
 
 def run(settings: Settings, clock: Clock) -> int:
@@ -50,12 +54,17 @@
         lambda port: upstream.set_port(port),
         settings.upstream_port,
     )
+    clients = ClientRegistry(client_limits(DEFAULT_PROCESS_LIMITS), clock)
+    stack.callback(clients.close)
+    add_client_gauges(own_metrics, clients)
     admin = AdminServer(
         settings.host,
         settings.admin_port,
         own_metrics,
         ready=lambda: sidecar.is_ready(state),
         extra_routes={UPSTREAM_PATH: announcements},
+        clients=clients,
+        max_body_bytes=MAX_BODY_BYTES,
     )
     stack.enter_context(admin)
     member = own_member(settings, identity, peer_port, admin.port, clock.now())
--- a/gypsumspoke/shell/upstream_http.py
+++ b/gypsumspoke/shell/upstream_http.py
@@ -15,8 +15,7 @@
 from gypsumspoke.core.events import UpstreamAnnounced
 from gypsumspoke.core.refusals import refusal_answer
 from gypsumspoke.core.sidecar import SidecarState
-from gypsumspoke.parser.announcement import Announcement, parse_announcement
-from gypsumspoke.shell.http_answers import (
+from gypsumspoke.http.answers import (
     BodyTooLarge,
     Environ,
     HttpAnswer,
@@ -25,6 +24,7 @@
     read_body,
     respond,
 )
+from gypsumspoke.parser.announcement import Announcement, parse_announcement
 from gypsumspoke.shell.job_answers import problem
 
 UPSTREAM_PATH = "/v1/upstream"
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -17,6 +17,10 @@
 from tests.standins.relay import Relay
 
 TIMEOUT_SECONDS = 20
+METRICS_PORT = 9464
+# Memory and file descriptors of a process, as in the platform's settings.
+ENTRY_LIMITS = {"memory_mb": 300, "max_fds": 4100}
+SIDECAR_LIMITS = {"memory_mb": 168, "max_fds": 4096}
 HOST = "pots.example"
 PREFIX = "/checks/"
 
@@ -66,6 +70,7 @@
       entries, sidecars: number of processes.
       relayed: whether relays stand between entries, sidecars, workers and the store.
       domains: failure domains that the sidecars are in by turns.
+      entry_limits: memory and descriptors of an entry.
 
     Attributes:
       relays: the relays, by the name of the server behind each.
@@ -78,7 +83,9 @@
         sidecars: int = 2,
         relayed: bool = False,
         domains: tuple[str, ...] = ("a",),
+        entry_limits: dict = ENTRY_LIMITS,
     ) -> None:
+        self._entry_limits = entry_limits
         self._folder = folder
         self._relayed = relayed
         self._domains = domains
@@ -172,6 +179,7 @@
             "zone": "a",
             "seeds": [seed],
             "bounds": {"grace_s": 6},
+            "limits": self._entry_limits if "front" in serves else SIDECAR_LIMITS,
             "platform": {"address": f"{host}:{port}"},
             "a_field_of_later": {"x": 1},
         }
@@ -187,7 +195,7 @@
     def send_heartbeat(self, number: int) -> int | None:
         """Send a worker's heartbeat; return the status, or None without an answer."""
         worker = self.workers[number]
-        address = (self._ip(20 + number), self._ports[2])
+        address = self.registration_address(number)
         path = f"/v1/instances/{worker.id}"
         body = json.dumps(worker.heartbeat()).encode()
         try:
@@ -199,6 +207,22 @@
         """Return the address on which an entry serves callers."""
         return self._ip(10 + number), self._ports[0]
 
+    def readiness_address(self, number: int) -> tuple[str, int]:
+        """Return the address on which an entry answers readiness probes."""
+        return self._ip(10 + number), self._ports[1]
+
+    def peer_address(self, number: int) -> tuple[str, int]:
+        """Return the address on which an entry takes connections of peers."""
+        return self._ip(10 + number), self._ports[2]
+
+    def metrics_address(self, number: int) -> tuple[str, int]:
+        """Return the address on which an entry serves its metrics."""
+        return self._ip(10 + number), METRICS_PORT
+
+    def registration_address(self, number: int) -> tuple[str, int]:
+        """Return the address on which a sidecar takes its worker's heartbeats."""
+        return self._ip(20 + number), self._ports[2]
+
     def call(
         self,
         number: int,
@@ -225,7 +249,7 @@
 
     def is_ready(self, number: int) -> bool:
         """Return whether an entry's readiness probe succeeds."""
-        address = (self._ip(10 + number), self._ports[1])
+        address = self.readiness_address(number)
         try:
             return _call(address, "GET", "/v1/ready", b"")[0] == 200
         except OSError:
@@ -233,7 +257,7 @@
 
     def metrics(self, ip_number: int) -> str:
         """Return the metrics of a process."""
-        client = HTTPClient(self._ip(ip_number), 9464)
+        client = HTTPClient(self._ip(ip_number), METRICS_PORT)
         response = client.get("/metrics")
         text = bytes(response.read()).decode()
         client.close()
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -10,6 +10,9 @@
 from returns.result import Failure
 
 from gypsumspoke.core.clock import ManualClock
+from gypsumspoke.http.heads import parse_head
+from gypsumspoke.http.server import SOCKET_KEY, UnreadRefusal
+from gypsumspoke.http.values import UNREAD_STATUS, Unread
 from gypsumspoke.platform.callers import Callers
 from gypsumspoke.runs.admission import FIRST_CONFIGURATION_TIMEOUT
 from gypsumspoke.runs.coordinator_state import (
@@ -20,7 +23,6 @@
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.values import RefusalReason
-from gypsumspoke.shell.caller_server import SOCKET_KEY
 from tests.runs.world import CONFIGURATION, ROUTE, START
 
 JOB = b"""{"best_effort": true, "spec": "x",
@@ -170,3 +172,37 @@
     entry.overload()
     entry.state.isolated = True
     assert entry.post(JOB_ID)[1]["reason"] == RefusalReason.NOT_SUPPORTED.value
+
+
+def refusal(reason, job_id=JOB_ID):
+    """Return the refusal of a request whose head has been read."""
+    text = f"POST {ROUTE.path_prefix}{job_id} HTTP/1.1\r\nHost: {ROUTE.host}"
+    return UnreadRefusal(
+        reason, parse_head(text.encode(), Callers.FIELDS).unwrap(), None
+    )
+
+
+@pytest.mark.parametrize("reason", Unread)
+def test_a_request_that_is_refused_unread_is_counted_by_its_reason(entry, reason):
+    answer = entry.callers.refuse_unread(refusal(reason))
+    assert answer.status == UNREAD_STATUS[reason]
+    (counted,) = entry.counted
+    assert json.loads(answer.body)["reason"] == counted.value
+
+
+def test_the_resubmission_of_a_running_job_is_not_refused_as_not_run(entry):
+    """The caller would believe that the job that runs here has not run."""
+    entry.state.jobs[JOB_ID] = None
+    assert entry.callers.refuse_unread(refusal(Unread.CLIENTS_PRESS)) is None
+    other = refusal(Unread.CLIENTS_PRESS, "5c0e7a21d94b36f9")
+    assert entry.callers.refuse_unread(other).status == 503
+
+
+def test_only_the_body_of_a_job_on_a_route_is_wanted(entry):
+    """Bodies on other paths must not be held."""
+    head = refusal(Unread.CLIENTS_PRESS).head
+    assert entry.callers.body_limit(head) > 0
+    entry.state.table = RoutingTable(CONFIGURATION)
+    assert entry.callers.body_limit(head) == CONFIGURATION.limits.body_bytes
+    assert entry.callers.body_limit(head._replace(path="/nothing")) == 0
+    assert entry.callers.body_limit(head._replace(method="GET")) == 0
--- /dev/null
+++ b/tests/platform/test_crowds.py
@@ -0,0 +1,68 @@
+"""Clients that don't behave, beside ordinary callers, at each listener.
+
+Whatever they send, no process ends or exceeds the memory of its machine, ordinary jobs
+are run, and the readiness probe is answered.
+"""
+
+import pytest
+
+from tests.platform.crowded_system import MAX_MISSES, play
+
+SECONDS = 5.0
+
+
+@pytest.mark.parametrize(
+    ("kind", "listener", "connections"),
+    [
+        ("stop_before_last_byte", "route", 1600),
+        ("small_pieces", "route", 1600),
+        ("small_chunks", "route", 400),
+        ("long_header", "route", 120),
+        ("many_fields", "route", 120),
+        ("many_steps_before", "route", 40),
+        ("many_json_fields", "route", 40),
+        ("long_texts", "route", 40),
+        ("over_the_limit", "route", 40),
+        ("endless_chunks", "route", 40),
+        ("slow_header", "route", 3400),
+        ("slow_body", "route", 3400),
+        ("stop_half_way", "route", 3400),
+        ("sent_ahead", "route", 200),
+        ("stop_before_last_byte", "no-route", 1600),
+        ("small_chunks", "no-route", 400),
+        ("long_header", "no-route", 120),
+        ("stop_before_last_byte", "readiness", 1600),
+        ("small_chunks", "readiness", 400),
+        ("slow_header", "readiness", 3400),
+        ("stop_before_last_byte", "metrics", 1600),
+        ("sent_ahead", "metrics", 200),
+        ("stop_before_last_byte", "registration", 1600),
+        ("small_chunks", "registration", 400),
+        ("large_heartbeats", "registration", 10),
+        ("stop_half_way", "peers", 3400),
+        ("over_the_limit", "peers", 40),
+    ],
+)
+def test_ordinary_jobs_are_run_beside_a_crowd(kind, listener, connections, tmp_path):
+    """A crowd of clients must neither end a process nor keep others from service."""
+    check(play(kind, listener, connections, SECONDS, tmp_path))
+
+
+@pytest.mark.parametrize(
+    ("kind", "connections"), [("stop_before_last_byte", 3000), ("slow_body", 3400)]
+)
+def test_the_bounds_follow_from_the_memory_of_the_machine(kind, connections, tmp_path):
+    """An entry on a small machine must not take what a larger one could."""
+    limits = {"memory_mb": 160, "max_fds": 3075}
+    check(play(kind, "route", connections, SECONDS, tmp_path, limits))
+
+
+def check(outcome):
+    """Check what must hold whatever a crowd sends."""
+    summary = outcome.summary()
+    assert not any(each.is_over for each in outcome.watched), summary
+    assert not outcome.ended, summary
+    assert outcome.crowd["connections"], summary
+    assert all(set(each) == {"200 completed"} for each in outcome.answers), summary
+    assert outcome.missed_in_a_row < MAX_MISSES, summary
+    assert not outcome.violations
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 from hypothesis import given, strategies as st
 from returns.pipeline import is_successful
 
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS, ProcessLimits
 from gypsumspoke.platform.configuration import parse_configuration
 from gypsumspoke.platform.jobs import MAX_TASKS, Unsupported, is_job_id, parse_job
 from gypsumspoke.platform.names import parse_run_id, task_name
@@ -268,3 +269,15 @@
     """
     path = sidecar_settings(tmp_path, resend_ms=300)
     assert "callers come back after 300 ms" in read_settings(path).failure()
+
+
+def test_the_limits_of_the_process_are_read(tmp_path):
+    path = sidecar_settings(tmp_path)
+    assert read_settings(path).unwrap().limits == DEFAULT_PROCESS_LIMITS
+    fields = json.loads(path.read_text())
+    fields["limits"] = {"memory_mb": 168, "max_fds": 4096, "cores": 1}
+    path.write_text(json.dumps(fields))
+    assert read_settings(path).unwrap().limits == ProcessLimits(168_000_000, 4096)
+    fields["limits"] = {"memory_mb": 0}
+    path.write_text(json.dumps(fields))
+    assert "limits" in read_settings(path).failure()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -348,3 +348,24 @@
         assert system.submit(0, job_id(2))[0] == 200
         assert client.recv(400).startswith(b"HTTP/1.1 400")
         assert client.recv(400) == b""
+
+
+def test_a_request_at_the_limits_is_served_when_alone(system):
+    """A client inside the configured limits must not be refused for what it sends."""
+    path = PREFIX + job_id(1)
+    fields = {f"X-{number}": "y" for number in range(1000)}
+    assert system.call(0, "POST", path, job_body(), fields)[0] == 200
+    body = json.dumps(job_body()).encode()
+    padded = body[:-1] + b" " * (262_144 - len(body)) + b"}"
+    assert system.call(0, "POST", PREFIX + job_id(2), padded)[0] == 200
+
+
+def test_a_header_over_the_limit_is_refused(system):
+    """The configured limit must be in force."""
+    path = PREFIX + job_id(1)
+    status, body, headers = system.call(
+        0, "POST", path, job_body(), {"X-Long": "y" * 20_000}
+    )
+    assert (status, body["reason"]) == (431, "header_too_large")
+    assert headers["connection"] == "close"
+    assert 'reason="header_too_large"} 1.0' in system.metrics(10)
--- a/tests/shell/test_admin_http.py
+++ b/tests/shell/test_admin_http.py
@@ -1,11 +1,18 @@
 """The administration port."""
 
+from contextlib import closing
+from datetime import timedelta
+
 import gevent
 import gevent.event
 import gevent.socket
 import pytest
 from geventhttpclient import HTTPClient
 
+from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
+from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.limits import client_limits
+from gypsumspoke.http.values import ReadLimits
 from gypsumspoke.shell import admin_http
 from gypsumspoke.shell.admin_http import AdminServer
 from gypsumspoke.shell.metrics import Metrics
@@ -72,17 +79,28 @@
     assert get(client, "/v1/hang")[0] == 504
 
 
-def test_silent_connections_are_closed(client, ready, monkeypatch):
-    """Idle clients that occupy every connection are closed after the idle timeout, so
-    that the next request is served.
-    """
-    monkeypatch.setattr(admin_http, "IDLE_TIMEOUT_SECONDS", 0.05)
-    monkeypatch.setattr(admin_http, "MAX_CONNECTIONS", 2)
+def test_silent_connections_make_room_for_others(ready):
+    """Idle clients that occupy every connection must not lock out the next request."""
+    limits = client_limits(DEFAULT_PROCESS_LIMITS)._replace(connections=2)
+    with closing(ClientRegistry(limits)) as clients:
+        with AdminServer("127.0.0.1", 0, Metrics(), ready, clients=clients) as server:
+            address = ("127.0.0.1", server.port)
+            idle = [gevent.socket.create_connection(address) for _ in range(4)]
+            new_client = HTTPClient(*address, network_timeout=60)
+            assert get(new_client, "/healthz") == (200, b"ok\n")
+            new_client.close()
+            for connection in idle:
+                connection.close()
+
+
+def test_silent_connections_are_closed(ready, monkeypatch):
+    """An abandoned client must not keep its connection open."""
+    limits = ReadLimits(idle_timeout=timedelta(milliseconds=50))
+    monkeypatch.setattr(admin_http, "READ_LIMITS", limits)
     with AdminServer("127.0.0.1", 0, Metrics(), ready) as server:
         address = ("127.0.0.1", server.port)
         idle = [gevent.socket.create_connection(address) for _ in range(4)]
-        new_client = HTTPClient(*address, network_timeout=60)
-        assert get(new_client, "/healthz") == (200, b"ok\n")
-        new_client.close()
+        with gevent.Timeout(60):
+            assert [connection.recv(1) for connection in idle] == [b""] * 4
         for connection in idle:
             connection.close()
--- a/tests/shell/test_early_listeners.py
+++ b/tests/shell/test_early_listeners.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.shell.early_listeners import EarlyListeners
 from gypsumspoke.shell.http_servers import open_http_server
 from gypsumspoke.shell.keep_alive import KeepAliveClient, Request
@@ -28,7 +29,7 @@
         response = gevent.spawn(client.send, Request("GET", "/", {}), TIMEOUT)
         gevent.sleep(0.05)
         assert not response.ready()
-        open_http_server(address, answer, listeners, stack)
+        open_http_server(address, answer, listeners, stack, ClientRegistry())
         assert response.get(timeout=5).unwrap().body == b"here"
 
 
@@ -38,7 +39,7 @@
         second = EarlyListeners([address])
         assert second.take(address) is None
         with pytest.raises(OSError):
-            open_http_server(address, answer, second, stack)
+            open_http_server(address, answer, second, stack, ClientRegistry())
 
 
 def test_a_port_that_no_server_takes_is_closed():
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -47,6 +47,7 @@
     Attributes:
       worker: executes the commands.
       task_duration: how long each task runs; may be changed between tasks.
+      task_room: room that each task takes; may be changed between tasks.
       status: HTTP status returned for every command; None executes commands.
       lose_answers: number of further starts that take effect without an answer.
       silent: commands wait until this is False again.
@@ -66,6 +67,7 @@
         self.state = "ready"
         self.sequence = 0
         self.task_duration = task_duration
+        self.task_room = Room(3000, 64, 0)
         self._started_at = time.monotonic()
         self._server = WSGIServer((host, 0), self._answer, log=None, error_log=None)
         self.worker = self._new_worker()
@@ -73,7 +75,7 @@
     def _new_worker(self) -> FakeWorker:
         return FakeWorker(
             Room(8000, 64000, 0),
-            lambda task: Room(3000, 64, 0),
+            lambda task: self.task_room,
             lambda t: self.task_duration,
         )
 
