Bound the memory of the jobs in progress

Callers saw: 1,000 connections that send jobs of 250 KB, in which a long rack's name makes up the size and whose task takes 20 s, brought an entry over 300 MB within some 12 s (with the bounds on reading in force, so that no request was held for long).

Cause: jobs in progress were bounded by their number, 2,000, on the assumption that each takes some kilobytes. A legal one takes as much as its body, or has 1,000 tasks.

Now an entry estimates the memory of each job from its texts, steps and tasks, and refuses a new one (429, too_many_jobs, nothing has run) that doesn't fit into a sixth of the machine's memory beside those in progress. A single job is always taken.

gypsumspoke_job_bytes shows the estimate.

--- a/gypsumspoke/runs/admission.py
+++ b/gypsumspoke/runs/admission.py
@@ -19,7 +19,7 @@
 from gypsumspoke.runs.sidecar_views import SidecarView, fastest_pace
 from gypsumspoke.runs.values import RefusalReason, Step
 
-# Bounds the memory of one entry: each job takes some kilobytes.
+# Bounds the time that it takes to go through all jobs.
 MAX_JOBS = 2000
 # Most faults last seconds, so no caller is told to wait for longer.
 MAX_RETRY_AFTER = timedelta(seconds=10)
@@ -70,7 +70,7 @@
     An entry that has just started doesn't know its workers yet, so that jobs wait for
     them instead of being refused.
     """
-    if len(state.jobs) >= MAX_JOBS:
+    if len(state.jobs) >= MAX_JOBS or not state.has_memory_for(event.job):
         return Refusal(RefusalReason.TOO_MANY_JOBS, DEFAULT_RETRY_AFTER)
     if _is_discovering_workers(state, event.route.service, now):
         return None
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -163,7 +163,7 @@
         end = end_of_refusal(refusal.reason)
         return refuse(event.request, event.job.id, refusal, end)
     progress = JobProgress(event, now, _waited_elsewhere(state, event, now))
-    state.jobs[progress.id] = progress
+    state.add_job(progress)
     state.by_request[event.request] = progress.id
     enqueue_ready_steps(state, progress)
     effects = place_waiting(state, now)
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -12,6 +12,7 @@
 from gypsumspoke.runs.cancellations import Cancellations
 from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
+from gypsumspoke.runs.job_memory import DEFAULT_MAX_JOB_BYTES, job_bytes
 from gypsumspoke.runs.load import LoadShedder
 from gypsumspoke.runs.routing import RoutingTable
 from gypsumspoke.runs.sidecar_views import SidecarView
@@ -27,7 +28,6 @@
     TaskId,
 )
 
-
 class JobArrived(NamedTuple):
     """Event: a caller sent a job and waits for the answer.
 
@@ -193,7 +193,7 @@
       views: sidecars by incarnation.
       disconnected: incarnations of the sidecars that are not connected.
       sidecar_counts: number of connected sidecars by service, as of the latest tick.
-      jobs: jobs by id.
+      jobs: jobs by id; changed by ``add_job`` and ``remove_job``.
       by_request: the job id of each waiting request.
       by_run: the job id of each open run that was not withdrawn.
       withdrawn: withdrawn runs that may still be running, by task.
@@ -226,6 +226,7 @@
       budget: the time budget of all runs.
       remote_slowdown: factor on a task's run time away from its data.
       incarnation: unique id of this start of the process.
+      max_job_bytes: maximum estimated memory of the jobs in progress.
     """
 
     def __init__(
@@ -236,8 +237,11 @@
         budget: Budget = DEFAULT_BUDGET,
         remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN,
         incarnation: str = "",
+        max_job_bytes: int = DEFAULT_MAX_JOB_BYTES,
     ) -> None:
         self.budget = budget
+        self._max_job_bytes = max_job_bytes
+        self._job_bytes = 0
         self.remote_slowdown = remote_slowdown
         self.parse_configuration = parse_configuration
         self.started = now
@@ -270,6 +274,26 @@
         self.cancellations = Cancellations(incarnation, now)
         self.directory = directory
 
+    @property
+    def job_bytes(self) -> int:
+        """Estimated memory of the jobs in progress."""
+        return self._job_bytes
+
+    def has_memory_for(self, job: Job) -> bool:
+        """Return whether a job may be added; a single one always may."""
+        needed = self._job_bytes + job_bytes(job)
+        return not self.jobs or needed <= self._max_job_bytes
+
+    def add_job(self, progress: JobProgress) -> None:
+        """Add a job that has been accepted."""
+        self.jobs[progress.id] = progress
+        self._job_bytes += job_bytes(progress.job)
+
+    def remove_job(self, progress: JobProgress) -> None:
+        """Remove a job that has ended."""
+        del self.jobs[progress.id]
+        self._job_bytes -= job_bytes(progress.job)
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 before the first."""
--- a/gypsumspoke/runs/job_ends.py
+++ b/gypsumspoke/runs/job_ends.py
@@ -89,7 +89,7 @@
     for tasks in progress.tasks:
         for task in tasks:
             effects += withdraw(state, task)
-    del state.jobs[progress.id]
+    state.remove_job(progress)
     state.waiting.pop(progress.id, None)
     effects += _report_end(progress, end, reason, now)
     if end in _FINAL_ENDS:
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from gypsumspoke.core.clock import Clock
+from gypsumspoke.http.limits import client_limits
 from gypsumspoke.http.server import RequestPolicy
 from gypsumspoke.http.values import DEFAULT_READ_LIMITS, ReadLimits
 from gypsumspoke.runs import coordinator
@@ -108,6 +109,7 @@
             settings.budget,
             settings.remote_slowdown,
             context.incarnation,
+            client_limits(settings.limits).job_bytes,
         )
         runtime = open_runtime(
             settings, context, coordinator.handle_event, state, clock, in_turns=True
@@ -123,6 +125,11 @@
             "Failure domains that operators have cordoned.",
             lambda: len(state.cordons.domains),
         )
+        context.metrics.gauge(
+            "job_bytes",
+            "Estimated memory of the jobs in progress.",
+            lambda: state.job_bytes,
+        )
         context.metrics.gauge(
             "cancelled_jobs",
             "Cancelled jobs that this entry knows and doesn't run again.",
--- a/tests/platform/crowded_system.py
+++ b/tests/platform/crowded_system.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from contextlib import ExitStack
+from datetime import timedelta
 from pathlib import Path
 from typing import NamedTuple
 
@@ -200,6 +201,7 @@
     seconds: float,
     folder: Path,
     entry_limits: dict = ENTRY_LIMITS,
+    task_duration: timedelta | None = None,
 ) -> Outcome:
     """Serve ordinary callers beside a crowd, and for a while after it.
 
@@ -210,6 +212,7 @@
       seconds: how long it goes on.
       folder: directory for settings and logs.
       entry_limits: memory and descriptors of an entry.
+      task_duration: how long each task runs; None for the worker's default.
     """
     with ExitStack() as stack:
         system = stack.enter_context(
@@ -221,6 +224,9 @@
         for worker in system.workers:
             worker.task_room = Room(1, 1, 0)
         system.wait_until_serving()
+        if task_duration is not None:
+            for worker in system.workers:
+                worker.task_duration = task_duration
         watched = _watch(system, entry_limits)
         stack.enter_context(MemoryWatch(watched))
         probes: list[Probe] = []
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -4,6 +4,8 @@
 are run, and the readiness probe is answered.
 """
 
+from datetime import timedelta
+
 import pytest
 
 from tests.platform.crowded_system import MAX_MISSES, play
@@ -57,12 +59,28 @@
     check(play(kind, "route", connections, SECONDS, tmp_path, limits))
 
 
-def check(outcome):
-    """Check what must hold whatever a crowd sends."""
+def test_jobs_in_progress_stay_within_the_memory(tmp_path):
+    """Many jobs of legal size that take long must not end an entry."""
+    duration = timedelta(seconds=20)
+    outcome = play("long_texts", "route", 1000, 12, tmp_path, task_duration=duration)
+    # Tasks that take so much longer than estimated are taken for a fault of their
+    # workers, and an entry without sound workers is not ready.
+    check_processes(outcome)
+    assert outcome.crowd.get("429"), outcome.summary()
+
+
+def check_processes(outcome):
+    """Check that no process has ended or was over its memory."""
     summary = outcome.summary()
     assert not any(each.is_over for each in outcome.watched), summary
     assert not outcome.ended, summary
     assert outcome.crowd["connections"], summary
+
+
+def check(outcome):
+    """Check what must hold whatever a crowd sends."""
+    check_processes(outcome)
+    summary = outcome.summary()
     assert all(set(each) == {"200 completed"} for each in outcome.answers), summary
     assert outcome.missed_in_a_row < MAX_MISSES, summary
     assert not outcome.violations
