Render metrics for a bounded part of the time

Cause: each request rendered all metrics anew, which takes milliseconds of the event loop.

A rendering is now used again for ten times as long as it took, so that rendering takes at most a tenth of the time, whoever asks. A scrape a second apart gets fresh values.

Test: test_frequent_requests_for_metrics_are_answered_from_one_rendering, failed before.

--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -19,6 +19,9 @@
 
 READ_LIMITS = ReadLimits(idle_timeout=timedelta(seconds=10))
 REQUEST_TIMEOUT_SECONDS = 30.0
+# Rendered metrics are reused for this many times as long as rendering took, so that
+# frequent requests for them take a bounded part of the processor time.
+_RENDER_PAUSE_FACTOR = 10
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -73,6 +76,8 @@
         self._max_body_bytes = max_body_bytes
         self._policy = RequestPolicy(fields, lambda: READ_LIMITS, self._body_limit)
         self._server: HttpServer | None = None
+        self._rendered = b""
+        self._render_again_at = self._clients.clock.now()
 
     @property
     def port(self) -> int:
@@ -125,7 +130,12 @@
         return self._routes[max(matching, key=len)]
 
     def _show_metrics(self, environ: Environ, start: StartResponse) -> list[bytes]:
-        return _respond(start, _OK, self._metrics.render(), _METRICS_TYPE)
+        started = self._clients.clock.now()
+        if started >= self._render_again_at:
+            self._rendered = self._metrics.render()
+            now = self._clients.clock.now()
+            self._render_again_at = now + (now - started) * _RENDER_PAUSE_FACTOR
+        return _respond(start, _OK, self._rendered, _METRICS_TYPE)
 
     def _show_health(self, environ: Environ, start: StartResponse) -> list[bytes]:
         return _respond(start, _OK, b"ok\n")
--- a/tests/shell/test_admin_http.py
+++ b/tests/shell/test_admin_http.py
@@ -1,7 +1,7 @@
 """The administration port."""
 
 from contextlib import closing
-from datetime import timedelta
+from datetime import datetime, timedelta, timezone
 
 import gevent
 import gevent.event
@@ -9,6 +9,7 @@
 import pytest
 from geventhttpclient import HTTPClient
 
+from gypsumspoke.core.clock import ManualClock
 from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
 from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.http.limits import client_limits
@@ -104,3 +105,27 @@
             assert [connection.recv(1) for connection in idle] == [b""] * 4
         for connection in idle:
             connection.close()
+
+
+def test_frequent_requests_for_metrics_are_answered_from_one_rendering(ready):
+    """Clients that ask without a pause must not take all of the processor time."""
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=timezone.utc))
+
+    class SlowMetrics:
+        rendered = 0
+
+        def render(self):
+            self.rendered += 1
+            clock.advance(timedelta(milliseconds=10))
+            return b"x %d\n" % self.rendered
+
+    clients = ClientRegistry(clock=clock)
+    with (
+        closing(clients),
+        AdminServer("127.0.0.1", 0, SlowMetrics(), ready, clients=clients) as server,
+    ):
+        client = HTTPClient("127.0.0.1", server.port, network_timeout=60)
+        assert [get(client, "/metrics")[1] for _ in range(3)] == [b"x 1\n"] * 3
+        clock.advance(timedelta(milliseconds=200))
+        assert get(client, "/metrics")[1] == b"x 2\n"
+        client.close()
