--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -271,6 +271,17 @@
     assert "callers come back after 300 ms" in read_settings(path).failure()
 
 
+def test_a_large_heartbeat_is_read_as_a_small_one():
+    worker = PlatformWorker("w1")
+    fields = worker.heartbeat()
+    more = {f"field{number}": [{}] for number in range(3000)}
+    large = parse_registration("w1", json.dumps({**fields, **more}).encode())
+    assert large == parse_registration("w1", json.dumps(fields).encode())
+    del fields["capacity"]
+    failed = parse_registration("w1", json.dumps({**fields, **more}).encode())
+    assert failed.failure() == "capacity is missing"
+
+
 def test_the_limits_of_the_process_are_read(tmp_path):
     path = sidecar_settings(tmp_path)
     assert read_settings(path).unwrap().limits == DEFAULT_PROCESS_LIMITS
