Bound the ids of cancelled jobs that nobody sent

Anybody may send any number of DELETEs for made-up ids. Each id is written to the store and kept by all entries for two to four minutes, at 172 bytes each (CAPACITY.md). An entry writes at most 2,000 a second, so that a crowd at one entry could bring each entry to some 80 MB of ids, and one at four entries over the memory of their machines.

Once an entry knows as many ids as fit into a quarter of the memory for jobs, it answers 503 (cancel_not_stored) to a cancel of a job that it doesn't know, and keeps nothing. Cancels of jobs that it knows are taken as before. All entries read the same rows, so that all stop at about the same number.

Test: test_cancels_of_unknown_jobs_are_bounded, failed before.

--- a/gypsumspoke/runs/cancellations.py
+++ b/gypsumspoke/runs/cancellations.py
@@ -26,6 +26,11 @@
 MAX_REMOVED_ROWS = 50
 # Bounds the memory of one entry while the store is away.
 MAX_UNSTORED = 10_000
+# Beyond this number of known jobs, only cancels of jobs that are known here are taken:
+# anybody can send any number of others.
+MAX_KNOWN = 100_000
+# Memory that an entry needs for each known job.
+BYTES_PER_JOB = 200
 
 
 class CancelEnd(NamedTuple):
@@ -94,10 +99,12 @@
     Args:
       origin: prefix of the keys of this entry's rows, unique to this process.
       now: when the process starts.
+      max_known: number of known jobs from which on unknown ones are not added.
     """
 
-    def __init__(self, origin: str, now: datetime) -> None:
+    def __init__(self, origin: str, now: datetime, max_known: int = MAX_KNOWN) -> None:
         self._origin = origin
+        self._max_known = max_known
         self._rows: dict[str, _Row] = {}
         # Number of rows with each job.
         self._stored: Counter[str] = Counter()
@@ -131,12 +138,17 @@
             return [_answer(waiting, is_stored=True)]
         if job in self._being_stored:
             self._being_stored[job].append(waiting)
-        elif job in self._unstored or self.unstored < MAX_UNSTORED:
+        elif job in self._unstored or self._has_room(is_known):
             self._unstored.setdefault(job, []).append(waiting)
         else:
             return [_answer(waiting, is_stored=False)]
         return []
 
+    def _has_room(self, is_known: bool) -> bool:
+        return self.unstored < MAX_UNSTORED and (
+            is_known or len(self) < self._max_known
+        )
+
     def to_store(self, now: datetime) -> list[Effect]:
         """Return the write that is due now, if any."""
         if not self._unstored or self._being_stored:
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -9,7 +9,7 @@
 from gypsumspoke.core.events import Arrival
 from gypsumspoke.runs.budget import DEFAULT_BUDGET, Budget
 from gypsumspoke.runs.caller_timeouts import CallerTimeouts
-from gypsumspoke.runs.cancellations import Cancellations
+from gypsumspoke.runs.cancellations import BYTES_PER_JOB, Cancellations
 from gypsumspoke.runs.cordons import NO_CORDONS
 from gypsumspoke.runs.directory import Directory
 from gypsumspoke.runs.job_memory import DEFAULT_MAX_JOB_BYTES, job_bytes
@@ -28,6 +28,10 @@
     TaskId,
 )
 
+# The ids of cancelled jobs may take this part of the memory for jobs, besides them.
+_CANCELLATIONS_PART = 4
+
+
 class JobArrived(NamedTuple):
     """Event: a caller sent a job and waits for the answer.
 
@@ -271,7 +275,8 @@
         self.peers: set[str] = set()
         self.entries: set[str] = set()
         self.caller_timeouts = CallerTimeouts(budget.bounds.resend, now)
-        self.cancellations = Cancellations(incarnation, now)
+        max_known = max_job_bytes // _CANCELLATIONS_PART // BYTES_PER_JOB
+        self.cancellations = Cancellations(incarnation, now, max_known)
         self.directory = directory
 
     @property
--- a/tests/runs/test_cancellations.py
+++ b/tests/runs/test_cancellations.py
@@ -276,3 +276,16 @@
     assert len(cancellations.to_remove(end)) == 1
     assert cancellations.to_remove(end + timedelta(seconds=2)) == []
     assert len(cancellations.to_remove(end + REMOVAL_INTERVAL)) == 1
+
+
+def test_cancels_of_unknown_jobs_are_bounded():
+    """Anybody can cancel any number of jobs that nobody sent; their ids are kept for
+    minutes, by all entries.
+    """
+    cancellations = Cancellations("e1", START, max_known=3)
+    for number in range(3):
+        assert cancellations.add(f"j{number}", f"c{number}", is_known=False) == []
+    (answer,) = cancellations.add("j3", "c3", is_known=False)
+    assert not answer.end.is_stored and "j3" not in cancellations
+    assert cancellations.add("j4", "c4", is_known=True) == []
+    assert "j4" in cancellations
