--- a/gypsumspoke/http/limits.py
+++ b/gypsumspoke/http/limits.py
@@ -8,7 +8,7 @@
 from gypsumspoke.core.process_limits import ProcessLimits
 
 # Connections that may arrive before a server accepts them; more are retried by TCP.
-BACKLOG = 512
+BACKLOG = 1024
 
 # Descriptors kept for files, peers, the store and the worker.
 _RESERVED_DESCRIPTORS = 512
