HTTP server: read before timing out, and close what is left unanswered

Found by reading the server again, before it was released:

A process that was paused for seconds measured its clients by its own pause: a request whose end waited in the socket was refused for its time, and an idle connection closed with a request on it. Before a connection is timed out, it is read once.

An application that was interrupted (gevent's exits and timeouts are no Exception) left its connection open for good, as one that is being answered and so never makes room. It is closed now.

A body counted as held only until its application was called, which may wait for the first configuration for a second. It counts until it is read.

Tests: test_an_application_that_is_interrupted_closes_the_connection and test_bytes_that_waited_during_a_pause_are_read, both failed before.

--- a/gypsumspoke/http/connection.py
+++ b/gypsumspoke/http/connection.py
@@ -139,11 +139,6 @@
         """When it became idle, its request began, or its answer was ready."""
         return self._since
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether the connection has ended."""
-        return self._phase is Phase.CLOSED
-
     @property
     def is_waiting_for_client(self) -> bool:
         """Whether the client has to act next."""
@@ -166,14 +161,19 @@
 
     def _check_reading(self, now: datetime) -> None:
         is_idle = now - self._heard > self._limits.idle_timeout
-        if not self._reader.has_begun:
-            if is_idle:
-                self.close()
-        elif self._reader.stage is Stage.HEAD:
-            if now - self._since > self._limits.header_timeout:
-                self._refuse(Unread.REQUEST_TIMEOUT)
-        elif is_idle:
+        is_in_head = self._reader.has_begun and self._reader.stage is Stage.HEAD
+        is_slow = is_in_head and now - self._since > self._limits.header_timeout
+        if not is_idle and not is_slow:
+            return
+        # After a pause of this process, bytes may have waited for it.
+        if self._receive(SMALL_BYTES):
+            self._advance_or_pace()
+        elif self._phase is not Phase.READING:
+            return
+        elif self._reader.has_begun:
             self._refuse(Unread.REQUEST_TIMEOUT)
+        else:
+            self.close()
 
     def close(self) -> None:
         """Close the connection; further calls do nothing."""
@@ -282,6 +282,11 @@
 
     # Answering
 
+    def abandon(self) -> None:
+        """Close the connection if its request has got no answer."""
+        if self._phase is Phase.ANSWERING:
+            self.close()
+
     def _begin_answer(self) -> None:
         self._phase = Phase.ANSWERING
         self._readable.stop()
--- a/gypsumspoke/http/server.py
+++ b/gypsumspoke/http/server.py
@@ -164,11 +164,19 @@
                 self._acceptable.stop()
                 self._retry.start(self.start)
                 return
-            sock.setblocking(False)
+            self._add(sock, client)
+
+    def _add(self, sock: socket.socket, client: tuple[str, int]) -> None:
+        sock.setblocking(False)
+        try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = ClientConnection(sock, client, self)
-            self._connections.add(connection)
-            self._clients.add(connection)
+        except OSError:
+            # Reset before it was accepted.
+            sock.close()
+            return
+        connection = ClientConnection(sock, client, self)
+        self._connections.add(connection)
+        self._clients.add(connection)
 
     # What connections need
 
@@ -231,6 +239,7 @@
             payload, keeps_open = self._call(connection)
             connection.write(payload, keeps_open)
         finally:
+            connection.abandon()
             if len(self._answering) <= 1:
                 self._idle.set()
 
@@ -275,7 +284,7 @@
             "SERVER_PROTOCOL": head.version,
             "REMOTE_ADDR": connection.client[0],
             "REMOTE_PORT": str(connection.client[1]),
-            "wsgi.input": _Body(connection.take_body()),
+            "wsgi.input": _Body(connection),
             SOCKET_KEY: connection.sock,
         }
         for name, value in head.fields.items():
@@ -293,13 +302,17 @@
     An application keeps its environment until it has answered.
     """
 
-    def __init__(self, content: bytes) -> None:
-        self._content = content
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection: ClientConnection | None = connection
+        self._rest = b""
 
     def read(self, size: int = -1) -> bytes:
         """Return, and forget, the next ``size`` bytes; all without a size."""
-        end = len(self._content) if size < 0 else size
-        taken, self._content = self._content[:end], self._content[end:]
+        if self._connection is not None:
+            self._rest = self._connection.take_body()
+            self._connection = None
+        end = len(self._rest) if size < 0 else size
+        taken, self._rest = self._rest[:end], self._rest[end:]
         return taken
 
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server over real sockets."""
 
 import json
+import time
 from contextlib import closing, contextmanager
 from datetime import timedelta
 
@@ -29,7 +30,8 @@
 class Application:
     """Answers with what it was sent.
 
-    ``/wait`` waits until ``released``, ``/fail`` raises, ``/large`` answers with much.
+    ``/wait`` waits until ``released``, ``/fail`` and ``/interrupt`` raise, ``/large``
+    answers with much.
     """
 
     def __init__(self):
@@ -41,6 +43,8 @@
             self.released.wait(TIMEOUT_SECONDS)
         if environ["PATH_INFO"] == "/fail":
             raise RuntimeError
+        if environ["PATH_INFO"] == "/interrupt":
+            raise gevent.GreenletExit
         body = read_body(environ, MAX_BODY_BYTES)
         self.answered += 1
         shown = {"path": environ["PATH_INFO"], "size": len(body)}
@@ -255,6 +259,24 @@
             wait_until(lambda: not clients.open_connections)
 
 
+def test_an_application_that_is_interrupted_closes_the_connection(connect):
+    """The connection would stay open for good, and never make room for others."""
+    assert ask(connect, post(b"/interrupt")) is None
+
+
+def test_bytes_that_waited_during_a_pause_are_read(application, monkeypatch):
+    """A process that was paused must not take its own pause for the client's."""
+    limits = ReadLimits(header_timeout=timedelta(milliseconds=200))
+    with serving(application, read_limits=limits) as (connect, clients):
+        with connect() as sock, sock.makefile("rb") as stream:
+            sock.sendall(b"GET /a ")
+            wait_until(lambda: clients.held_bytes)
+            sock.sendall(b"HTTP/1.1\r\n\r\n")
+            # Nothing is read meanwhile.
+            time.sleep(0.6)
+            assert read_answer(stream)[0] == 200
+
+
 def test_a_failed_application_closes_the_connection(connect):
     status, headers, _ = ask(connect, post(b"/fail"))
     assert (status, headers["connection"]) == (500, "close")
