Keep msgspec out of the start of a role

test_a_role_imports_no_unused_modules failed since jobs are decoded by types: after a loss of all processes no job is accepted until a role has started, and the library takes 10 to 24 ms to import here.

The types stand in modules of their own now, which are imported with the first job, and with the first heartbeat over 16 KB. The first job of a process waits for it instead, after it has been accepted.

--- a/gypsumspoke/platform/jobs.py
+++ b/gypsumspoke/platform/jobs.py
@@ -1,26 +1,21 @@
-"""Decodes job submissions of the platform's callers.
-
-The types bound what a body can become: repeated or unknown fields take no memory.
-"""
+"""Decodes job submissions of the platform's callers."""
 
 import re
 from datetime import timedelta
-from typing import Annotated
+from typing import TYPE_CHECKING, Any
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from gypsumspoke.runs.values import Job, Room, Step
 
+if TYPE_CHECKING:
+    from gypsumspoke.platform.job_fields import JobFields, StepFields
+
 # Specified by the platform.
 MAX_SPEC_BYTES = 4000
 # Many times the widest job that callers send. A larger one would block the entry's
 # event loop while it is placed, and so delay all others.
 MAX_TASKS = 1000
-MAX_STEPS = 100
-
-# Larger numbers are taken for errors.
-_END_OF_NUMBERS = 10**12
 
 _ID = re.compile(r"[0-9a-f]{16}")
 # Features that need durable jobs or gang scheduling.
@@ -29,48 +24,6 @@
 # Values that mean the same as a field that is left out.
 _EMPTY_VALUES = frozenset((b"", b"null", b"false", b"0", b"0.0", b'""', b"[]", b"{}"))
 
-_Number = Annotated[float, msgspec.Meta(ge=0, lt=_END_OF_NUMBERS)]
-_Earlier = Annotated[int, msgspec.Meta(ge=0, lt=MAX_STEPS)]
-_LEFT_OUT = msgspec.Raw(b"")
-
-
-class _StepFields(msgspec.Struct):
-    """A step on the wire.
-
-    ``constraints`` is one label, ``affinity`` is a rack, and ``anti_affinity`` is the
-    maximum number of tasks on a worker.
-    """
-
-    count: Annotated[float, msgspec.Meta(ge=1, lt=_END_OF_NUMBERS)]
-    cpu: _Number = 0
-    mem_mb: _Number = 0
-    gpu: _Number = 0
-    estimate_ms: _Number = 0
-    anti_affinity: _Number = 0
-    after: frozenset[_Earlier] | None = None
-    constraints: str | None = None
-    affinity: str | None = None
-    gang: msgspec.Raw = _LEFT_OUT
-    same_rack: msgspec.Raw = _LEFT_OUT
-    fills: msgspec.Raw = _LEFT_OUT
-    may_miss: msgspec.Raw = _LEFT_OUT
-
-
-_Steps = Annotated[list[_StepFields], msgspec.Meta(min_length=1, max_length=MAX_STEPS)]
-
-
-class _JobFields(msgspec.Struct):
-    """A job on the wire."""
-
-    steps: _Steps | None = None
-    spec: str = ""
-    best_effort: msgspec.Raw = _LEFT_OUT
-    long_running: msgspec.Raw = _LEFT_OUT
-    times: msgspec.Raw = _LEFT_OUT
-
-
-_decoder = msgspec.json.Decoder(_JobFields)
-
 
 class Unsupported(ValueError):
     """The job is valid but uses a feature that is not supported."""
@@ -91,15 +44,16 @@
     Returns:
       The job, or the error; ``Unsupported`` for a feature that is not supported.
     """
+    # With the first job, since the library would delay the start of the process.
+    from gypsumspoke.platform.job_fields import decode_job
+
     try:
-        return Success(_job(job_id, _decoder.decode(body)))
+        return Success(_job(job_id, decode_job(body)))
     except ValueError as error:
         return Failure(error)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        return Failure(ValueError(str(error)))
 
 
-def _job(job_id: str, fields: _JobFields) -> Job:
+def _job(job_id: str, fields: "JobFields") -> Job:
     for name in _UNSUPPORTED_JOB_FIELDS:
         if _is_set(getattr(fields, name)):
             raise Unsupported(f"jobs with {name} are not served")
@@ -114,7 +68,7 @@
     return Job(job_id, fields.spec, steps)
 
 
-def _step(number: int, fields: _StepFields) -> Step:
+def _step(number: int, fields: "StepFields") -> Step:
     for name in _UNSUPPORTED_STEP_FIELDS:
         if _is_set(getattr(fields, name)):
             raise Unsupported(f"steps with {name} are not served")
@@ -131,7 +85,7 @@
     )
 
 
-def _is_set(value: msgspec.Raw) -> bool:
+def _is_set(value: Any) -> bool:
     return bytes(value) not in _EMPTY_VALUES
 
 
--- a/gypsumspoke/platform/registration.py
+++ b/gypsumspoke/platform/registration.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from gypsumspoke.http.answers import (
@@ -35,23 +34,6 @@
 _log = logging.getLogger(__name__)
 
 
-class _Fields(msgspec.Struct):
-    """The fields of a heartbeat that are used; their types are checked later."""
-
-    service: msgspec.Raw = msgspec.Raw()
-    state: msgspec.Raw = msgspec.Raw()
-    seq: msgspec.Raw = msgspec.Raw()
-    born: msgspec.Raw = msgspec.Raw()
-    capacity: msgspec.Raw = msgspec.Raw()
-    labels: msgspec.Raw = msgspec.Raw()
-    clock_ms: msgspec.Raw = msgspec.Raw()
-    cold_remaining_ms: msgspec.Raw = msgspec.Raw()
-    remaining_ms: msgspec.Raw = msgspec.Raw()
-
-
-_decoder = msgspec.json.Decoder(_Fields)
-
-
 class Heartbeat(NamedTuple):
     """A decoded heartbeat.
 
@@ -158,29 +140,22 @@
         return Success(_heartbeat(worker, _decode_fields(body)))
     except KeyError as error:
         return Failure(f"{error.args[0]} is missing")
-    except (
-        ValueError,
-        TypeError,
-        AttributeError,
-        RecursionError,
-        msgspec.MsgspecError,
-    ) as error:
+    except (ValueError, TypeError, AttributeError, RecursionError) as error:
         return Failure(str(error))
 
 
 def _decode_fields(body: bytes) -> dict[str, Any]:
     """Decode a heartbeat's JSON object.
 
-    Of a large one only the fields that are used: others may be many, and take no memory
-    so.
-
     Raises:
-      msgspec.MsgspecError, ValueError: it is malformed.
+      ValueError: it is malformed.
     """
     if len(body) <= _SMALL_BODY_BYTES:
         return json.loads(body)
-    values = msgspec.structs.asdict(_decoder.decode(body))
-    return {name: json.loads(bytes(raw)) for name, raw in values.items() if bytes(raw)}
+    # Not with the module: the library would delay the start of the process.
+    from gypsumspoke.platform.heartbeat_fields import decode_used_fields
+
+    return decode_used_fields(body)
 
 
 def _heartbeat(worker: str, fields: dict[str, Any]) -> Heartbeat:
