Decode a process's limits in one place, and read a single request of any size

The limits of a process were decoded twice, before and after its libraries are loaded.

The only request that holds anything is kept now.

--- a/gypsumspoke/http/budget.py
+++ b/gypsumspoke/http/budget.py
@@ -64,6 +64,9 @@
         )
     to_free = excess.held_bytes + int(limit.held_bytes * _ROOM_PART)
     holding = [each for each in waiting if each.held]
+    if len(holding) == 1:
+        # A request inside the limits is served when it is alone, whatever its size.
+        return []
     closed = []
     for each in sorted(holding, key=lambda each: _cost(each, 0, now), reverse=True):
         if to_free <= 0:
--- a/gypsumspoke/platform/__main__.py
+++ b/gypsumspoke/platform/__main__.py
@@ -11,13 +11,12 @@
 import os
 import sys
 
-from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS, ProcessLimits
 from gypsumspoke.http.limits import client_limits
+from gypsumspoke.platform.limits import process_limits
 from gypsumspoke.shell.early_listeners import Address, EarlyListeners
 
 _USAGE_ERROR = 2
 _PATH_VARIABLE = "GYPSUMSPOKE_SETTINGS"
-_MEGABYTE = 1_000_000
 
 
 def main(arguments: list[str]) -> None:
@@ -47,20 +46,13 @@
         # Peers exchange large messages.
         is_entry = "front" in settings["serves"]
         peers = _address(listen["control"]) if is_entry else None
-        size = client_limits(_process_limits(settings)).receive_buffer
+        size = client_limits(process_limits(settings)).receive_buffer
         buffers = {each: size for each in addresses if each != peers}
         return EarlyListeners(addresses, buffers)
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return EarlyListeners()
 
 
-def _process_limits(settings: dict) -> ProcessLimits:
-    limits = settings.get("limits")
-    if not limits:
-        return DEFAULT_PROCESS_LIMITS
-    return ProcessLimits(int(limits["memory_mb"] * _MEGABYTE), int(limits["max_fds"]))
-
-
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/gypsumspoke/platform/settings.py
+++ b/gypsumspoke/platform/settings.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS, ProcessLimits
+from gypsumspoke.platform.limits import process_limits
 from gypsumspoke.runs.budget import DEFAULT_BOUNDS, Bounds, Budget, budget_for
 from gypsumspoke.runs.settings import Address, RunSettings, parse_address
 from gypsumspoke.runs.values import DEFAULT_REMOTE_SLOWDOWN
@@ -17,7 +17,6 @@
 # Not part of the settings file; the deployment configures the scraper for this port.
 METRICS_PORT = 9464
 _MILLISECOND = timedelta(milliseconds=1)
-_MEGABYTE = 1_000_000
 
 
 def settings_path() -> Path:
@@ -95,28 +94,9 @@
         remote_slowdown=float(
             fields["bounds"].get("remote_slowdown", DEFAULT_REMOTE_SLOWDOWN)
         ),
-        limits=process_limits(fields.get("limits") or {}),
+        limits=process_limits(fields),
     )
 
 
-def process_limits(fields: dict[str, Any]) -> ProcessLimits:
-    """Decode what the platform lets a process use.
-
-    Raises:
-      ValueError: a limit is not a positive number.
-    """
-    limits = ProcessLimits(
-        (
-            int(fields["memory_mb"] * _MEGABYTE)
-            if "memory_mb" in fields
-            else DEFAULT_PROCESS_LIMITS.memory_bytes
-        ),
-        int(fields.get("max_fds", DEFAULT_PROCESS_LIMITS.descriptors)),
-    )
-    if min(limits) <= 0:
-        raise ValueError("limits: not a positive number")
-    return limits
-
-
 def _address(fields: dict[str, Any], name: str) -> Address | None:
     return parse_address(fields[name]) if fields.get(name) else None
--- a/tests/http/test_budget.py
+++ b/tests/http/test_budget.py
@@ -40,6 +40,13 @@
     assert chosen == [slow]
 
 
+def test_a_single_request_is_read_whatever_its_size():
+    """A request inside the configured limits must be served when it is alone."""
+    alone = client(5000, 3)
+    idle = client(0, 9)
+    assert not connections_to_close([alone, idle], Occupancy(0, 4000), LIMIT, NOW)
+
+
 def test_a_request_that_is_answered_is_never_given_up():
     """A job that was handed in must be run and answered."""
     busy = client(900, 20, waits=False)
