Crowds: true estimates, and two crowds that still keep others from service

Trace: the entry was never behind; ordinary jobs were refused as too_late, since the crowd's jobs stated 1 ms for tasks that take 100 ms. So the two faults are told apart: all crowds state the time that the stand-in workers take, and low_estimates is the former crowd. The checks and bounds are unchanged.

--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -23,6 +23,8 @@
         ("many_fields", "route", 120),
         ("many_steps_before", "route", 40),
         ("many_json_fields", "route", 40),
+        ("low_estimates", "route", 40),
+        ("many_tasks", "route", 40),
         ("long_texts", "route", 40),
         ("over_the_limit", "route", 40),
         ("endless_chunks", "route", 40),
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -24,6 +24,8 @@
 _RECONNECT_SECONDS = 0.2
 _PIECE_BYTES = 8192
 _PAUSE_SECONDS = 0.05
+# A step of a job. The estimate is how long the stand-in workers take.
+_STEP = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 100}
 
 
 class Target(NamedTuple):
@@ -53,8 +55,7 @@
 
 
 def _body() -> bytes:
-    step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}
-    fields = {"best_effort": True, "spec": "x", "steps": [step]}
+    fields = {"best_effort": True, "spec": "x", "steps": [_STEP]}
     text = json.dumps(fields).encode()
     return text[:-1] + b" " * (BODY_BYTES - len(text)) + b"}"
 
@@ -109,9 +110,8 @@
     No worker has the label that the last step asks for, so that they cost the workers
     nothing.
     """
-    step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}
-    later = {**step, "after": [0] * 900}
-    steps = [step] + [later] * 90 + [{**later, "constraints": "nowhere"}]
+    later = {**_STEP, "after": [0] * 900}
+    steps = [_STEP] + [later] * 90 + [{**later, "constraints": "nowhere"}]
     fields = {"best_effort": True, "spec": "x", "steps": steps}
     body = json.dumps(fields).encode()
     while True:
@@ -120,7 +120,15 @@
 
 def many_json_fields(target: Target) -> Sending:
     """Jobs of legal size made of very many short fields."""
-    step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}
+    yield from _many_json_fields(target, _STEP)
+
+
+def low_estimates(target: Target) -> Sending:
+    """The same, with estimates that are a hundred times too low."""
+    yield from _many_json_fields(target, {**_STEP, "estimate_ms": 1})
+
+
+def _many_json_fields(target: Target, step: dict) -> Sending:
     fields = {"best_effort": True, "spec": "x", "steps": [step]}
     fields.update((f"{number:x}", [{}]) for number in range(18_000))
     body = json.dumps(fields).encode()
@@ -130,8 +138,7 @@
 
 def long_texts(target: Target) -> Sending:
     """Jobs of legal size that ask for a rack with a very long name."""
-    step = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}
-    step["affinity"] = "r" * 250_000
+    step = {**_STEP, "affinity": "r" * 250_000}
     body = json.dumps({"best_effort": True, "spec": "x", "steps": [step]}).encode()
     while True:
         yield _header(target, len(body)) + body
@@ -139,7 +146,7 @@
 
 def many_tasks(target: Target) -> Sending:
     """Jobs of few bytes with as many tasks as are taken."""
-    steps = [{"count": 10, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}] * 100
+    steps = [{**_STEP, "count": 10}] * 100
     body = json.dumps({"best_effort": True, "spec": "x", "steps": steps}).encode()
     while True:
         yield _header(target, len(body)) + body
@@ -228,6 +235,7 @@
         Kind(many_fields),
         Kind(many_steps_before),
         Kind(many_json_fields),
+        Kind(low_estimates),
         Kind(long_texts),
         Kind(many_tasks),
         Kind(large_heartbeats),
