HTTP server: one function that listens, one decoding of paths, clearer names

Listening sockets were opened by two copies of the same code, before and after the libraries are loaded; one function serves both now.

Found by reading; its test was not run on the code before.

--- a/gypsumspoke/http/clients.py
+++ b/gypsumspoke/http/clients.py
@@ -39,7 +39,7 @@
         self._connections: set[ClientConnection] = set()
         self._held = 0
         self._paced = PacedQueue(self._clock)
-        self._dropped: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._logged_at = self._clock.now()
         self._checker = get_hub().loop.timer(0, _CHECK_INTERVAL.total_seconds())
         self._checker.start(self._check)
@@ -87,7 +87,7 @@
 
     def count(self, reason: Unread) -> None:
         """Count a request that was refused unread, for the log."""
-        self._dropped[reason.value] += 1
+        self._refused[reason.value] += 1
 
     def close(self) -> None:
         """Close all connections."""
@@ -110,16 +110,16 @@
         now = self._clock.now()
         for connection in list(self._connections):
             connection.check_timeouts(now)
-        self._log_dropped(now)
+        self._log_refused(now)
 
-    def _log_dropped(self, now: datetime) -> None:
-        if not self._dropped or now - self._logged_at < _LOG_INTERVAL:
+    def _log_refused(self, now: datetime) -> None:
+        if not self._refused or now - self._logged_at < _LOG_INTERVAL:
             return
         details = {
-            **self._dropped,
+            **self._refused,
             "connections": len(self._connections),
             "held_bytes": self._held,
         }
         _log.warning({"message": "requests refused unread", "details": details})
-        self._dropped.clear()
+        self._refused.clear()
         self._logged_at = now
--- a/gypsumspoke/http/connection.py
+++ b/gypsumspoke/http/connection.py
@@ -89,7 +89,7 @@
         "_held",
         "_lingered",
         "_is_paced",
-        "_has_news",
+        "_has_new_bytes",
     )
 
     def __init__(
@@ -111,7 +111,7 @@
         # Whether its turn in the queue of paced work is still to come.
         self._is_paced = False
         # Whether bytes have arrived that no attempt was made to decode.
-        self._has_news = False
+        self._has_new_bytes = False
         self._readable.start(self._on_readable)
 
     @property
@@ -212,7 +212,7 @@
         if not self._reader.has_begun:
             self._since = self._heard
         self._reader.append(chunk)
-        self._has_news = True
+        self._has_new_bytes = True
         self._account()
         return True
 
@@ -246,7 +246,7 @@
         if self._phase is Phase.LINGERING:
             self._discard()
         elif self._phase is Phase.READING:
-            if self._has_news or self._receive(_READ_BYTES):
+            if self._has_new_bytes or self._receive(_READ_BYTES):
                 if self._phase is Phase.READING:
                     self._advance()
         if self.is_waiting_for_client and not self._is_paced:
@@ -255,14 +255,14 @@
 
     def _advance(self) -> None:
         """Decode what has arrived."""
-        self._has_news = False
+        self._has_new_bytes = False
         stage = self._reader.advance()
         if stage is Stage.HEAD_READ:
             head = self._reader.head
             stage = self._reader.begin_body(self._owner.body_limit(head))
             if stage is Stage.BODY:
                 if head.is_chunked and self._reader.is_large:
-                    self._has_news = True
+                    self._has_new_bytes = True
                     self._account()
                     self._pace()
                     return
@@ -361,7 +361,7 @@
         self._since = self._heard = self._owner.clock.now()
         self._account()
         if self._reader.has_begun:
-            self._has_news = True
+            self._has_new_bytes = True
             self._pace()
         else:
             self._readable.start(self._on_readable)
--- a/gypsumspoke/http/heads.py
+++ b/gypsumspoke/http/heads.py
@@ -2,6 +2,7 @@
 
 import re
 from typing import NamedTuple
+from urllib.parse import unquote
 
 from returns.result import Failure, Result, Success
 
@@ -40,6 +41,11 @@
     is_chunked: bool
     keeps_alive: bool
 
+    @property
+    def decoded_path(self) -> str:
+        """The path without percent-encoding, as applications get it."""
+        return unquote(self.path, "latin-1")
+
     @property
     def expects_continue(self) -> bool:
         """Whether the client waits for an interim response before the body."""
--- /dev/null
+++ b/gypsumspoke/http/listening.py
@@ -0,0 +1,36 @@
+"""Opens listening sockets.
+
+Imports only the standard library: ports are opened before the libraries are loaded.
+"""
+
+import socket
+
+from gypsumspoke.http.limits import BACKLOG
+
+
+def listen(
+    address: tuple[str, int], receive_buffer: int | None = None
+) -> socket.socket:
+    """Return a new listening socket that doesn't block.
+
+    Args:
+      address: IP number and port; port 0 for any free one.
+      receive_buffer: value of SO_RCVBUF for each connection; None for the system's
+        default.
+
+    Raises:
+      OSError: the address can't be bound.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit the size; they may carry bytes before they are accepted.
+        if receive_buffer is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
--- a/gypsumspoke/http/server.py
+++ b/gypsumspoke/http/server.py
@@ -7,18 +7,21 @@
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Any, NamedTuple
-from urllib.parse import unquote
 
 from gevent import get_hub
 from gevent.event import Event
 from gevent.pool import Pool
 
 from gypsumspoke.core.clock import Clock
-from gypsumspoke.http.answers import HttpAnswer, json_answer, retry_headers
+from gypsumspoke.http.answers import (
+    Environ,
+    HttpAnswer,
+    json_answer,
+    retry_headers,
+)
 from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.http.connection import ClientConnection
 from gypsumspoke.http.heads import RequestHead
-from gypsumspoke.http.limits import BACKLOG
 from gypsumspoke.http.pacing import Work
 from gypsumspoke.http.values import (
     DEFAULT_READ_LIMITS,
@@ -28,7 +31,6 @@
     Unread,
 )
 
-Environ = dict[str, Any]
 Application = Callable[..., Iterable[bytes]]
 
 # Environment key of the client's socket, with which an application detects that the
@@ -279,7 +281,7 @@
         environ = {
             **self._environ,
             "REQUEST_METHOD": head.method,
-            "PATH_INFO": unquote(head.path, "latin-1"),
+            "PATH_INFO": head.decoded_path,
             "QUERY_STRING": head.query,
             "SERVER_PROTOCOL": head.version,
             "REMOTE_ADDR": connection.client[0],
@@ -319,29 +321,6 @@
 _CLOSING_HEADERS = [("Content-Length", "0"), ("Connection", "close")]
 
 
-def listen(address: tuple[str, int], receive_buffer: int) -> socket.socket:
-    """Return a new listening socket.
-
-    Args:
-      address: IP number and port; port 0 for any free one.
-      receive_buffer: value of SO_RCVBUF for each connection.
-
-    Raises:
-      OSError: the address can't be bound.
-    """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-    except OSError:
-        listener.close()
-        raise
-    listener.setblocking(False)
-    return listener
-
-
 def _status_line(status: int) -> str:
     return f"{status} {HTTPStatus(status).phrase}"
 
--- a/gypsumspoke/http/values.py
+++ b/gypsumspoke/http/values.py
@@ -25,7 +25,7 @@
     Unread.REQUEST_TIMEOUT: 400,
     Unread.CLIENTS_PRESS: 503,
 }
-# How long a client should stay away that was refused to make room for others.
+# Retry-After of a request that is refused to make room for others.
 PRESSED_RETRY_AFTER = timedelta(seconds=2)
 
 
--- a/gypsumspoke/platform/callers.py
+++ b/gypsumspoke/platform/callers.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any
-from urllib.parse import unquote
 
 import gevent
 from gevent.event import Event
@@ -144,10 +143,7 @@
         table = self._state.table
         if table is None:
             return _MAX_UNCONFIGURED_BODY_BYTES
-        if (
-            table.find(head.fields.get("host", ""), unquote(head.path, "latin-1"))
-            is None
-        ):
+        if table.find(head.fields.get("host", ""), head.decoded_path) is None:
             return 0
         return table.configuration.limits.body_bytes
 
@@ -157,7 +153,7 @@
         None if its job is known here: "not run" could be false.
         """
         reason = _UNREAD_REASONS[refusal.reason]
-        if refusal.head is not None and self._is_known(refusal.head.path):
+        if refusal.head is not None and self._is_known(refusal.head.decoded_path):
             self._count(Count(reason))
             return None
         status = UNREAD_STATUS[refusal.reason]
--- a/gypsumspoke/platform/registration.py
+++ b/gypsumspoke/platform/registration.py
@@ -64,7 +64,7 @@
     @staticmethod
     def body_limit(head: RequestHead) -> int:
         """Return the size up to which a request's body is wanted."""
-        is_heartbeat = head.method == "PUT" and head.path.startswith(_PREFIX)
+        is_heartbeat = head.method == "PUT" and head.decoded_path.startswith(_PREFIX)
         return _MAX_BODY_BYTES if is_heartbeat else 0
 
     def _answer(self, environ: Environ) -> HttpAnswer:
--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -14,7 +14,8 @@
 
 from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.http.heads import RequestHead
-from gypsumspoke.http.server import HttpServer, RequestPolicy, listen
+from gypsumspoke.http.listening import listen
+from gypsumspoke.http.server import HttpServer, RequestPolicy
 from gypsumspoke.http.values import ReadLimits
 
 READ_LIMITS = ReadLimits(idle_timeout=timedelta(seconds=10))
@@ -106,7 +107,7 @@
         self._server.close()
 
     def _body_limit(self, head: RequestHead) -> int:
-        is_extra = self._route(head.path) in self._routes.values()
+        is_extra = self._route(head.decoded_path) in self._routes.values()
         return self._max_body_bytes if is_extra else 0
 
     def _answer(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
--- a/gypsumspoke/shell/early_listeners.py
+++ b/gypsumspoke/shell/early_listeners.py
@@ -8,8 +8,9 @@
 
 import socket
 from collections.abc import Iterable, Mapping
+from contextlib import suppress
 
-from gypsumspoke.http.limits import BACKLOG
+from gypsumspoke.http.listening import listen
 
 Address = tuple[str, int]
 
@@ -32,9 +33,8 @@
         self._sockets: dict[Address, socket.socket] = {}
         buffers = receive_buffers or {}
         for address in addresses:
-            listener = _listen(address, buffers.get(address))
-            if listener is not None:
-                self._sockets[address] = listener
+            with suppress(OSError):
+                self._sockets[address] = listen(address, buffers.get(address))
 
     def take(self, address: Address) -> socket.socket | None:
         """Remove and return the socket of an address, or None; it doesn't block."""
@@ -45,19 +45,3 @@
         while self._sockets:
             _, listener = self._sockets.popitem()
             listener.close()
-
-
-def _listen(address: Address, receive_buffer: int | None) -> socket.socket | None:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setblocking(False)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Connections inherit the size; they may carry bytes before they are accepted.
-    if receive_buffer is not None:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    try:
-        listener.bind(address)
-        listener.listen(BACKLOG)
-    except OSError:
-        listener.close()
-        return None
-    return listener
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -10,7 +10,8 @@
 from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
 from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.http.limits import client_limits
-from gypsumspoke.http.server import HttpServer, RequestPolicy, listen
+from gypsumspoke.http.listening import listen
+from gypsumspoke.http.server import HttpServer, RequestPolicy
 from gypsumspoke.parser.manifest import parse_manifest
 from gypsumspoke.parser.settings import Settings
 from gypsumspoke.shell import metrics
--- a/gypsumspoke/shell/entry_http.py
+++ b/gypsumspoke/shell/entry_http.py
@@ -89,7 +89,7 @@
     @staticmethod
     def body_limit(head: RequestHead) -> int:
         """Return the size up to which a request's body is wanted."""
-        return MAX_BODY_BYTES if head.path == JOBS_PATH else 0
+        return MAX_BODY_BYTES if head.decoded_path == JOBS_PATH else 0
 
     def refuse_unread(self, refusal: UnreadRefusal) -> HttpAnswer:
         """Return the answer to a request that isn't read."""
--- a/gypsumspoke/shell/http_servers.py
+++ b/gypsumspoke/shell/http_servers.py
@@ -4,11 +4,11 @@
 from datetime import timedelta
 
 from gypsumspoke.http.clients import ClientRegistry
+from gypsumspoke.http.listening import listen
 from gypsumspoke.http.server import (
     Application,
     HttpServer,
     RequestPolicy,
-    listen,
 )
 from gypsumspoke.runs.settings import Address
 from gypsumspoke.shell.admin_http import AdminServer, MetricsRenderer
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -14,7 +14,8 @@
 from gypsumspoke.http.answers import json_answer, read_body, respond
 from gypsumspoke.http.clients import ClientRegistry
 from gypsumspoke.http.limits import client_limits
-from gypsumspoke.http.server import HttpServer, RequestPolicy, listen
+from gypsumspoke.http.listening import listen
+from gypsumspoke.http.server import HttpServer, RequestPolicy
 from gypsumspoke.http.values import ReadLimits
 
 TIMEOUT_SECONDS = 20
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -206,3 +206,11 @@
     assert entry.callers.body_limit(head) == CONFIGURATION.limits.body_bytes
     assert entry.callers.body_limit(head._replace(path="/nothing")) == 0
     assert entry.callers.body_limit(head._replace(method="GET")) == 0
+
+
+def test_the_body_of_a_job_on_an_encoded_path_is_wanted(entry):
+    """Its request would be refused as invalid, since the body was not read."""
+    entry.state.table = RoutingTable(CONFIGURATION)
+    head = refusal(Unread.CLIENTS_PRESS).head
+    encoded = head._replace(path=f"/%{ord(head.path[1]):x}{head.path[2:]}")
+    assert entry.callers.body_limit(encoded) == CONFIGURATION.limits.body_bytes
