Take a handoff beside a claim of the same partition that can't succeed

Callers saw: a sidecar was stopped with SIGTERM half a second after the system had come up. A job whose home it was, with all its tasks at work, was answered 503 (takeover_in_progress, work unknown) 2 s later instead of 200.

01.137 worker-1 partition claimed, epoch 1 01.651 worker-4 partition claim sent, epoch 1 03.890 entry-2 request given up: takeover_in_progress, the partition moves (worker-4 never claimed it)

Cause: worker-4 had not heard yet that the partition had an owner. When worker-1 began to leave, worker-4 became the preferred owner, took the partition for one without an owner and sent a claim for epoch 1, which the table refuses. Before the refusal came back it got worker-1's handoff, and dropped it without an answer, since a claim of the partition was under way. worker-1 waits 3 s for an answer, and nobody serves the partition meanwhile; an entry gives a request up after 2 s.

A claim under way whose epoch is no later than that of the handoff can't succeed: the sender holds that epoch. It is dropped now, and the handoff taken. A handoff of an earlier epoch than the claim is ignored as before.

Ruled out: the load on the machine alone (the partition moved within 11 ms for worker-1's other partition), the changes to the HTTP server (the request had been read).

--- a/gypsumspoke/core/claims.py
+++ b/gypsumspoke/core/claims.py
@@ -159,10 +159,10 @@
             return _claimed(state, ownership, row.version, now)
     if row is not None and row.epoch >= ownership.epoch:
         state.rows[row.partition] = row
-        return _claim_failed(state, ownership)
+        return fail_claim(state, ownership)
     ownership.last_request = now
     if _is_superfluous(state, ownership, now):
-        return _claim_failed(state, ownership)
+        return fail_claim(state, ownership)
     return [_claim_write(state, ownership, now)]
 
 
@@ -176,7 +176,8 @@
     return not _is_abandoned(state, former, now)
 
 
-def _claim_failed(state: TakeoverState, ownership: Ownership) -> list[Effect]:
+def fail_claim(state: TakeoverState, ownership: Ownership) -> list[Effect]:
+    """Drop a claim, and tell the home that handed the partition over, if any."""
     drop_ownership(state, ownership)
     if not ownership.handoff_sender:
         return []
--- a/gypsumspoke/core/handoffs.py
+++ b/gypsumspoke/core/handoffs.py
@@ -7,7 +7,7 @@
 
 from datetime import datetime
 
-from gypsumspoke.core.claims import claim
+from gypsumspoke.core.claims import claim, fail_claim
 from gypsumspoke.core.counters import Counter
 from gypsumspoke.core.effects import Count, Effect, ReadRows, Send
 from gypsumspoke.core.events import RowsRead
@@ -94,21 +94,26 @@
     if state.leaving or not state.map_known:
         refused = HandoffAck(message.partition, message.epoch, False)
         return [Send(sender, refused)]
-    if message.partition in state.owned:
-        return []
+    effects: list[Effect] = []
+    ownership = state.owned.get(message.partition)
+    if ownership is not None:
+        if ownership.phase is not Phase.CLAIMING or ownership.epoch > message.epoch:
+            return []
+        # The sender holds this epoch or a later one, so the claim under way fails.
+        effects += fail_claim(state, ownership)
     parts = state.incoming.setdefault(source, {})
     parts[message.chunk] = message
     if len(parts) < message.chunks:
-        return []
+        return effects
     del state.incoming[source]
     known = state.rows.get(message.partition)
     if known is not None and known.epoch > message.epoch:
-        return [Send(sender, HandoffAck(message.partition, message.epoch, False))]
+        refused = HandoffAck(message.partition, message.epoch, False)
+        return [*effects, Send(sender, refused)]
     row = PartitionRow(message.partition, sender, message.epoch, now, message.version)
     handed = _join_parts([parts[number] for number in sorted(parts)])
-    return [Count(Counter.HANDOFF_TAKEN)] + claim(
-        state, message.partition, row, handed, sender, now
-    )
+    effects.append(Count(Counter.HANDOFF_TAKEN))
+    return effects + claim(state, message.partition, row, handed, sender, now)
 
 
 def _join_parts(parts: list[Handoff]) -> HandedLedger:
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -5,6 +5,7 @@
 
 from datetime import timedelta
 
+from gypsumspoke.core.claims import claim
 from gypsumspoke.core.counters import Counter
 from gypsumspoke.core.errors import ErrorKind, Work
 from gypsumspoke.core.events import ManifestChanged, Received
@@ -601,3 +602,27 @@
     system.submit(submission)
     system.run(1)
     assert system.answers(submission.key)[-1].work is Work.UNKNOWN
+
+
+def test_a_handoff_overtakes_a_claim_that_can_not_succeed():
+    """Guards against seconds without service: a home that hasn't heard of a
+    partition's first owner claims it too, and must still take that owner's handoff.
+    """
+    system = settled_system(workers=4, partitions=1)
+    system.hold_upstreams = True
+    submission = system.submission("k", tasks=4)
+    system.submit(submission)
+    system.run(0.5)
+    first = system.owner(submission.key)
+    for name, node in system.nodes.items():
+        if name != first:
+            # Its answer from the table is still under way.
+            claim(node.state.home.takeover, 0, None, None, "", system.now)
+    system.drain(first)
+    system.run(0.8)
+    assert system.owner(submission.key) != first
+    system.hold_upstreams = False
+    system.submit(submission)
+    system.run(0.5)
+    assert system.answers(submission.key)[-1].kind is None
+    assert set(system.starts(submission.key).values()) == {1}
