Place the tasks of very wide jobs behind others, a few at a time

The entry neither ended nor passed its memory.

Causes: a job placed all its tasks in one go, which takes an entry some 0.2 s, while nobody else is served; more such jobs waited, each in time by its own due time and so before jobs that came later. The entry was always behind and refused new jobs whoever sent them (entry_behind).

Now a job of more than 32 tasks is wide. Its first 32 tasks are placed like those of any job; the rest come behind other jobs of their priority, at most 32 in a turn of the event loop, and none while the standing lag is over half of that from which on jobs are refused. Tasks of wide jobs go to sidecars with fewer than 128 runs, divided by the number of entries. Jobs of up to 32 tasks are placed as before.

Why it works: between two turns the entry reads its sockets and places what is urgent, and what it does for wide jobs alone never makes it refuse others.

A higher bound than 128 was not tried.

--- a/gypsumspoke/runs/assignment.py
+++ b/gypsumspoke/runs/assignment.py
@@ -4,6 +4,11 @@
 before jobs that can't, then by arrival. The second rule keeps a burst from delaying
 every job behind it. A task that finds no room is skipped, up to ``MAX_MISSES`` jobs in
 a round, so that a job with large tasks doesn't leave workers idle.
+
+Each run takes processor time of its entry and sidecar, so that wide jobs, with very
+many tasks, could keep both from all others. Their tasks go to sidecars with few runs
+only. All but the first ones are bulk: they come behind other jobs of their priority, a
+few in each turn, and only while the entry isn't behind.
 """
 
 import logging
@@ -14,6 +19,7 @@
     CoordinatorState,
     JobProgress,
     PlacedRun,
+    PlacingContinues,
     TaskProgress,
 )
 from gypsumspoke.runs.messages import PlaceRun
@@ -36,6 +42,13 @@
 # Jobs without a placement after which a round ends; each costs a scan of all workers.
 MAX_MISSES = 6
 
+# A job with more tasks is wide, and its tasks beyond these are bulk.
+PROMPT_TASKS = 32
+# Bulk tasks that are placed in a round: a few milliseconds of processor time.
+BULK_TASKS_PER_ROUND = 32
+# Runs of all entries on a sidecar from which on it gets no task of a wide job.
+MAX_RUNS_BESIDE_WIDE_JOBS = 128
+
 
 def enqueue_ready_steps(state: CoordinatorState, progress: JobProgress) -> None:
     """Queue the tasks of each step whose preceding steps are done."""
@@ -61,8 +74,16 @@
     state.needs_placing_round = True
 
 
-def place_waiting(state: CoordinatorState, now: datetime) -> list[Effect]:
-    """Place the queued tasks that fit on a worker now, in the order of their jobs."""
+def place_waiting(
+    state: CoordinatorState, now: datetime, most_bulk: int = 0
+) -> list[Effect]:
+    """Place the queued tasks that fit on a worker now, in the order of their jobs.
+
+    Args:
+      state: the coordinator's state, changed in place.
+      now: the current time.
+      most_bulk: how many tasks are placed that are bulk.
+    """
     state.needs_placing_round = False
     if not state.waiting:
         return []
@@ -71,16 +92,44 @@
     misses = 0
     for progress in _sorted_jobs(state, now):
         before = len(state.waiting[progress.id])
-        effects += _place_job(state, progress, now)
+        prompt = _prompt_tasks(progress)
+        most = before if prompt is None else prompt + most_bulk
+        effects += _place_job(state, progress, now, most)
         left = state.waiting.get(progress.id, ())
+        placed = before - len(left)
+        if prompt is not None:
+            most_bulk -= max(placed - prompt, 0)
+        if left and placed == most:
+            state.needs_placing_round = True
         # Tasks that wait for a withdrawn run cost no scan.
-        if len(left) == before and not all(state.withdrawn.get(t.id) for t in left):
+        elif not placed and not all(state.withdrawn.get(t.id) for t in left):
             misses += 1
         if misses >= MAX_MISSES:
             break
     return effects
 
 
+def place_at_turn_end(state: CoordinatorState, now: datetime) -> list[Effect]:
+    """Place queued tasks, among them bulk ones if the entry has time for them."""
+    if not state.load_shedder.allows_bulk:
+        return place_waiting(state, now)
+    effects = place_waiting(state, now, BULK_TASKS_PER_ROUND)
+    if state.needs_placing_round:
+        effects.append(PlacingContinues())
+    return effects
+
+
+def _is_wide(progress: JobProgress) -> bool:
+    return progress.task_count > PROMPT_TASKS
+
+
+def _prompt_tasks(progress: JobProgress) -> int | None:
+    """Return how many tasks of a job are placed before they are bulk; None for all."""
+    if not _is_wide(progress):
+        return None
+    return max(PROMPT_TASKS - progress.placed, 0)
+
+
 def _least_queued(state: CoordinatorState) -> Room:
     """Return the least that a queued task needs, in each dimension."""
     rooms = [queued.least_room for queued in state.waiting.values()]
@@ -95,12 +144,13 @@
         for service in {state.jobs[job_id].route.service for job_id in state.waiting}
     }
 
-    def rank(job: JobProgress) -> tuple[int, bool, datetime]:
+    def rank(job: JobProgress) -> tuple[int, bool, bool, datetime]:
         in_time = (
             now + state.waiting[job.id].longest_estimate * paces[job.route.service]
             <= job.due
         )
-        return (job.route.priority, not in_time, job.arrived)
+        is_bulk = _prompt_tasks(job) == 0
+        return (job.route.priority, is_bulk, not in_time, job.arrived)
 
     return sorted((state.jobs[job_id] for job_id in state.waiting), key=rank)
 
@@ -146,14 +196,16 @@
 
 
 def _place_job(
-    state: CoordinatorState, progress: JobProgress, now: datetime
+    state: CoordinatorState, progress: JobProgress, now: datetime, most: int
 ) -> list[Effect]:
-    """Place the queued tasks of one job until one finds no room."""
+    """Place up to ``most`` queued tasks of one job until one finds no room."""
     queued = state.waiting[progress.id]
     search = _Search(state, progress, now)
     effects: list[Effect] = []
     placed: list[TaskProgress] = []
     for task in queued:
+        if len(placed) >= most:
+            break
         choice = _choose(state, progress, task, search)
         if choice is None and state.withdrawn.get(task.id):
             continue
@@ -177,6 +229,8 @@
         return None
     request = search.request(task)
     candidates = _allowed(progress, task, search.candidates(request))
+    if _is_wide(progress):
+        candidates = [each for each in candidates if _has_few_runs(each.view)]
     # A worker where the task failed or was refused is tried again only if no other one
     # is open, not even a full one. Otherwise it might refuse the same task endlessly.
     preferred = candidates
@@ -189,6 +243,14 @@
     return choose(preferred or candidates, request)
 
 
+def _has_few_runs(view: SidecarView) -> bool:
+    """Return whether a sidecar has so few runs that it gets tasks of wide jobs.
+
+    An entry knows its own runs only, and assumes that others place as many.
+    """
+    return len(view.open_runs) * view.report.entries < MAX_RUNS_BESIDE_WIDE_JOBS
+
+
 def _allowed(
     progress: JobProgress, task: TaskProgress, candidates: list[Candidate]
 ) -> list[Candidate]:
--- a/gypsumspoke/runs/coordinator.py
+++ b/gypsumspoke/runs/coordinator.py
@@ -37,7 +37,11 @@
     refuse_unreachable_deadline,
     refuse_unservable,
 )
-from gypsumspoke.runs.assignment import enqueue_ready_steps, place_waiting
+from gypsumspoke.runs.assignment import (
+    enqueue_ready_steps,
+    place_at_turn_end,
+    place_waiting,
+)
 from gypsumspoke.runs.caller_timeouts import CallerTimeoutsRead
 from gypsumspoke.runs.cancellations import CancelledJobsRead, CancelledJobsStored
 from gypsumspoke.runs.coordinator_sidecars import (
@@ -222,7 +226,7 @@
         ("request", progress.requests[0]),
         ("route", progress.route.name),
         ("version", state.version),
-        ("tasks", sum(step.count for step in progress.job.steps)),
+        ("tasks", progress.task_count),
         ("placed", progress.placed),
         ("patience_ms", (progress.deadline - progress.arrived) // _MILLISECOND),
         ("waited_ms", progress.waited_elsewhere // _MILLISECOND),
@@ -296,7 +300,7 @@
 
 @_handle.register
 def _(event: TurnEnded, state: CoordinatorState, now: datetime) -> list[Effect]:
-    return place_waiting(state, now) if state.needs_placing_round else []
+    return place_at_turn_end(state, now) if state.needs_placing_round else []
 
 
 @_handle.register
--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -95,6 +95,10 @@
     retry_after: timedelta | None = None
 
 
+class PlacingContinues(NamedTuple):
+    """Effect, and the event that it is posted as: more tasks are placed next turn."""
+
+
 class PlacedRun(NamedTuple):
     """A run together with the sidecar incarnation that it was placed on.
 
@@ -149,6 +153,7 @@
       remaining: for each step, the number of its tasks that are not done.
       released: for each step, whether its tasks have been queued.
       placed: number of placed runs.
+      task_count: number of all tasks.
     """
 
     def __init__(
@@ -168,6 +173,7 @@
         self.remaining = [step.count for step in event.job.steps]
         self.released = [False] * len(event.job.steps)
         self.placed = 0
+        self.task_count = sum(self.remaining)
 
     @property
     def id(self) -> str:
--- a/gypsumspoke/runs/load.py
+++ b/gypsumspoke/runs/load.py
@@ -17,6 +17,9 @@
 # a report may be a tick and a half old, and the placement is decided a tick later.
 MIN_REFUSING_LAG_TICKS = 0.25
 FULL_REFUSING_LAG_TICKS = 1.0
+# Up to this standing lag the entry also does work that can wait, so that this alone
+# never makes it refuse jobs.
+MAX_BULK_LAG_TICKS = MIN_REFUSING_LAG_TICKS / 2
 
 
 class LoadShedder:
@@ -31,6 +34,7 @@
         self._window = tick * WINDOW_TICKS
         self._min_refusing_lag = tick * MIN_REFUSING_LAG_TICKS
         self._full_refusing_lag = tick * FULL_REFUSING_LAG_TICKS
+        self._max_bulk_lag = tick * MAX_BULK_LAG_TICKS
         self._window_start = now
         self._min_lag: timedelta | None = None
         self._previous_min_lag = timedelta()
@@ -53,6 +57,11 @@
         if self._min_lag is None or lag < self._min_lag:
             self._min_lag = lag
 
+    @property
+    def allows_bulk(self) -> bool:
+        """Whether there is time for work that can wait."""
+        return self.standing_lag <= self._max_bulk_lag
+
     @property
     def refused_share(self) -> float:
         """Share of new jobs to refuse, from 0 to 1."""
--- a/gypsumspoke/shell/run_entry.py
+++ b/gypsumspoke/shell/run_entry.py
@@ -23,6 +23,7 @@
     AnswerJob,
     CoordinatorState,
     FirstConfiguration,
+    PlacingContinues,
 )
 from gypsumspoke.runs.directory import Directory, neighbours
 from gypsumspoke.runs.settings import RunSettings, address_text
@@ -114,6 +115,7 @@
         runtime = open_runtime(
             settings, context, coordinator.handle_event, state, clock, in_turns=True
         )
+        runtime.add_handler(PlacingContinues, runtime.post)
         callers = adapter.open_callers(
             runtime.post, context.metrics.count, clock, state
         )
--- a/tests/runs/test_load.py
+++ b/tests/runs/test_load.py
@@ -10,6 +10,7 @@
 from gypsumspoke.core.effects import Log, Send
 from gypsumspoke.core.events import Arrival, Received, Tick, Timed
 from gypsumspoke.runs.coordinator_state import JobArrived
+from gypsumspoke.runs.load import WINDOW_TICKS, LoadShedder
 from gypsumspoke.runs.messages import RunEnded, WorkerReport
 from gypsumspoke.runs.values import EndReason, JobEnd, RefusalReason
 from tests.runs.world import ROUTE, START, World, job, ms
@@ -183,3 +184,18 @@
     sends = [effect for effect in effects if isinstance(effect, Send)]
     assert sends == []
     assert entry.state.waiting.keys() == {"j1"}
+
+
+def test_work_that_can_wait_stops_before_jobs_are_refused():
+    """Work that goes on until jobs are refused would be done instead of them."""
+    tick = ms(100)
+    shedder = LoadShedder(tick, START)
+    for number in range(200):
+        lag = tick * number / 200
+        now = START + tick * WINDOW_TICKS * number
+        shedder.record_lag(lag, now)
+        shedder.record_lag(lag, now + tick * WINDOW_TICKS / 2)
+        assert not (shedder.allows_bulk and shedder.refused_share)
+    assert not shedder.allows_bulk
+    shedder.record_lag(ms(0), now + tick)
+    assert shedder.allows_bulk
--- a/tests/runs/world.py
+++ b/tests/runs/world.py
@@ -44,6 +44,7 @@
     CoordinatorState,
     JobArrived,
     JobCallerLeft,
+    PlacingContinues,
 )
 from gypsumspoke.runs.cordons import CordonsRead
 from gypsumspoke.runs.directory import (
@@ -596,6 +597,8 @@
                 event = Received(process.name, message)
                 number = self._connections[pair]
                 self.at(ONE_WAY, lambda: self._deliver(pair, number, to, event))
+            case PlacingContinues():
+                self.at(ZERO, lambda: self.post(process, effect))
             case AnswerJob():
                 self._record_answer(effect)
             case AnswerCancel(request, end):
