Leave memory of jobs in progress to small jobs

Callers saw: nothing yet; found by reading. A few jobs of legal size that last fill the memory for jobs in progress (a sixth of the machine's), and an ordinary job that comes then is refused like a large one (429, too_many_jobs) until one of them ends, when the next large one takes its place.

Cause: a job is accepted if its own memory is free, so that large and small ones are refused alike.

A job is accepted now if four times its memory is free. Large jobs are refused first, and leave room for hundreds of usual ones. A single job is always taken.

Test: test_large_jobs_leave_memory_for_small_ones, failed before.

--- a/gypsumspoke/runs/coordinator_state.py
+++ b/gypsumspoke/runs/coordinator_state.py
@@ -31,6 +31,8 @@
 
 # The ids of cancelled jobs may take this part of the memory for jobs, besides them.
 _CANCELLATIONS_PART = 4
+# A job is accepted if this many times its memory is free.
+_ROOM_BEHIND_JOB = 4
 
 
 class JobArrived(NamedTuple):
@@ -292,8 +294,11 @@
         return self._job_bytes
 
     def has_memory_for(self, job: Job) -> bool:
-        """Return whether a job may be added; a single one always may."""
-        needed = self._job_bytes + job_bytes(job)
+        """Return whether a job may be added; a single one always may.
+
+        A large job must leave room for others, so that it is refused before small ones.
+        """
+        needed = self._job_bytes + job_bytes(job) * _ROOM_BEHIND_JOB
         return not self.jobs or needed <= self._max_job_bytes
 
     def add_job(self, progress: JobProgress) -> None:
--- a/tests/runs/test_job_memory.py
+++ b/tests/runs/test_job_memory.py
@@ -49,6 +49,21 @@
     assert state.has_memory_for(large)
 
 
+def test_large_jobs_leave_memory_for_small_ones(world):
+    """A few large jobs must not take the memory of all others."""
+    state = world.processes["entry0"].state
+    state._max_job_bytes = 5 * job_bytes(job("j", count=900))
+    for number in range(8):
+        large = job(f"l{number}", count=900)
+        world.submit("entry0", f"l{number}", large, ms(10**7))
+    refused = [answer.reason for answer in world.answers.values()]
+    assert set(refused) == {RefusalReason.TOO_MANY_JOBS}
+    assert 0 < len(state.jobs) < 5
+    for number in range(50):
+        world.submit("entry0", f"r{number}", job(f"j{number}", count=2), ms(10**7))
+    assert "r49" in state.by_request
+
+
 def test_long_texts_and_many_steps_count():
     plain = job("j", count=1)
     (step,) = plain.steps
