Bound estimates, so that no sum of them is beyond any date

Callers saw: 40 clients that send jobs inside the limits end an entry (reducer failed, OverflowError: date value out of range). All jobs in progress there are lost, and 83 of 90 ordinary jobs got no answer, since the entry ended again after each start. Of the crowds seen so far it is the cheapest: one small job is enough at the right moment.

Cause: an estimate of 31 years is accepted, a chain of a hundred of them takes 3,170 years, and this is multiplied by the pace of the fastest worker when the job is admitted. At a pace of 2.6 or more the result is beyond the year 9999. The crowd itself brings the pace up, by jobs whose estimates are far too low; so does a slow worker. An error in the reducer ends the process, by design.

The longest chain at the highest pace is then 5.5 years.

Tests: test_a_chain_of_estimates_of_decades_is_refused_like_any_long_job and long_estimates in test_crowds.py, both failed before.

--- a/gypsumspoke/platform/jobs.py
+++ b/gypsumspoke/platform/jobs.py
@@ -16,6 +16,9 @@
 # Many times the widest job that callers send. A larger one would block the entry's
 # event loop while it is placed, and so delay all others.
 MAX_TASKS = 1000
+# Longer estimates count as this one: no caller waits that long, and sums of centuries
+# are beyond any date.
+_MAX_ESTIMATE = timedelta(days=1)
 
 _ID = re.compile(r"[0-9a-f]{16}")
 # Features that need durable jobs or gang scheduling.
@@ -77,7 +80,7 @@
     return Step(
         count=int(fields.count),
         room=Room(int(fields.cpu), int(fields.mem_mb), int(fields.gpu)),
-        estimate=timedelta(milliseconds=int(fields.estimate_ms)),
+        estimate=min(timedelta(milliseconds=int(fields.estimate_ms)), _MAX_ESTIMATE),
         after=tuple(after),
         label=fields.constraints or "",
         rack=fields.affinity or "",
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -24,6 +24,7 @@
         ("many_steps_before", "route", 40),
         ("many_json_fields", "route", 40),
         ("low_estimates", "route", 40),
+        ("long_estimates", "route", 40),
         ("many_tasks", "route", 40),
         ("long_texts", "route", 40),
         ("over_the_limit", "route", 40),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -19,8 +19,17 @@
 )
 from gypsumspoke.platform.settings import read_settings
 from gypsumspoke.runs.budget import DEFAULT_BUDGET
-from gypsumspoke.runs.values import Room, RunId, TaskId, WorkerReady
+from gypsumspoke.runs.sidecar_views import HIGHEST_PACE
+from gypsumspoke.runs.values import (
+    JobEnd,
+    RefusalReason,
+    Room,
+    RunId,
+    TaskId,
+    WorkerReady,
+)
 from tests.platform.system import configuration, job_body
+from tests.runs.test_job_lifecycle import settled
 from tests.standins.platform_worker import PlatformWorker
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -115,6 +124,18 @@
     assert is_successful(parsed) or str(parsed.failure())
 
 
+def test_a_chain_of_estimates_of_decades_is_refused_like_any_long_job():
+    """An estimate beyond any date ended the entry."""
+    step = {"count": 1, "estimate_ms": 10**12 - 1}
+    steps = [step] + [{**step, "after": [number]} for number in range(99)]
+    world = settled()
+    for view in world.processes["entry0"].state.views.values():
+        view.pace = HIGHEST_PACE
+    world.submit("entry0", "r", parse(job_body(steps=steps)).unwrap())
+    answer = world.answers["r"]
+    assert (answer.end, answer.reason) == (JobEnd.NOT_RUN, RefusalReason.TOO_LATE)
+
+
 def test_repeated_numbers_of_earlier_steps_take_no_memory():
     """A job of legal size could hold a hundred times the memory of its text."""
     step = {"count": 1, "cpu": 1}
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -128,6 +128,21 @@
     yield from _many_json_fields(target, {**_STEP, "estimate_ms": 1})
 
 
+def long_estimates(target: Target) -> Sending:
+    """Jobs whose estimates are far too low, and others that claim to take centuries."""
+    low = {**_STEP, "estimate_ms": 1}
+    long = {**_STEP, "estimate_ms": 10**12 - 1}
+    chain = [long] + [{**long, "after": [number]} for number in range(99)]
+    bodies = [
+        json.dumps({"best_effort": True, "spec": "x", "steps": steps}).encode()
+        for steps in ([low], [low], [low], chain)
+    ]
+    while True:
+        for body in bodies:
+            yield _header(target, len(body)) + body
+            yield _PAUSE_SECONDS
+
+
 def _many_json_fields(target: Target, step: dict) -> Sending:
     fields = {"best_effort": True, "spec": "x", "steps": [step]}
     fields.update((f"{number:x}", [{}]) for number in range(18_000))
@@ -207,6 +222,45 @@
         yield 0.01
 
 
+def small_requests(target: Target) -> Sending:
+    """Requests without a pause, one after the other."""
+    while True:
+        yield target.request_line("GET") + b"\r\n"
+
+
+def long_chunk_lines(target: Target) -> Sending:
+    """Bodies in chunks of a byte with long extensions."""
+    yield target.request_line() + b"Transfer-Encoding: chunked\r\n\r\n"
+    yield from _endless((b"1;" + b"x" * 8000 + b"\r\nx\r\n") * 8)
+
+
+def endless_trailer(target: Target) -> Sending:
+    """Bodies of one chunk with a trailer without an end."""
+    yield target.request_line() + b"Transfer-Encoding: chunked\r\n\r\n"
+    yield b"1\r\nx\r\n0\r\n"
+    yield from _endless(b"X-Long: " + b"x" * 4000 + b"\r\n")
+
+
+def deep_json(target: Target) -> Sending:
+    """Jobs of legal size with a deeply nested field."""
+    steps = json.dumps([_STEP]).encode()
+    body = b'{"best_effort":true,"steps":%b,"x":%b%b}' % (
+        steps,
+        b"[" * 120_000,
+        b"]" * 120_000,
+    )
+    while True:
+        yield _header(target, len(body)) + body
+
+
+def jobs_ahead(target: Target) -> Sending:
+    """Ordinary jobs sent ahead without reading the answers."""
+    body = json.dumps({"best_effort": True, "spec": "x", "steps": [_STEP]}).encode()
+    while True:
+        yield (_header(target, len(body)) + body)
+        yield 0.01
+
+
 def come_and_go(target: Target) -> Sending:
     """Connections that end at once, in the middle of a request."""
     yield _header(target, BODY_BYTES) + b" " * 2000
@@ -236,6 +290,7 @@
         Kind(many_steps_before),
         Kind(many_json_fields),
         Kind(low_estimates),
+        Kind(long_estimates),
         Kind(long_texts),
         Kind(many_tasks),
         Kind(large_heartbeats),
@@ -246,6 +301,11 @@
         Kind(stop_half_way),
         Kind(sent_ahead, reads=False),
         Kind(cancels),
+        Kind(small_requests),
+        Kind(long_chunk_lines),
+        Kind(endless_trailer),
+        Kind(deep_json),
+        Kind(jobs_ahead, reads=False),
         Kind(come_and_go),
     )
 }
