Answer a heartbeat with a number beyond any time with 400

Callers saw: a heartbeat whose clock, incarnation, sequence or capacity is infinite or beyond any duration was answered 500, and logged with a stack trace each time. Nothing ended: such values don't reach the reducer.

Cause: OverflowError was not among the errors that the decoder expects. Found by going through extreme values of all fields, with a sidecar that handles what is accepted; no other value raised there.

Test: test_an_absurd_number_in_a_heartbeat_gives_a_message_or_is_taken, failed before.

--- a/gypsumspoke/platform/registration.py
+++ b/gypsumspoke/platform/registration.py
@@ -140,7 +140,13 @@
         return Success(_heartbeat(worker, _decode_fields(body)))
     except KeyError as error:
         return Failure(f"{error.args[0]} is missing")
-    except (ValueError, TypeError, AttributeError, RecursionError) as error:
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         return Failure(str(error))
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -292,6 +292,16 @@
     assert "callers come back after 300 ms" in read_settings(path).failure()
 
 
+@pytest.mark.parametrize("name", ["born", "seq", "clock_ms", "capacity"])
+@pytest.mark.parametrize("number", [float("inf"), -float("inf"), 10**18, -(10**18)])
+def test_an_absurd_number_in_a_heartbeat_gives_a_message_or_is_taken(name, number):
+    """A number beyond any time was answered 500."""
+    value = {"cpu": number} if name == "capacity" else number
+    body = {**heartbeat(), name: value}
+    answer = parse_heartbeat("w-1", json.dumps(body).encode())
+    assert is_successful(answer) or answer.failure()
+
+
 def test_a_large_heartbeat_is_read_as_a_small_one():
     worker = PlatformWorker("w1")
     fields = worker.heartbeat()
