Crowds: more kinds, among them jobs with long lists that run

Played beside the former ones: jobs and small requests sent ahead, cancels of jobs that nobody sent, connections that end in the middle of a request, chunks of a byte with long extensions (also at the readiness address), trailers without an end, deeply nested fields, and the jobs with long lists of earlier steps as they were first seen, whose last step runs as well.

--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -118,6 +118,15 @@
         yield _header(target, len(body)) + body
 
 
+def many_steps_run(target: Target) -> Sending:
+    """The same, with a last step that runs like the others."""
+    later = {**_STEP, "after": [0] * 900}
+    fields = {"best_effort": True, "spec": "x", "steps": [_STEP] + [later] * 91}
+    body = json.dumps(fields).encode()
+    while True:
+        yield _header(target, len(body)) + body
+
+
 def many_json_fields(target: Target) -> Sending:
     """Jobs of legal size made of very many short fields."""
     yield from _many_json_fields(target, _STEP)
@@ -288,6 +297,7 @@
         Kind(long_header),
         Kind(many_fields),
         Kind(many_steps_before),
+        Kind(many_steps_run),
         Kind(many_json_fields),
         Kind(low_estimates),
         Kind(long_estimates),
