--- a/gypsumspoke/runs/estimates.py
+++ b/gypsumspoke/runs/estimates.py
@@ -58,11 +58,14 @@
 
     def bound_pace(self, pace: float, now: datetime) -> float:
         """Return a worker's smoothed pace without what wrong estimates did to it."""
-        if pace <= MAX_SLOWDOWN or pace <= self._highest_pace(now):
+        highest = self._highest_pace(now)
+        if pace <= highest:
             return pace
-        return max(
-            each for each in self._recent(now) if each <= self._highest_pace(now)
-        )
+        return max(each for each in self._recent(now) if each <= highest)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._by_size.clear()
 
     def _recent(self, now: datetime) -> list[float]:
         return [
@@ -70,14 +73,10 @@
         ]
 
     def _highest_pace(self, now: datetime) -> float:
-        """Return the highest pace that a slow worker explains."""
+        """Return the highest pace that a slow worker may have."""
         lowest = min(self._recent(now), default=math.inf)
         return MAX_SLOWDOWN * max(lowest, 1.0)
 
-    def clear(self) -> None:
-        """Forget everything."""
-        self._by_size.clear()
-
 
 def _size(estimate: timedelta) -> int:
     return (estimate // _MILLISECOND).bit_length()
