Test system: fixed ports, so that no two of its servers get the same

Cause: the system of the end-to-end tests chose each port by binding to a free one and closing it again. The kernel may give the same port twice, so that an entry's ports for callers and for peers were the same; the entry couldn't listen and ended. A worker's stand-in listens on a free port of the address that its sidecar listens on as well, so that the sidecar could fail in the same way.

Ruled out as far as these runs go: a start that hangs.

The ports are constants now, below those that the kernel gives out: the addresses are the system's own, picked at random. A timeout shows the end of the output of processes that have ended.

--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import gevent
-from gevent.socket import socket
 from geventhttpclient import HTTPClient
 
 from tests.standins.platform_store import PlatformStore
@@ -17,6 +16,11 @@
 from tests.standins.relay import Relay
 
 TIMEOUT_SECONDS = 20
+# Outside the range that the kernel takes free ports from: the stand-ins listen on some
+# of the same addresses, and clients connect from others.
+CALLERS_PORT = 9461
+READINESS_PORT = 9462
+CONTROL_PORT = 9463
 METRICS_PORT = 9464
 # Memory and file descriptors of a process, as in the platform's settings.
 ENTRY_LIMITS = {"memory_mb": 300, "max_fds": 4100}
@@ -93,7 +97,6 @@
         self._stack = ExitStack()
         self._net = f"127.{random.SystemRandom().randrange(1, 255)}"
         self._net += f".{random.SystemRandom().randrange(1, 255)}"
-        self._ports = [_free_port() for _ in range(4)]
         self._counts = (entries, sidecars)
         self._jobs = 0
         self.store = PlatformStore()
@@ -120,15 +123,15 @@
     def start_entry(self, number: int) -> Process:
         """Start or restart an entry."""
         ip = self._ip(10 + number)
-        front, ready, control, _ = self._ports
-        announced, listening = (ip, control), (self._ip(110 + number), control)
+        announced = (ip, CONTROL_PORT)
+        listening = (self._ip(110 + number), CONTROL_PORT)
         if self._relayed:
             self._relay(f"front-{number}", listening, announced)
         settings = self._settings(f"front-{number}", ip, ["front", "control"])
         settings["listen"] = {
-            "front": f"{ip}:{front}",
-            "ready": f"{ip}:{ready}",
-            "control": f"{ip}:{control}",
+            "front": f"{ip}:{CALLERS_PORT}",
+            "ready": f"{ip}:{READINESS_PORT}",
+            "control": f"{ip}:{CONTROL_PORT}",
         }
         if not self._relayed:
             return self._start(settings, "gypsumspoke.platform", "entry")
@@ -139,7 +142,7 @@
         """Start or restart a sidecar."""
         ip = self._ip(20 + number)
         settings = self._settings(f"side-{number}", ip, ["side"])
-        settings["listen"] = {"control": f"{ip}:{self._ports[2]}"}
+        settings["listen"] = {"control": f"{ip}:{CONTROL_PORT}"}
         host, port = self._relay(f"w{number}", self.workers[number].address)
         settings["app"] = f"{host}:{port}"
         settings["service"] = "estimate"
@@ -171,7 +174,7 @@
 
     def _settings(self, node: str, ip: str, serves: list[str]) -> dict:
         host, port = self._relay("store", self.store.address)
-        seed = f"{self._ip(10)}:{self._ports[2]}"
+        seed = f"{self._ip(10)}:{CONTROL_PORT}"
         return {
             "node": node,
             "serves": serves,
@@ -205,15 +208,15 @@
 
     def caller_address(self, number: int) -> tuple[str, int]:
         """Return the address on which an entry serves callers."""
-        return self._ip(10 + number), self._ports[0]
+        return self._ip(10 + number), CALLERS_PORT
 
     def readiness_address(self, number: int) -> tuple[str, int]:
         """Return the address on which an entry answers readiness probes."""
-        return self._ip(10 + number), self._ports[1]
+        return self._ip(10 + number), READINESS_PORT
 
     def peer_address(self, number: int) -> tuple[str, int]:
         """Return the address on which an entry takes connections of peers."""
-        return self._ip(10 + number), self._ports[2]
+        return self._ip(10 + number), CONTROL_PORT
 
     def metrics_address(self, number: int) -> tuple[str, int]:
         """Return the address on which an entry serves its metrics."""
@@ -221,7 +224,7 @@
 
     def registration_address(self, number: int) -> tuple[str, int]:
         """Return the address on which a sidecar takes its worker's heartbeats."""
-        return self._ip(20 + number), self._ports[2]
+        return self._ip(20 + number), CONTROL_PORT
 
     def call(
         self,
@@ -267,13 +270,16 @@
         """Wait until a condition holds.
 
         Raises:
-          AssertionError: it does not hold within the timeout.
+          AssertionError: it does not hold within the timeout; shows the end of the
+            output of processes that have ended.
         """
         with gevent.Timeout(TIMEOUT_SECONDS, False):
             while not condition():
                 gevent.sleep(0.02)
             return
-        raise AssertionError(f"timed out waiting for {description}")
+        ended = [each for each in self.entries + self.sidecars if not each.alive]
+        outputs = "".join(f"\nended: {each.output_end()}" for each in ended)
+        raise AssertionError(f"timed out waiting for {description}{outputs}")
 
     def wait_until_serving(self) -> None:
         """Wait until every entry completes jobs."""
@@ -299,11 +305,3 @@
         return response.status_code, json.loads(raw or b"null"), fields
     finally:
         client.close()
-
-
-def _free_port() -> int:
-    probe = socket()
-    probe.bind(("127.0.0.1", 0))
-    port = probe.getsockname()[1]
-    probe.close()
-    return port
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -57,6 +57,10 @@
         """Whether the process still runs."""
         return self._child.poll() is None
 
+    def output_end(self) -> str:
+        """Return the last 3,000 characters of its output."""
+        return self._log_path.read_text(errors="replace")[-3000:]
+
     def lines(self) -> list[dict[str, Any]]:
         """Return the JSON lines printed so far, without other output."""
         parsed = []
@@ -115,7 +119,7 @@
                 if found is not None:
                     return found
                 gevent.sleep(0.02)
-        raise AssertionError(f"{problem}: {self._log_path.read_text()[-3000:]}")
+        raise AssertionError(f"{problem}: {self.output_end()}")
 
 
 class Processes:
