HTTP server: end the wait of an answer that isn't read with its connection

Cause: a connection could be closed while a greenlet waited for its socket to take more of an answer, for example to make room for other clients. The watcher of that greenlet stayed for up to 250 ms on the closed descriptor. When another connection got the descriptor and was closed as well, libev changed the watch of a descriptor that doesn't exist, and its assertion ended the process (SIGABRT).

The connection owns the wait now, and ends it before it closes the socket.

--- a/gypsumspoke/http/connection.py
+++ b/gypsumspoke/http/connection.py
@@ -5,13 +5,13 @@
 """
 
 import socket
-from contextlib import suppress
+from contextlib import closing, suppress
 from datetime import datetime, timedelta
 from enum import Enum
 from typing import Protocol
 
-import gevent
 from gevent import get_hub
+from gevent.event import Event
 
 from gypsumspoke.core.clock import Clock
 from gypsumspoke.http.heads import RequestHead
@@ -39,6 +39,29 @@
     CLOSED = "closed"
 
 
+class WritableWait:
+    """Waits until a socket takes more bytes; another greenlet may end the wait.
+
+    Args:
+      sock: the socket; stays open until the wait is closed.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._ended = Event()
+        self._watcher = get_hub().loop.io(sock.fileno(), _WRITABLE)
+        self._watcher.start(self._ended.set)
+
+    def wait(self, timeout: timedelta) -> bool:
+        """Return whether the wait ended within a timeout."""
+        return self._ended.wait(timeout.total_seconds())
+
+    def close(self) -> None:
+        """End the wait; further calls do nothing."""
+        self._watcher.stop()
+        self._watcher.close()
+        self._ended.set()
+
+
 class ConnectionOwner(Protocol):
     """What a connection needs of its server."""
 
@@ -87,6 +110,7 @@
         "_since",
         "_heard",
         "_held",
+        "_writable",
         "_lingered",
         "_is_paced",
         "_has_new_bytes",
@@ -107,6 +131,7 @@
         self._phase = Phase.READING
         self._since = self._heard = owner.clock.now()
         self._held = 0
+        self._writable: WritableWait | None = None
         self._lingered = 0
         # Whether its turn in the queue of paced work is still to come.
         self._is_paced = False
@@ -182,6 +207,9 @@
         self._phase = Phase.CLOSED
         self._readable.stop()
         self._readable.close()
+        # The event loop must not watch a descriptor that is closed, and soon another's.
+        if self._writable is not None:
+            self._writable.close()
         self._sock.close()
         self._forget_bytes()
         self._owner.on_closed(self)
@@ -329,7 +357,7 @@
                     left = left[self._sock.send(left) :]
                 except BlockingIOError:
                     self._wait_writable()
-        except (OSError, gevent.Timeout):
+        except OSError:
             return False
         return True
 
@@ -337,21 +365,14 @@
         """Wait until the client has read something.
 
         Raises:
-          OSError: the connection was closed meanwhile.
-          gevent.Timeout: the client reads nothing for too long.
+          OSError: the connection was closed meanwhile, or the client reads nothing for
+            too long.
         """
-        hub = get_hub()
-        end = self._owner.clock.now() + self._limits.idle_timeout
-        while self._phase is Phase.WRITING:
-            left = (end - self._owner.clock.now()).total_seconds()
-            if left <= 0:
-                raise gevent.Timeout
-            # Ends now and then, since another greenlet may close the connection.
-            with hub.loop.io(self._sock.fileno(), _WRITABLE) as writable:
-                with gevent.Timeout(min(left, 0.25), False):
-                    hub.wait(writable)
-                    return
-        raise ConnectionAbortedError
+        with closing(WritableWait(self._sock)) as self._writable:
+            if not self._writable.wait(self._limits.idle_timeout):
+                raise TimeoutError
+        if self._phase is not Phase.WRITING:
+            raise ConnectionAbortedError
 
     def _read_next(self) -> None:
         """Read the next request, which may have arrived already."""
