HTTP server: bound the answers that clients don't read

Cause: only what clients send was bounded. Answers that a client doesn't read wait in the system's send buffer, which grows to 2.5 MB for each connection on loopback, and beyond it in the process; neither counted. The platform counts only received bytes, but the memory is the machine's.

What was seen: 2,600 clients that ask for the metrics 200 times each and read nothing: 171 MB of unsent answers within 8 s, 239 MB with the entry of 300, and rising by some 16 MB a second.

Send buffers have a size now that follows from the memory, like receive buffers; a sixteenth of the memory for all. The system takes up to 64 KB beyond it if it isn't asked first, so that an answer is sent in parts, each when there is room. What can't be sent counts as held, and the budget closes clients that read nothing, the costliest first.

--- a/gypsumspoke/http/budget.py
+++ b/gypsumspoke/http/budget.py
@@ -22,7 +22,7 @@
 
     @property
     def held(self) -> int:
-        """Bytes of the request that is being read."""
+        """Bytes of the request that is being read, or of the answer that isn't read."""
 
     @property
     def since(self) -> datetime:
@@ -38,7 +38,8 @@
 
     Attributes:
       connections: number of open connections.
-      held_bytes: size of all requests that are being read.
+      held_bytes: size of all requests that are being read, and of the answers whose
+        clients don't read them.
     """
 
     connections: int
--- a/gypsumspoke/http/clients.py
+++ b/gypsumspoke/http/clients.py
@@ -10,7 +10,7 @@
 from gypsumspoke.core.process_limits import DEFAULT_PROCESS_LIMITS
 from gypsumspoke.http.budget import Occupancy, connections_to_close
 from gypsumspoke.http.connection import ClientConnection
-from gypsumspoke.http.limits import ClientLimits, client_limits
+from gypsumspoke.http.limits import ClientLimits, SocketBuffers, client_limits
 from gypsumspoke.http.pacing import PacedQueue, Work
 from gypsumspoke.http.values import Unread
 
@@ -34,7 +34,7 @@
         clock: Clock | None = None,
     ) -> None:
         self._limit = Occupancy(limits.connections, limits.held_bytes)
-        self._receive_buffer = limits.receive_buffer
+        self._buffers = limits.buffers
         self._clock = clock or SteadyClock()
         self._connections: set[ClientConnection] = set()
         self._held = 0
@@ -50,9 +50,9 @@
         return self._clock
 
     @property
-    def receive_buffer(self) -> int:
-        """Value of SO_RCVBUF for a connection."""
-        return self._receive_buffer
+    def buffers(self) -> SocketBuffers:
+        """Buffers of a connection."""
+        return self._buffers
 
     @property
     def open_connections(self) -> int:
@@ -61,7 +61,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of the requests that are being read."""
+        """Bytes of requests that are being read, and of answers that aren't read."""
         return self._held
 
     def pace(self, work: Work) -> None:
--- a/gypsumspoke/http/connection.py
+++ b/gypsumspoke/http/connection.py
@@ -4,6 +4,7 @@
 that sends slowly costs little more than its bytes.
 """
 
+import select
 import socket
 from contextlib import closing, suppress
 from datetime import datetime, timedelta
@@ -17,10 +18,11 @@
 from gypsumspoke.http.heads import RequestHead
 from gypsumspoke.http.pacing import Work
 from gypsumspoke.http.requests import SMALL_BYTES, RequestReader, Stage
-from gypsumspoke.http.values import ReadLimits, Unread
+from gypsumspoke.http.values import Payload, ReadLimits, Unread
 
 _READABLE, _WRITABLE = 1, 2
 _READ_BYTES = 16 * 1024
+_SEND_BYTES = 4 * 1024
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # After a refusal the connection stays open for a while, and what still arrives is
 # dropped: closing it with unread bytes would reset it, and the client might not see
@@ -29,6 +31,23 @@
 _MAX_LINGER_BYTES = 4 * 1024 * 1024
 
 
+def _send_some(sock: socket.socket, data: memoryview) -> int:
+    """Send what there is room for in the system's buffer; return its size.
+
+    Raises:
+      OSError: the connection is broken.
+    """
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    # Unless it is asked first, the system takes far more than its buffer.
+    if not poll.poll(0):
+        return 0
+    try:
+        return sock.send(data[:_SEND_BYTES])
+    except BlockingIOError:
+        return 0
+
+
 class Phase(Enum):
     """What a connection does."""
 
@@ -110,6 +129,7 @@
         "_since",
         "_heard",
         "_held",
+        "_unsent",
         "_writable",
         "_lingered",
         "_is_paced",
@@ -131,6 +151,8 @@
         self._phase = Phase.READING
         self._since = self._heard = owner.clock.now()
         self._held = 0
+        # Size of the answer that the client doesn't read.
+        self._unsent = 0
         self._writable: WritableWait | None = None
         self._lingered = 0
         # Whether its turn in the queue of paced work is still to come.
@@ -156,7 +178,7 @@
 
     @property
     def held(self) -> int:
-        """Bytes of the request that is being read."""
+        """Bytes of the request that is being read, or of the answer that isn't read."""
         return self._held
 
     @property
@@ -245,12 +267,13 @@
         return True
 
     def _account(self) -> None:
-        held = self._reader.held
+        held = self._reader.held + self._unsent
         change, self._held = held - self._held, held
         self._owner.on_held(change)
 
     def _forget_bytes(self) -> None:
         self._reader.clear()
+        self._unsent = 0
         self._account()
 
     def _advance_or_pace(self) -> None:
@@ -326,7 +349,7 @@
         self._account()
         return body
 
-    def write(self, payload: bytes, keeps_open: bool) -> None:
+    def write(self, payload: Payload, keeps_open: bool) -> None:
         """Write an answer; waits for a client that doesn't read.
 
         Args:
@@ -337,7 +360,10 @@
             return
         self._phase = Phase.WRITING
         self._since = self._owner.clock.now()
-        if not self._send_all(payload):
+        is_sent = self._send_all(payload)
+        self._unsent = 0
+        self._account()
+        if not is_sent:
             self.close()
         elif self._phase is not Phase.WRITING:
             return
@@ -348,19 +374,34 @@
         else:
             self._close_after_answer()
 
-    def _send_all(self, payload: bytes) -> bool:
+    def _send_all(self, payload: Payload) -> bool:
         """Send all bytes; return whether that succeeded."""
-        left = memoryview(payload)
         try:
-            while left:
-                try:
-                    left = left[self._sock.send(left) :]
-                except BlockingIOError:
-                    self._wait_writable()
+            for part in payload:
+                self._send(part, len(payload.own))
         except OSError:
             return False
         return True
 
+    def _send(self, part: bytes, unsent: int) -> None:
+        """Send a part of an answer.
+
+        Args:
+          part: the part.
+          unsent: what is held meanwhile for a client that doesn't read.
+
+        Raises:
+          OSError: it can't be sent.
+        """
+        left = memoryview(part)
+        while left:
+            if sent := _send_some(self._sock, left):
+                left = left[sent:]
+            else:
+                self._unsent = unsent
+                self._account()
+                self._wait_writable()
+
     def _wait_writable(self) -> None:
         """Wait until the client has read something.
 
@@ -368,9 +409,11 @@
           OSError: the connection was closed meanwhile, or the client reads nothing for
             too long.
         """
-        with closing(WritableWait(self._sock)) as self._writable:
-            if not self._writable.wait(self._limits.idle_timeout):
-                raise TimeoutError
+        # Accounting for the answer may have closed this connection.
+        if self._phase is Phase.WRITING:
+            with closing(WritableWait(self._sock)) as self._writable:
+                if not self._writable.wait(self._limits.idle_timeout):
+                    raise TimeoutError
         if self._phase is not Phase.WRITING:
             raise ConnectionAbortedError
 
--- a/gypsumspoke/http/limits.py
+++ b/gypsumspoke/http/limits.py
@@ -14,13 +14,27 @@
 _RESERVED_DESCRIPTORS = 512
 _MIN_CONNECTIONS = 64
 
-# Parts of the memory: for requests that are being read, for bytes that wait in the
-# sockets, and for jobs in progress. The rest is for the process itself.
+# Parts of the memory: for requests that are being read and answers that are being
+# written, for bytes that wait in the sockets on either way, and for jobs in progress.
+# The rest is for the process itself.
 _HELD_PART = 1 / 8
 _UNREAD_PART = 1 / 6
+_UNSENT_PART = 1 / 16
 _JOBS_PART = 1 / 6
-_MIN_RECEIVE_BUFFER = 2 * 1024
-_MAX_RECEIVE_BUFFER = 64 * 1024
+_MIN_BUFFER = 2 * 1024
+_MAX_BUFFER = 64 * 1024
+
+
+class SocketBuffers(NamedTuple):
+    """Sizes of a connection's buffers in the system, which reserves twice as much.
+
+    Attributes:
+      receive: value of SO_RCVBUF.
+      send: value of SO_SNDBUF.
+    """
+
+    receive: int
+    send: int
 
 
 class ClientLimits(NamedTuple):
@@ -28,15 +42,15 @@
 
     Attributes:
       connections: maximum number of open connections.
-      held_bytes: maximum size of all requests that are being read.
-      receive_buffer: value of SO_RCVBUF for a connection; the system reserves twice as
-        much.
+      held_bytes: maximum size of all requests that are being read, and of the answers
+        whose clients don't read them.
+      buffers: buffers of a connection.
       job_bytes: maximum memory of the jobs in progress.
     """
 
     connections: int
     held_bytes: int
-    receive_buffer: int
+    buffers: SocketBuffers
     job_bytes: int
 
 
@@ -45,9 +59,14 @@
     descriptors = (limits.descriptors - _RESERVED_DESCRIPTORS) * 3 // 4
     connections = max(descriptors, _MIN_CONNECTIONS)
     unread = int(limits.memory_bytes * _UNREAD_PART) // (connections + BACKLOG) // 2
+    unsent = int(limits.memory_bytes * _UNSENT_PART) // connections // 2
     return ClientLimits(
         connections,
         int(limits.memory_bytes * _HELD_PART),
-        min(max(unread, _MIN_RECEIVE_BUFFER), _MAX_RECEIVE_BUFFER),
+        SocketBuffers(_buffer(unread), _buffer(unsent)),
         int(limits.memory_bytes * _JOBS_PART),
     )
+
+
+def _buffer(size: int) -> int:
+    return min(max(size, _MIN_BUFFER), _MAX_BUFFER)
--- a/gypsumspoke/http/listening.py
+++ b/gypsumspoke/http/listening.py
@@ -5,18 +5,17 @@
 
 import socket
 
-from gypsumspoke.http.limits import BACKLOG
+from gypsumspoke.http.limits import BACKLOG, SocketBuffers
 
 
 def listen(
-    address: tuple[str, int], receive_buffer: int | None = None
+    address: tuple[str, int], buffers: SocketBuffers | None = None
 ) -> socket.socket:
     """Return a new listening socket that doesn't block.
 
     Args:
       address: IP number and port; port 0 for any free one.
-      receive_buffer: value of SO_RCVBUF for each connection; None for the system's
-        default.
+      buffers: buffers of each connection; None for the system's default.
 
     Raises:
       OSError: the address can't be bound.
@@ -24,9 +23,10 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Connections inherit the size; they may carry bytes before they are accepted.
-        if receive_buffer is not None:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        # Connections inherit the sizes; they may carry bytes before they are accepted.
+        if buffers is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffers.receive)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffers.send)
         listener.bind(address)
         listener.listen(BACKLOG)
     except OSError:
--- a/gypsumspoke/http/server.py
+++ b/gypsumspoke/http/server.py
@@ -27,7 +27,9 @@
     DEFAULT_READ_LIMITS,
     PRESSED_RETRY_AFTER,
     UNREAD_STATUS,
+    Payload,
     ReadLimits,
+    SharedBody,
     Unread,
 )
 
@@ -229,7 +231,7 @@
             *answer.headers,
             ("Connection", "close"),
         ]
-        return _encode(_status_line(answer.status), headers, answer.body)
+        return _encode_head(_status_line(answer.status), headers) + answer.body
 
     def on_request(self, connection: ClientConnection) -> None:
         """Answer a complete request in the background."""
@@ -249,7 +251,7 @@
             if not self._unanswered:
                 self._idle.set()
 
-    def _call(self, connection: ClientConnection) -> tuple[bytes, bool]:
+    def _call(self, connection: ClientConnection) -> tuple[Payload, bool]:
         """Call the application; return the encoded answer and whether to keep open."""
         head = connection.reader.head
         started: list[tuple[str, list[tuple[str, str]]]] = []
@@ -259,11 +261,12 @@
 
         try:
             environ = self._request_environ(connection, head)
-            body = b"".join(self._application(environ, start))
+            parts = self._application(environ, start)
+            body = b"".join(parts)
             status, headers = started[0]
         except Exception:
             _log.exception({"message": "request failed", "details": {"on": head.path}})
-            return _encode(_status_line(500), _CLOSING_HEADERS, b""), False
+            return Payload(_encode_head(_status_line(500), _CLOSING_HEADERS)), False
         names = {name.lower(): value for name, value in headers}
         keeps_open = head.keeps_alive and not connection.reader.is_cut
         if names.get("connection", "").lower() == "close":
@@ -276,7 +279,10 @@
             headers = [*headers, ("Content-Length", str(len(body)))]
         if head.method == "HEAD":
             body = b""
-        return _encode(status, headers, body), keeps_open
+        encoded = _encode_head(status, headers)
+        if isinstance(parts, SharedBody):
+            return Payload(encoded, body), keeps_open
+        return Payload(encoded + body), keeps_open
 
     def _request_environ(
         self, connection: ClientConnection, head: RequestHead
@@ -329,10 +335,10 @@
     return f"{status} {HTTPStatus(status).phrase}"
 
 
-def _encode(status: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
+def _encode_head(status: str, headers: list[tuple[str, str]]) -> bytes:
     lines = [f"HTTP/1.1 {status}"]
     lines += (f"{name}: {value}" for name, value in headers)
     lines.append(
         time.strftime("Date: %a, %d %b %Y %H:%M:%S GMT\r\n\r\n", time.gmtime())
     )
-    return "\r\n".join(lines).encode("latin-1") + body
+    return "\r\n".join(lines).encode("latin-1")
--- a/gypsumspoke/http/values.py
+++ b/gypsumspoke/http/values.py
@@ -29,6 +29,26 @@
 PRESSED_RETRY_AFTER = timedelta(seconds=2)
 
 
+class SharedBody(list[bytes]):
+    """The body of an answer that is kept anyway, whoever gets it.
+
+    An application returns it in place of a list. It isn't copied, and doesn't count as
+    held for a client that doesn't read.
+    """
+
+
+class Payload(NamedTuple):
+    """An encoded answer.
+
+    Attributes:
+      own: status line and headers, with the body unless it is shared.
+      shared: the body if it is kept anyway.
+    """
+
+    own: bytes
+    shared: bytes = b""
+
+
 class ReadLimits(NamedTuple):
     """Bounds on reading one request.
 
--- a/gypsumspoke/platform/__main__.py
+++ b/gypsumspoke/platform/__main__.py
@@ -46,9 +46,10 @@
         # Peers exchange large messages.
         is_entry = "front" in settings["serves"]
         peers = _address(listen["control"]) if is_entry else None
-        size = client_limits(process_limits(settings)).receive_buffer
-        buffers = {each: size for each in addresses if each != peers}
-        return EarlyListeners(addresses, buffers)
+        buffers = client_limits(process_limits(settings)).buffers
+        return EarlyListeners(
+            addresses, {each: buffers for each in addresses if each != peers}
+        )
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return EarlyListeners()
 
--- a/gypsumspoke/shell/admin_http.py
+++ b/gypsumspoke/shell/admin_http.py
@@ -16,7 +16,7 @@
 from gypsumspoke.http.heads import RequestHead
 from gypsumspoke.http.listening import listen
 from gypsumspoke.http.server import HttpServer, RequestPolicy
-from gypsumspoke.http.values import ReadLimits
+from gypsumspoke.http.values import ReadLimits, SharedBody
 
 READ_LIMITS = ReadLimits(idle_timeout=timedelta(seconds=10))
 REQUEST_TIMEOUT_SECONDS = 30.0
@@ -98,7 +98,7 @@
         Raises:
           OSError: the address can't be bound.
         """
-        listener = listen(self._address, self._clients.receive_buffer)
+        listener = listen(self._address, self._clients.buffers)
         self._server = HttpServer(listener, self._answer, self._policy, self._clients)
         self._server.start()
 
@@ -136,7 +136,7 @@
             self._rendered = self._metrics.render()
             now = self._clients.clock.now()
             self._render_again_at = now + (now - started) * _RENDER_PAUSE_FACTOR
-        return _respond(start, _OK, self._rendered, _METRICS_TYPE)
+        return SharedBody(_respond(start, _OK, self._rendered, _METRICS_TYPE))
 
     def _show_health(self, environ: Environ, start: StartResponse) -> list[bytes]:
         return _respond(start, _OK, b"ok\n")
--- a/gypsumspoke/shell/early_listeners.py
+++ b/gypsumspoke/shell/early_listeners.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping
 from contextlib import suppress
 
+from gypsumspoke.http.limits import SocketBuffers
 from gypsumspoke.http.listening import listen
 
 Address = tuple[str, int]
@@ -21,20 +22,19 @@
     Args:
       addresses: where to listen. An address that can't be bound is skipped; its server
         reports the error.
-      receive_buffers: value of SO_RCVBUF for each connection, by address;
-        the system's default elsewhere.
+      buffers: buffers of each connection, by address; the system's default elsewhere.
     """
 
     def __init__(
         self,
         addresses: Iterable[Address] = (),
-        receive_buffers: Mapping[Address, int] | None = None,
+        buffers: Mapping[Address, SocketBuffers] | None = None,
     ) -> None:
         self._sockets: dict[Address, socket.socket] = {}
-        buffers = receive_buffers or {}
+        known = buffers or {}
         for address in addresses:
             with suppress(OSError):
-                self._sockets[address] = listen(address, buffers.get(address))
+                self._sockets[address] = listen(address, known.get(address))
 
     def take(self, address: Address) -> socket.socket | None:
         """Remove and return the socket of an address, or None; it doesn't block."""
--- a/gypsumspoke/shell/entry.py
+++ b/gypsumspoke/shell/entry.py
@@ -151,7 +151,7 @@
         body_limit=application.body_limit,
         refuse=application.refuse_unread,
     )
-    listener = listen((settings.host, settings.http_port), clients.receive_buffer)
+    listener = listen((settings.host, settings.http_port), clients.buffers)
     server = HttpServer(listener, application, policy, clients)
     server.start()
     return server
--- a/gypsumspoke/shell/http_servers.py
+++ b/gypsumspoke/shell/http_servers.py
@@ -38,7 +38,7 @@
     Raises:
       OSError: the address can't be bound.
     """
-    listener = listeners.take(address) or listen(address, clients.receive_buffer)
+    listener = listeners.take(address) or listen(address, clients.buffers)
     server = HttpServer(listener, application, policy, clients)
     server.start()
     stack.callback(server.close, grace)
--- a/tests/http/test_budget.py
+++ b/tests/http/test_budget.py
@@ -62,7 +62,8 @@
         ProcessLimits(552_000_000, 8192),
     ):
         bounds = client_limits(limits)
-        # The system reserves twice the receive buffer.
-        unread = bounds.connections * bounds.receive_buffer * 2
-        assert unread + bounds.held_bytes + bounds.job_bytes < limits.memory_bytes / 2
+        # The system reserves twice the size of each buffer.
+        in_sockets = bounds.connections * sum(bounds.buffers) * 2
+        bounded = in_sockets + bounds.held_bytes + bounds.job_bytes
+        assert bounded < limits.memory_bytes / 2
         assert bounds.connections < limits.descriptors - 200
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -8,7 +8,7 @@
 
 from gypsumspoke.core.clock import SteadyClock
 from gypsumspoke.http.connection import ClientConnection
-from gypsumspoke.http.values import ReadLimits
+from gypsumspoke.http.values import Payload, ReadLimits
 
 LARGE = bytes(10_000_000)
 
@@ -55,7 +55,7 @@
         with gevent.Timeout(5):
             while not owner.requests:
                 gevent.sleep(0.001)
-        writer = gevent.spawn(connection.write, LARGE, True)
+        writer = gevent.spawn(connection.write, Payload(LARGE), True)
         gevent.sleep(0.01)
         assert not writer.ready()
         yield connection, writer
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -16,7 +16,8 @@
 from gypsumspoke.http.limits import client_limits
 from gypsumspoke.http.listening import listen
 from gypsumspoke.http.server import HttpServer, RequestPolicy
-from gypsumspoke.http.values import ReadLimits
+from gypsumspoke.http.values import ReadLimits, SharedBody
+from tests.standins.memory import bytes_in_sockets
 
 TIMEOUT_SECONDS = 20
 MAX_BODY_BYTES = 262_144
@@ -32,9 +33,11 @@
     """Answers with what it was sent.
 
     ``/wait`` waits until ``released``, ``/fail`` and ``/interrupt`` raise, ``/large``
-    answers with much.
+    answers with much, ``/shared`` with the same text each time.
     """
 
+    SHARED = bytes(1_000_000)
+
     def __init__(self):
         self.released = Event()
         self.answered = 0
@@ -46,6 +49,9 @@
             self.released.wait(TIMEOUT_SECONDS)
         if environ["PATH_INFO"] == "/fail":
             raise RuntimeError
+        if environ["PATH_INFO"] == "/shared":
+            start("200 OK", [])
+            return SharedBody([self.SHARED])
         if environ["PATH_INFO"] == "/interrupt":
             raise gevent.GreenletExit
         body = read_body(environ, MAX_BODY_BYTES)
@@ -69,7 +75,7 @@
             read_limits=lambda: read_limits,
             body_limit=lambda head: 0 if head.path == "/none" else MAX_BODY_BYTES,
         )
-        listener = listen(("127.0.0.1", 0), clients.receive_buffer)
+        listener = listen(("127.0.0.1", 0), clients.buffers)
         server = HttpServer(listener, application, policy, clients)
         with closing(server), gevent.Timeout(TIMEOUT_SECONDS):
             server.start()
@@ -269,6 +275,51 @@
             wait_until(lambda: not clients.open_connections)
 
 
+def test_answers_that_are_not_read_are_bounded(application):
+    """Clients that read nothing must not fill the memory with their answers."""
+    limits = LIMITS._replace(held_bytes=5_000_000)
+    with serving(application, limits, ReadLimits()) as (connect, clients):
+        with ExitStack() as stack:
+            for number in range(20):
+                sock = stack.enter_context(connect())
+                sock.sendall(post(b"/large"))
+                wait_until(lambda: application.answered > number)
+                assert clients.held_bytes <= limits.held_bytes
+            assert clients.held_bytes > limits.held_bytes / 2
+            assert ask(connect, post(b"/large"))[0] == 200
+        wait_until(lambda: not clients.held_bytes)
+
+
+def test_what_is_kept_anyway_is_not_held_for_a_client(application):
+    """Clients that don't read the metrics would be closed and come again at once."""
+    limits = LIMITS._replace(held_bytes=100_000)
+    with serving(application, limits, ReadLimits()) as (connect, clients):
+        with ExitStack() as stack:
+            socks = [stack.enter_context(connect()) for _ in range(20)]
+            for sock in socks:
+                sock.sendall(post(b"/shared"))
+            gevent.sleep(0.2)
+            assert clients.open_connections == 20
+            assert clients.held_bytes < 20 * 500
+            with socks[0].makefile("rb") as stream:
+                assert stream.readline() == b"HTTP/1.1 200 OK\r\n"
+                while stream.readline().strip():
+                    pass
+                assert stream.read(1_000_000) == application.SHARED
+
+
+def test_the_system_buffers_little_of_an_answer(application):
+    """What waits in the system for a client that doesn't read has no other bound."""
+    with serving(application, read_limits=ReadLimits()) as (connect, clients):
+        with connect() as sock:
+            sock.sendall(post(b"/large"))
+            wait_until(lambda: clients.held_bytes)
+            host, port = sock.getpeername()
+            waiting = bytes_in_sockets({host}, port)[host].unsent
+            # The system reserves twice the size.
+            assert 0 < waiting <= LIMITS.buffers.send * 2 + 4096
+
+
 def test_a_stop_waits_no_longer_than_for_the_last_answers(application):
     """A server whose last answers came at once waited until it was killed."""
     with opened(application) as (server, _):
--- a/tests/platform/crowded_system.py
+++ b/tests/platform/crowded_system.py
@@ -99,6 +99,9 @@
             "unread_mb": [
                 round(each.peak_unread / _MEGABYTE, 1) for each in self.watched
             ],
+            "unsent_mb": [
+                round(each.peak_unsent / _MEGABYTE, 1) for each in self.watched
+            ],
             "ended": self.ended,
             "answers": [dict(each) for each in self.answers],
             "slowest": [round(each, 2) for each in self.slowest],
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 import gevent
-from gevent.socket import AF_INET, SOCK_STREAM, socket
+from gevent.socket import AF_INET, SO_RCVBUF, SOCK_STREAM, SOL_SOCKET, socket
 
 from gypsumspoke.runs.settings import Address, parse_address
 
@@ -24,6 +24,8 @@
 _RECONNECT_SECONDS = 0.2
 _PIECE_BYTES = 8192
 _PAUSE_SECONDS = 0.05
+# Answers that a client doesn't read then wait at the server.
+_UNREAD_BUFFER = 1024
 # A step of a job. The estimate is how long the stand-in workers take.
 _STEP = {"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 100}
 
@@ -224,6 +226,14 @@
         yield target.request_line("GET") + b"\r\n"
 
 
+def some_ahead(target: Target) -> Sending:
+    """Some requests sent ahead, then one now and then, without reading the answers."""
+    yield (target.request_line("GET") + b"\r\n") * 200
+    while True:
+        yield 0.5
+        yield target.request_line("GET") + b"\r\n"
+
+
 def cancels(target: Target) -> Sending:
     """Requests to cancel jobs that nobody sent."""
     while True:
@@ -312,6 +322,7 @@
         Kind(slow_body),
         Kind(stop_half_way),
         Kind(sent_ahead, reads=False),
+        Kind(some_ahead, reads=False),
         Kind(cancels),
         Kind(small_requests),
         Kind(long_chunk_lines),
@@ -345,6 +356,8 @@
     def _connect_again(self) -> None:
         while True:
             sock = socket(AF_INET, SOCK_STREAM)
+            if not self._kind.reads:
+                sock.setsockopt(SOL_SOCKET, SO_RCVBUF, _UNREAD_BUFFER)
             try:
                 sock.connect(self._target.address)
                 self.counts["connections"] += 1
--- a/tests/standins/memory.py
+++ b/tests/standins/memory.py
@@ -1,9 +1,10 @@
 """Watches the memory of child processes.
 
-Bytes that a process has received and not read count towards its memory.
+Bytes that wait in a process's sockets, either way, count towards its memory.
 """
 
 from pathlib import Path
+from typing import NamedTuple
 
 import gevent
 
@@ -25,19 +26,43 @@
     return 0
 
 
-def unread_bytes(hosts: set[str]) -> dict[str, int]:
-    """Return the bytes that have been received and not read, by own IP address."""
-    unread = dict.fromkeys(hosts, 0)
+class InSockets(NamedTuple):
+    """Bytes in the sockets of a process.
+
+    Attributes:
+      unread: received by the system and not read by the process.
+      unsent: written by the process and not received by the other side.
+    """
+
+    unread: int = 0
+    unsent: int = 0
+
+
+def bytes_in_sockets(hosts: set[str], port: int | None = None) -> dict[str, InSockets]:
+    """Return the bytes that wait in sockets, by own IP address.
+
+    Args:
+      hosts: the addresses.
+      port: own port of the sockets; None for any.
+    """
+    waiting = dict.fromkeys(hosts, InSockets())
     by_hex = {_hex_address(host): host for host in hosts}
     with open("/proc/net/tcp") as table:
         next(table)
         for line in table:
             fields = line.split(None, 5)
-            host = by_hex.get(fields[1].partition(":")[0])
+            address, _, own_port = fields[1].partition(":")
+            host = by_hex.get(address)
+            if port is not None and int(own_port, 16) != port:
+                continue
             # The queue of a listener counts connections, not bytes.
             if host is not None and fields[3] != "0A":
-                unread[host] += int(fields[4].partition(":")[2], 16)
-    return unread
+                unsent, unread = (int(size, 16) for size in fields[4].split(":"))
+                before = waiting[host]
+                waiting[host] = InSockets(
+                    before.unread + unread, before.unsent + unsent
+                )
+    return waiting
 
 
 def _hex_address(host: str) -> str:
@@ -54,7 +79,7 @@
       max_bytes: the memory of its machine.
 
     Attributes:
-      peak_bytes, peak_unread: the highest values seen.
+      peak_bytes, peak_unread, peak_unsent: the highest values seen.
       is_over: whether it exceeded ``max_bytes`` and was therefore killed.
     """
 
@@ -64,13 +89,15 @@
         self._max_bytes = max_bytes
         self.peak_bytes = 0
         self.peak_unread = 0
+        self.peak_unsent = 0
         self.is_over = False
 
-    def look(self, unread: int) -> None:
+    def look(self, waiting: InSockets) -> None:
         """Record the memory, and kill the process if it is over the maximum."""
-        memory = resident_bytes(self.process.pid) + unread
+        memory = resident_bytes(self.process.pid) + sum(waiting)
         self.peak_bytes = max(self.peak_bytes, memory)
-        self.peak_unread = max(self.peak_unread, unread)
+        self.peak_unread = max(self.peak_unread, waiting.unread)
+        self.peak_unsent = max(self.peak_unsent, waiting.unsent)
         if memory > self._max_bytes:
             self.is_over = True
             self.process.kill()
@@ -96,8 +123,8 @@
     def _watch(self) -> None:
         hosts = {each.host for each in self._watched}
         while True:
-            unread = unread_bytes(hosts)
+            waiting = bytes_in_sockets(hosts)
             for each in self._watched:
                 if not each.is_over:
-                    each.look(unread[each.host])
+                    each.look(waiting[each.host])
             gevent.sleep(_INTERVAL_SECONDS)
