HTTP server: plainer words, and account for an answer once

Bytes held for an answer that isn't read were reset after each answer and again when the connection was closed or lingered; now only before the next request, where the rest is reset as well. No change in behaviour.

Comments say what they mean without the rest of the code: why a send is preceded by a check for room, why few connections are accepted at a time, what a shared body is.

--- a/gypsumspoke/http/connection.py
+++ b/gypsumspoke/http/connection.py
@@ -31,23 +31,6 @@
 _MAX_LINGER_BYTES = 4 * 1024 * 1024
 
 
-def _send_some(sock: socket.socket, data: memoryview) -> int:
-    """Send what there is room for in the system's buffer; return its size.
-
-    Raises:
-      OSError: the connection is broken.
-    """
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLOUT)
-    # Unless it is asked first, the system takes far more than its buffer.
-    if not poll.poll(0):
-        return 0
-    try:
-        return sock.send(data[:_SEND_BYTES])
-    except BlockingIOError:
-        return 0
-
-
 class Phase(Enum):
     """What a connection does."""
 
@@ -151,7 +134,7 @@
         self._phase = Phase.READING
         self._since = self._heard = owner.clock.now()
         self._held = 0
-        # Size of the answer that the client doesn't read.
+        # Bytes held for an answer that the client doesn't read.
         self._unsent = 0
         self._writable: WritableWait | None = None
         self._lingered = 0
@@ -360,10 +343,7 @@
             return
         self._phase = Phase.WRITING
         self._since = self._owner.clock.now()
-        is_sent = self._send_all(payload)
-        self._unsent = 0
-        self._account()
-        if not is_sent:
+        if not self._send_all(payload):
             self.close()
         elif self._phase is not Phase.WRITING:
             return
@@ -378,17 +358,17 @@
         """Send all bytes; return whether that succeeded."""
         try:
             for part in payload:
-                self._send(part, len(payload.own))
+                self._send(part, held=len(payload.own))
         except OSError:
             return False
         return True
 
-    def _send(self, part: bytes, unsent: int) -> None:
+    def _send(self, part: bytes, held: int) -> None:
         """Send a part of an answer.
 
         Args:
           part: the part.
-          unsent: what is held meanwhile for a client that doesn't read.
+          held: bytes that count as held once the client doesn't read.
 
         Raises:
           OSError: it can't be sent.
@@ -398,7 +378,7 @@
             if sent := _send_some(self._sock, left):
                 left = left[sent:]
             else:
-                self._unsent = unsent
+                self._unsent = held
                 self._account()
                 self._wait_writable()
 
@@ -423,6 +403,7 @@
         self._reader.next_request(self._limits.header_bytes)
         self._phase = Phase.READING
         self._since = self._heard = self._owner.clock.now()
+        self._unsent = 0
         self._account()
         if self._reader.has_begun:
             self._has_new_bytes = True
@@ -483,3 +464,20 @@
         self._lingered += len(chunk)
         if not chunk or self._lingered > _MAX_LINGER_BYTES:
             self.close()
+
+
+def _send_some(sock: socket.socket, data: memoryview) -> int:
+    """Send what the system's buffer has room for; return the number of bytes.
+
+    Raises:
+      OSError: the connection is broken.
+    """
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    # Without this check the system queues up to 64 KB beyond the size of its buffer.
+    if not poll.poll(0):
+        return 0
+    try:
+        return sock.send(data[:_SEND_BYTES])
+    except BlockingIOError:
+        return 0
--- a/gypsumspoke/http/limits.py
+++ b/gypsumspoke/http/limits.py
@@ -14,9 +14,9 @@
 _RESERVED_DESCRIPTORS = 512
 _MIN_CONNECTIONS = 64
 
-# Parts of the memory: for requests that are being read and answers that are being
-# written, for bytes that wait in the sockets on either way, and for jobs in progress.
-# The rest is for the process itself.
+# Parts of the memory: for requests that are being read and answers that clients don't
+# read, for received bytes and for answers that wait in the sockets, and for jobs in
+# progress. The rest is for the process itself.
 _HELD_PART = 1 / 8
 _UNREAD_PART = 1 / 6
 _UNSENT_PART = 1 / 16
--- a/gypsumspoke/http/server.py
+++ b/gypsumspoke/http/server.py
@@ -39,7 +39,8 @@
 # client leaves.
 SOCKET_KEY = "gypsumspoke.socket"
 
-# Connections accepted before other events are handled.
+# Connections accepted before other events are handled. A few, since a request takes
+# several turns of the event loop.
 _MAX_ACCEPTED = 16
 _ACCEPT_RETRY_DELAY = timedelta(milliseconds=100)
 _READABLE = 1
--- a/gypsumspoke/http/values.py
+++ b/gypsumspoke/http/values.py
@@ -30,10 +30,10 @@
 
 
 class SharedBody(list[bytes]):
-    """The body of an answer that is kept anyway, whoever gets it.
+    """A body that the application keeps for the answers to several requests.
 
-    An application returns it in place of a list. It isn't copied, and doesn't count as
-    held for a client that doesn't read.
+    An application returns it in place of a list. The server doesn't copy it, and
+    doesn't count it as held for a client that doesn't read.
     """
 
 
@@ -41,8 +41,8 @@
     """An encoded answer.
 
     Attributes:
-      own: status line and headers, with the body unless it is shared.
-      shared: the body if it is kept anyway.
+      own: status line and headers, and the body unless it is shared.
+      shared: the body if it is a ``SharedBody``.
     """
 
     own: bytes
--- a/gypsumspoke/shell/early_listeners.py
+++ b/gypsumspoke/shell/early_listeners.py
@@ -31,10 +31,10 @@
         buffers: Mapping[Address, SocketBuffers] | None = None,
     ) -> None:
         self._sockets: dict[Address, socket.socket] = {}
-        known = buffers or {}
+        buffers = buffers or {}
         for address in addresses:
             with suppress(OSError):
-                self._sockets[address] = listen(address, known.get(address))
+                self._sockets[address] = listen(address, buffers.get(address))
 
     def take(self, address: Address) -> socket.socket | None:
         """Remove and return the socket of an address, or None; it doesn't block."""
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -20,7 +20,6 @@
 
     def __init__(self):
         self.clock = SteadyClock()
-        self.held = 0
         self.requests = []
 
     def read_limits(self):
@@ -30,7 +29,7 @@
         return 0
 
     def on_held(self, change):
-        self.held += change
+        pass
 
     def on_request(self, connection):
         self.requests.append(connection)
@@ -62,8 +61,8 @@
 
 
 def test_closing_ends_an_answer_that_is_not_read(unread):
-    """The event loop watched the closed descriptor for a while; it ends the process
-    once another connection has got the descriptor and is closed, too.
+    """The event loop still watched the closed descriptor, and aborts the process when
+    another connection has got the descriptor and is closed, too.
     """
     connection, writer = unread
     connection.close()
